--- /dev/null
+++ b/packages/core/src/carobflow/core/table.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Carobflow
+{
+
+/// A row of the table service. The version is assigned by the service at the commit that last wrote the row.
+struct Row {
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+/// A condition on a row: it has this version, or it is absent when the version is 0.
+struct Condition {
+    std::string key;
+    std::uint64_t version = 0;
+};
+
+/// A write of a row, or its deletion when there is no value.
+struct Mutation {
+    std::string key;
+    std::optional<std::string> value;
+};
+
+/// Mutations that are applied together, and only if every condition holds.
+struct Transaction {
+    std::vector<Condition> conditions;
+    std::vector<Mutation> mutations;
+};
+
+/// The transaction was applied; every row it put now has this version.
+struct Committed {
+    std::uint64_t version = 0;
+};
+
+/// The transaction was not applied because the condition on this row did not hold.
+struct Conflict {
+    std::string key;
+};
+
+/// The transaction was certainly not applied.
+struct TableUnavailable {
+    std::string reason;
+};
+
+/// No reply arrived; the transaction may have been applied, or may still be.
+struct ReplyLost {
+    std::string reason;
+};
+
+using TransactOutcome = std::variant<Committed, Conflict, TableUnavailable, ReplyLost>;
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/platform/src/carobflow/platform/placeholder.cpp
@@ -0,0 +1,3 @@
+#include "carobflow/platform/objectstore.h"
+#include "carobflow/platform/tableservice.h"
+#include "carobflow/platform/workerruntime.h"
--- /dev/null
+++ b/tests/main/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
