core: add the state machine of one charge

Cause: a charge has to run at most once while the table loses replies, applies writes late or is down, and processes die between any two steps.

Change: ChargeFlow creates the row first, attempts once, and stores the result before it replies. A lost reply of a create is resolved by reading the row back and comparing the token. A create whose reply was lost and that was not seen may still be applied, but only while the row is absent; a row that is then deleted would let it through and block the key for good. In this case the flow leaves a row with state "released", which the next call replaces on condition of its version and never deletes.

Ruled out: deleting the row in every case (a late create then blocks the key although every process lived); waiting until the lost create shows up (a create that was dropped never does, so the flow would not end).

At the deadline a call is told not-run while no row is known to exist, and unknown once a create conflicted and the row could not be read: the row may be that of an earlier call that ran.

Not excluded: when the process dies between a create that may have been applied and its release, the row may stay or become pending, and the key answers unknown for good. It never runs twice.

--- a/packages/core/src/carobflow/core/chargeflow.h
+++ b/packages/core/src/carobflow/core/chargeflow.h
@@ -42,9 +42,19 @@
 /// What the caller of a charge is told.
 using ChargeReply = std::variant<UpstreamAnswer, NotRunOutcome, UnknownOutcome, KeyReused>;
 
+struct ChargeRow;
+
 /// The protocol of one charge: create the row of its idempotency key, send the request at most once, store the result.
 /// It does no I/O: the owner carries out each step and reports the result with the matching function, which returns the
 /// next step. A reply ends the part that the caller waits for; a flow may then still have steps that clean up.
+///
+/// A create whose reply was lost may still be applied later, but only while the row is absent. After not-run the flow
+/// therefore deletes its row only when every create is accounted for. Otherwise it leaves a row with state `released`:
+/// it stays, so no late create can be applied, and the next call replaces it on condition of its version. Such a call
+/// releases the row again instead of deleting it.
+///
+/// When the process dies between a create that may have been applied and its release, the row may stay `pending`, or
+/// appear as such later. The key then answers `unknown` for good; it never runs a second time.
 class ChargeFlow
 {
 public:
@@ -106,15 +116,42 @@
         Attempting,
         Storing,
         CheckingStore,
-        Deleting,
-        CheckingDelete,
+        Releasing,
+        CheckingRelease,
         Done
     };
 
+    Step create();
+    Step owned(std::uint64_t version);
+    Step store();
+    Step release();
+    Step finish();
+    Step reply(ChargeReply reply, Stage next);
+    Step foundForeign(ChargeReply reply);
+    [[nodiscard]] ReadRowStep readRow() const;
+    [[nodiscard]] TransactStep write(std::uint64_t version, const ChargeRow &row) const;
+
+    Step onCreated(const TransactOutcome &outcome);
+    Step onStored(const TransactOutcome &outcome);
+    Step onReleased(const TransactOutcome &outcome);
+    Step onRowAfterCreate(const Row *row, const ChargeRow *content);
+    Step onRowAfterStore(const Row *row, const ChargeRow *content);
+    Step onRowAfterRelease(const Row *row, const ChargeRow *content);
+    [[nodiscard]] bool isOwnPending(const ChargeRow *content) const;
+    void countAppliedCreate();
+
     Options m_options;
     Stage m_stage = Stage::Start;
     bool m_replied = false;
     bool m_backOff = false;
+    bool m_attempted = false;
+    /// A create conflicted and the row has not been read since.
+    bool m_rowExists = false;
+    /// Version on which creates are conditional: 0 for an absent row, else that of a released row.
+    std::uint64_t m_baseVersion = 0;
+    /// Creates conditional on m_baseVersion whose reply was lost and that may still be applied.
+    std::uint32_t m_openCreates = 0;
+    /// Version of this flow's own pending row; 0 while it is not known to exist.
     std::uint64_t m_rowVersion = 0;
     std::optional<AttemptOutcome> m_outcome;
 };
