Add the daemon with its entry and agent roles

Cause: the interfaces of core and platform need a process that carries them out. The entry serves callers through a row of filters, forwards to agents over gRPC and runs charges over the table; the agent admits requests, runs tasks and drives the shard leader of its shard.

Ruled out: INIReader of Debian 12 cannot list sections and keys, so unknown keys could not be reported; the C interface of the same library (inih) can.

--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -0,0 +1,317 @@
+#include "carobflow/daemon/agentprocess.h"
+
+#include "carobflow/daemon/agentservice.h"
+#include "carobflow/daemon/announcer.h"
+#include "carobflow/daemon/httpserver.h"
+#include "carobflow/daemon/internal/apijson.h"
+#include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/daemon/internal/grpclistener.h"
+#include "carobflow/daemon/internal/identifiers.h"
+#include "carobflow/daemon/internal/localannouncement.h"
+#include "carobflow/daemon/internal/statuspages.h"
+#include "carobflow/daemon/metrics.h"
+#include "carobflow/daemon/requestexecutor.h"
+#include "carobflow/daemon/rpc.h"
+#include "carobflow/daemon/shardrunner.h"
+#include "carobflow/daemon/taskrunner.h"
+#include "carobflow/logging/log.h"
+#include "carobflow/platform/httpobjectstore.h"
+#include "carobflow/platform/httptableservice.h"
+#include "carobflow/platform/httpworkerruntime.h"
+
+#include <optional>
+
+namespace Carobflow
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Runs a function on another strand and returns its result on the caller's.
+template<typename Function>
+asio::awaitable<std::invoke_result_t<Function>> runOn(asio::any_io_executor strand, Function function)
+{
+    co_return co_await asio::co_spawn(
+        strand,
+        [function = std::move(function)]() -> asio::awaitable<std::invoke_result_t<Function>> { co_return function(); },
+        asio::use_awaitable);
+}
+
+} // namespace
+
+class AgentProcess::Private
+{
+public:
+    Private(asio::io_context &context, Settings settings)
+        : m_settings(std::move(settings))
+        , m_bootId(randomNumber())
+        , m_shard(shardOf(m_settings.name, static_cast<std::uint32_t>(m_settings.shards)))
+        , m_executor(context.get_executor())
+        , m_platformClient(std::make_shared<HttpClient>(m_executor))
+        , m_upstreamClient(std::make_shared<HttpClient>(m_executor, HttpClient::Options{.maxIdlePerEndpoint = 8}))
+        , m_table(m_platformClient,
+                  {.endpoint = {.host = m_settings.table.address, .port = m_settings.table.port},
+                   .timeout = m_settings.platformTimeout})
+        , m_objects(m_platformClient,
+                    {.endpoint = {.host = m_settings.objects.address, .port = m_settings.objects.port},
+                     .timeout = m_settings.platformTimeout})
+        , m_worker(m_platformClient,
+                   {.endpoint = {.host = m_settings.worker.address, .port = m_settings.worker.port},
+                    .timeout = m_settings.platformTimeout})
+        , m_requests(m_executor,
+                     {.queueLimit = static_cast<std::uint32_t>(m_settings.queueLimit),
+                      .adaptivePolicy = m_settings.adaptivePolicy},
+                     m_upstreamClient,
+                     m_metrics)
+        , m_http(m_executor, {.endpoint = m_settings.http}, [this](HttpServerRequest request) {
+            return serve(std::move(request));
+        })
+    {
+    }
+
+    Status start()
+    {
+        if (Status status = m_http.start(); !isOk(status)) {
+            return status;
+        }
+        m_listener.emplace(m_settings.grpc);
+        const auto port = m_listener->reserve();
+        if (!isOk(port)) {
+            return errorOf(port);
+        }
+        const Endpoint grpc{.address = m_settings.grpc.address, .port = valueOf(port)};
+        m_address = m_settings.advertise.empty() ? grpc.toString() : m_settings.advertise;
+        createRunners();
+        const auto noteVersion = [this](SheetVersion version) {
+            asio::post(m_announcer->strand(), [this, version] { m_announcer->noteVersion(version); });
+        };
+        m_agentService.emplace(m_requests, noteVersion);
+        m_shardService.emplace(*m_shardRunner, noteVersion);
+        if (Status status = m_listener->start({&*m_agentService, &*m_shardService}); !isOk(status)) {
+            return status;
+        }
+        asio::co_spawn(m_announcer->strand(), m_announcer->run(), asio::detached);
+        asio::co_spawn(m_shardRunner->strand(), m_shardRunner->run(), asio::detached);
+        asio::co_spawn(m_requests.strand(), tickRequests(), asio::detached);
+        m_tasks->start();
+        m_started = true;
+        logInfo("ready").with("role", "agent").with("http", m_http.port()).with("grpc", valueOf(port));
+        return std::monostate{};
+    }
+
+    asio::awaitable<void> stop()
+    {
+        m_stopping = true;
+        // Entries learn first that this host leaves, so that no new request comes while the last ones finish. The tasks
+        // are moved to other hosts meanwhile.
+        m_announceLeaving = true;
+        co_await runOn(m_tasks->strand(), [this] {
+            m_tasks->setLeaving();
+            return true;
+        });
+        const bool known = co_await asio::co_spawn(
+            m_announcer->strand(), m_announcer->announceOnce(), asio::use_awaitable);
+        co_await sleepFor(known ? m_settings.announceInterval : m_settings.drainDelay);
+        co_await runOn(m_requests.strand(), [this] {
+            m_requests.close();
+            return true;
+        });
+        while (m_requests.inProgress() > 0) {
+            co_await sleepFor(Milliseconds(10));
+        }
+        const TimePoint limit = std::chrono::steady_clock::now() + m_settings.stopTimeout / 2;
+        while (!co_await runOn(m_tasks->strand(), [this] { return m_tasks->isIdle(); })
+               && std::chrono::steady_clock::now() < limit) {
+            co_await sleepFor(Milliseconds(50));
+        }
+        co_await asio::co_spawn(
+            m_shardRunner->strand(), m_shardRunner->release(m_settings.leaderLease), asio::use_awaitable);
+        co_await m_http.drain();
+        m_listener->shutdown();
+    }
+
+private:
+    void createRunners()
+    {
+        m_announcer.emplace(m_executor,
+                            Announcer::Options{.host = m_settings.name,
+                                               .dataCentre = m_settings.dataCentre,
+                                               .agentAddress = m_address,
+                                               .bootId = m_bootId,
+                                               .interval = m_settings.announceInterval},
+                            Announcer::Callbacks{.upstreams = [this] { return announcedUpstreams(); },
+                                                 .onSheet = [this](const FollowedSheet &sheet) { setSheet(sheet); },
+                                                 .onConfirmed =
+                                                     [this](TimePoint confirmedAt, const FollowedSheet &sheet) {
+                                                         confirmSheet(confirmedAt, sheet);
+                                                     }},
+                            m_table,
+                            m_channels);
+        // Candidates wait for different times, so that they do not all try to take over at once.
+        const Milliseconds delay(stableHash(m_settings.name + "/" + std::to_string(m_shard))
+                                 % static_cast<std::uint64_t>(m_settings.leaderLease.count()));
+        m_shardRunner.emplace(m_executor,
+                              ShardRunner::Options{.leader = {.shard = m_shard,
+                                                              .host = m_settings.name,
+                                                              .address = m_address,
+                                                              .lease = m_settings.leaderLease,
+                                                              .leaseMargin = m_settings.leaderLease / 4,
+                                                              .candidacyDelay = delay,
+                                                              .renewInterval = m_settings.leaderLease / 4,
+                                                              .hostGrant = m_settings.hostGrant,
+                                                              .workerLease = m_settings.workerLease,
+                                                              .reassignMargin = m_settings.reassignMargin,
+                                                              .outageGrace = m_settings.outageGrace,
+                                                              .adaptivePolicy = m_settings.adaptivePolicy,
+                                                              .seed = m_bootId},
+                                                   .hasLeaderContact =
+                                                       [this](TimePoint now) {
+                                                           return m_tasks->hasLeaderContact(now,
+                                                                                            m_settings.leaderLease);
+                                                       }},
+                              m_table,
+                              m_objects,
+                              m_metrics);
+        m_tasks.emplace(
+            m_executor,
+            TaskRunner::Options{.supervisor = {.host = {.name = m_settings.name,
+                                                        .dataCentre = m_settings.dataCentre,
+                                                        .rack = m_settings.rack,
+                                                        .capacity = {.cpuMillis = m_settings.cpuMillis,
+                                                                     .memoryMiB = m_settings.memoryMiB,
+                                                                     .accelerators = m_settings.accelerators}},
+                                               .bootId = m_bootId,
+                                               .workerLease = m_settings.workerLease,
+                                               .renewInterval = m_settings.workerLease / 5,
+                                               .maxSheetAge = m_settings.maxSheetAge},
+                                .shard = m_shard},
+            TaskRunner::Callbacks{.leader = [this] { return currentLeader(); },
+                                  .windows =
+                                      [this](std::vector<std::string> classes) {
+                                          return runOn(m_requests.strand(), [this, classes = std::move(classes)] {
+                                              return m_requests.takeWindows(classes);
+                                          });
+                                      },
+                                  .noteVersion =
+                                      [this](SheetVersion version) {
+                                          asio::post(m_announcer->strand(),
+                                                     [this, version] { m_announcer->noteVersion(version); });
+                                      }},
+            m_worker,
+            m_table,
+            m_channels,
+            m_metrics);
+    }
+
+    asio::awaitable<std::vector<carobflow::UpstreamInfo>> announcedUpstreams()
+    {
+        auto upstreams = co_await runOn(m_requests.strand(), [this] { return m_requests.upstreams(); });
+        for (auto &upstream : upstreams) {
+            upstream.set_leaving(upstream.leaving() || m_announceLeaving);
+        }
+        co_return upstreams;
+    }
+
+    asio::awaitable<std::optional<ShardLeaderRow>> currentLeader()
+    {
+        const auto leading = co_await runOn(m_shardRunner->strand(), [this] {
+            const ShardLeader &leader = m_shardRunner->leader();
+            return leader.isLeading(std::chrono::steady_clock::now()) ? std::optional(leader.epoch()) : std::nullopt;
+        });
+        if (leading) {
+            co_return ShardLeaderRow{.shard = m_shard, .epoch = *leading, .address = m_address};
+        }
+        co_return co_await runOn(m_announcer->strand(), [this] { return m_announcer->leader(m_shard); });
+    }
+
+    void setSheet(const FollowedSheet &sheet)
+    {
+        asio::post(m_shardRunner->strand(),
+                   [this, sheet] { m_shardRunner->setSheet(sheet.version, sheet.rowVersion, sheet.sheet); });
+    }
+
+    void confirmSheet(TimePoint confirmedAt, const FollowedSheet &sheet)
+    {
+        const bool in = !sheet.sheet || sheet.sheet->isInService(m_settings.dataCentre);
+        asio::post(m_tasks->strand(),
+                   [this, confirmedAt, version = sheet.version, in] { m_tasks->onSheet(confirmedAt, version, in); });
+        m_metrics.setSheetVersion(static_cast<double>(sheet.version));
+    }
+
+    asio::awaitable<void> tickRequests()
+    {
+        for (;;) {
+            m_requests.tick();
+            co_await sleepFor(Milliseconds(50));
+        }
+    }
+
+    asio::awaitable<HttpServerResponse> serve(HttpServerRequest request)
+    {
+        if (request.target != "/v1/announce") {
+            co_return statusPage(request.target, m_metrics, m_started && !m_stopping);
+        }
+        auto announcement = parseLocalAnnouncement(request.body, request.method == "DELETE");
+        if (!isOk(announcement)) {
+            co_return errorResponse(errorOf(announcement));
+        }
+        co_await runOn(m_requests.strand(), [this, leave = request.method == "DELETE", said = valueOf(announcement)] {
+            if (leave) {
+                m_requests.leave(said.service);
+            } else {
+                m_requests.announce(said);
+            }
+            return true;
+        });
+        if (request.method == "DELETE") {
+            // The entries hear of it at once and not with the next announcement.
+            co_await asio::co_spawn(m_announcer->strand(), m_announcer->announceOnce(), asio::use_awaitable);
+        }
+        co_return jsonResponse(200, {});
+    }
+
+    Settings m_settings;
+    std::uint64_t m_bootId;
+    ShardId m_shard;
+    std::string m_address;
+    asio::any_io_executor m_executor;
+    Metrics m_metrics;
+    std::shared_ptr<HttpClient> m_platformClient;
+    std::shared_ptr<HttpClient> m_upstreamClient;
+    HttpTableService m_table;
+    HttpObjectStore m_objects;
+    HttpWorkerRuntime m_worker;
+    ChannelPool m_channels;
+    RequestExecutor m_requests;
+    HttpServer m_http;
+    std::optional<Announcer> m_announcer;
+    std::optional<ShardRunner> m_shardRunner;
+    std::optional<TaskRunner> m_tasks;
+    std::optional<AgentService> m_agentService;
+    std::optional<ShardService> m_shardService;
+    std::optional<GrpcListener> m_listener;
+    std::atomic<bool> m_announceLeaving{false};
+    std::atomic<bool> m_started{false};
+    std::atomic<bool> m_stopping{false};
+};
+
+AgentProcess::AgentProcess(asio::io_context &context, Settings settings)
+    : d(std::make_unique<Private>(context, std::move(settings)))
+{
+}
+
+AgentProcess::~AgentProcess() = default;
+
+Status AgentProcess::start()
+{
+    return d->start();
+}
+
+asio::awaitable<void> AgentProcess::stop()
+{
+    return d->stop();
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.cpp
@@ -0,0 +1,158 @@
+#include "carobflow/daemon/chargeservice.h"
+
+#include "carobflow/core/sheet.h"
+#include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/daemon/internal/identifiers.h"
+#include "carobflow/daemon/metrics.h"
+#include "carobflow/logging/log.h"
+#include "carobflow/platform/tableservice.h"
+
+#include <array>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace Carobflow
+{
+namespace
+{
+
+constexpr Milliseconds FirstBackoff{100};
+constexpr Milliseconds LongestBackoff{5000};
+
+/// Exponential backoff with full jitter.
+class Backoff
+{
+public:
+    Duration next()
+    {
+        std::uniform_int_distribution<std::int64_t> distribution(m_limit.count() / 2, m_limit.count());
+        m_limit = std::min(m_limit * 2, LongestBackoff);
+        return Milliseconds(distribution(m_random));
+    }
+
+    void reset()
+    {
+        m_limit = FirstBackoff;
+    }
+
+private:
+    Milliseconds m_limit = FirstBackoff;
+    std::minstd_rand m_random{static_cast<std::uint32_t>(randomNumber())};
+};
+
+std::string_view replyName(const ChargeReply &reply)
+{
+    constexpr std::array<std::string_view, 4> names{"answer", "not-run", "unknown", "key-reused"};
+    return names.at(reply.index());
+}
+
+} // namespace
+
+struct ChargeService::Call {
+    Call(const boost::asio::any_io_executor &executor, ChargeFlow::Options options, ServiceRequest sent)
+        : flow(std::move(options))
+        , request(std::move(sent))
+        , strand(boost::asio::make_strand(executor))
+        , replied(strand)
+    {
+    }
+
+    ChargeFlow flow;
+    ServiceRequest request;
+    boost::asio::any_io_executor strand;
+    Notifier replied;
+    std::optional<ChargeReply> reply;
+    Backoff backoff;
+};
+
+ChargeService::ChargeService(boost::asio::any_io_executor executor,
+                             TableService &table,
+                             Forwarder &forwarder,
+                             Metrics &metrics)
+    : m_executor(std::move(executor))
+    , m_table(table)
+    , m_forwarder(forwarder)
+    , m_metrics(metrics)
+{
+}
+
+boost::asio::awaitable<ChargeReply> ChargeService::charge(std::string key, ServiceRequest request)
+{
+    // A charge is never tried elsewhere after `unknown`, whatever the service says of its other requests.
+    request.idempotent = false;
+    const TimePoint deadline = request.deadline;
+    const std::string digest = sheetDigest(request.method + " " + request.target + "\n" + request.body);
+    auto call = std::make_shared<Call>(
+        m_executor,
+        ChargeFlow::Options{
+            .service = request.service, .key = std::move(key), .requestDigest = digest, .token = randomToken()},
+        std::move(request));
+    // The flow and the wait for its reply share a strand, so that the deadline sees the flow between two steps.
+    co_return co_await boost::asio::co_spawn(
+        call->strand,
+        [this, call, deadline]() -> boost::asio::awaitable<ChargeReply> {
+            boost::asio::co_spawn(call->strand, run(call), boost::asio::detached);
+            if (!call->reply) {
+                co_await call->replied.waitUntil(deadline);
+            }
+            if (!call->reply) {
+                call->reply = call->flow.onDeadline();
+            }
+            ChargeReply reply = call->reply.value_or(UnknownOutcome{.reason = "the deadline passed"});
+            m_metrics.countCharge(replyName(reply));
+            co_return reply;
+        },
+        boost::asio::use_awaitable);
+}
+
+boost::asio::awaitable<void> ChargeService::run(std::shared_ptr<Call> call)
+{
+    ++m_inBackground;
+    ChargeFlow::Step step = call->flow.next();
+    while (!std::holds_alternative<ChargeFlow::DoneStep>(step)) {
+        if (auto *reply = std::get_if<ChargeFlow::ReplyStep>(&step)) {
+            const bool more = reply->more;
+            if (!call->reply) {
+                call->reply = std::move(reply->reply);
+                call->replied.notify();
+            }
+            if (!more) {
+                break;
+            }
+            step = call->flow.next();
+            continue;
+        }
+        if (call->flow.shouldBackOff()) {
+            co_await sleepFor(call->backoff.next());
+        } else {
+            call->backoff.reset();
+        }
+        step = co_await carryOut(*call, std::move(step));
+    }
+    --m_inBackground;
+}
+
+boost::asio::awaitable<ChargeFlow::Step> ChargeService::carryOut(Call &call, ChargeFlow::Step step)
+{
+    if (const auto *read = std::get_if<ChargeFlow::ReadRowStep>(&step)) {
+        const std::array keys{read->key};
+        const auto rows = co_await m_table.read(keys);
+        co_return call.flow.onRow(rows);
+    }
+    if (const auto *transact = std::get_if<ChargeFlow::TransactStep>(&step)) {
+        const auto outcome = co_await m_table.transact(transact->transaction);
+        co_return call.flow.onTransact(outcome);
+    }
+    const auto outcome = co_await m_forwarder.forward(call.request);
+    co_return call.flow.onAttempt(outcome);
+}
+
+std::uint32_t ChargeService::inBackground() const
+{
+    return m_inBackground;
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/clusterview.cpp
@@ -0,0 +1,192 @@
+#include "carobflow/daemon/clusterview.h"
+
+#include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/daemon/internal/identifiers.h"
+#include "carobflow/platform/tableservice.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace Carobflow
+{
+namespace
+{
+
+constexpr std::string_view EntryPrefix = "entry/";
+constexpr std::string_view ShardPrefix = "shard/";
+constexpr std::string_view DrainPrefix = "drain/";
+constexpr std::size_t RangeLimit = 2000;
+
+boost::json::object parseObject(std::string_view text)
+{
+    boost::system::error_code error;
+    auto value = boost::json::parse(text, error);
+    return error || !value.is_object() ? boost::json::object() : std::move(value.as_object());
+}
+
+std::string textOf(const boost::json::object &object, std::string_view key)
+{
+    const auto *value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+} // namespace
+
+std::optional<ShardLeaderRow> parseShardRow(std::string_view key, std::string_view value)
+{
+    ShardLeaderRow row;
+    const std::string_view digits = key.substr(std::min(key.size(), ShardPrefix.size()));
+    std::from_chars(digits.data(), digits.data() + digits.size(), row.shard);
+    const auto object = parseObject(value);
+    row.address = textOf(object, "address");
+    if (const auto *epoch = object.if_contains("epoch"); epoch != nullptr && epoch->is_number()) {
+        row.epoch = boost::json::value_to<std::uint64_t>(*epoch);
+    }
+    return row.epoch == 0 ? std::nullopt : std::optional(row);
+}
+
+ClusterView::ClusterView(Options options, TableService &table, DrainListener listener)
+    : m_options(std::move(options))
+    , m_table(table)
+    , m_drainListener(std::move(listener))
+{
+}
+
+boost::asio::awaitable<void> ClusterView::run()
+{
+    for (;;) {
+        if (!m_leaving) {
+            co_await writeOwnRow();
+        }
+        co_await readEntries();
+        co_await readLeaders();
+        co_await readDrains();
+        co_await sleepFor(m_options.interval);
+    }
+}
+
+boost::asio::awaitable<void> ClusterView::writeOwnRow()
+{
+    // Only this process writes the row, so it needs no condition, and a write that is repeated does no harm.
+    const boost::json::object row{
+        {"address", m_options.address}, {"counter", ++m_counter}, {"leaving", m_leaving}, {"token", randomToken()}};
+    const Transaction transaction{
+        .conditions = {}, .mutations = {{std::string(EntryPrefix) + m_options.name, boost::json::serialize(row)}}};
+    co_await m_table.transact(transaction);
+}
+
+boost::asio::awaitable<void> ClusterView::leave()
+{
+    m_leaving = true;
+    co_await writeOwnRow();
+}
+
+boost::asio::awaitable<void> ClusterView::readEntries()
+{
+    const auto rows = co_await m_table.readRange(EntryPrefix, "", RangeLimit);
+    if (!isOk(rows)) {
+        co_return;
+    }
+    const TimePoint now = std::chrono::steady_clock::now();
+    std::vector<EntryMember> members;
+    for (const Row &row : valueOf(rows)) {
+        Seen &seen = m_seen[row.key];
+        if (seen.value != row.value) {
+            seen = {.value = row.value, .changedAt = now};
+        }
+        const auto object = parseObject(row.value);
+        const auto *leaving = object.if_contains("leaving");
+        const bool gone = leaving != nullptr && leaving->is_bool() && leaving->as_bool();
+        if (!gone && now - seen.changedAt < m_options.entryTimeout) {
+            members.push_back({.name = row.key.substr(EntryPrefix.size()), .address = textOf(object, "address")});
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    m_entries = std::move(members);
+}
+
+boost::asio::awaitable<void> ClusterView::readLeaders()
+{
+    const auto rows = co_await m_table.readRange(ShardPrefix, "", RangeLimit);
+    if (!isOk(rows)) {
+        co_return;
+    }
+    std::vector<ShardLeaderRow> leaders;
+    for (const Row &row : valueOf(rows)) {
+        if (auto leader = parseShardRow(row.key, row.value); leader && !leader->address.empty()) {
+            leaders.push_back(std::move(*leader));
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    m_leaders = std::move(leaders);
+}
+
+boost::asio::awaitable<void> ClusterView::readDrains()
+{
+    const auto rows = co_await m_table.readRange(DrainPrefix, "", RangeLimit);
+    if (!isOk(rows)) {
+        co_return;
+    }
+    std::vector<std::string> hosts;
+    for (const Row &row : valueOf(rows)) {
+        hosts.push_back(row.key.substr(DrainPrefix.size()));
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_drained == hosts) {
+            co_return;
+        }
+        m_drained = hosts;
+    }
+    m_drainListener(std::move(hosts));
+}
+
+boost::asio::awaitable<bool> ClusterView::setDrained(std::string host, bool drained)
+{
+    // A drain is a fact without history: writing it twice or deleting it twice has the effect of once.
+    const std::string key = std::string(DrainPrefix) + host;
+    const std::string value = boost::json::serialize(boost::json::object{{"token", randomToken()}});
+    const Transaction transaction{.conditions = {},
+                                  .mutations = {{key, drained ? std::optional(value) : std::nullopt}}};
+    constexpr int Tries = 3;
+    for (int attempt = 0; attempt < Tries; ++attempt) {
+        const auto outcome = co_await m_table.transact(transaction);
+        if (std::holds_alternative<Committed>(outcome)) {
+            co_await readDrains();
+            co_return true;
+        }
+        co_await sleepFor(Milliseconds(200));
+    }
+    co_return false;
+}
+
+std::vector<EntryMember> ClusterView::entries() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_entries;
+}
+
+std::vector<ShardLeaderRow> ClusterView::leaders() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_leaders;
+}
+
+std::optional<std::string> ClusterView::leaderAddress(ShardId shard) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = std::ranges::find(m_leaders, shard, &ShardLeaderRow::shard);
+    return found == m_leaders.end() ? std::nullopt : std::optional(found->address);
+}
+
+bool ClusterView::isDrained(const std::string &host) const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::ranges::find(m_drained, host) != m_drained.end();
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/clusterview.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "carobflow/core/types.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace Carobflow
+{
+
+class TableService;
+
+/// An entry as its own row describes it.
+struct EntryMember {
+    std::string name;
+    std::string address;
+
+    bool operator==(const EntryMember &) const = default;
+};
+
+/// The leader of a shard as the shard's row describes it.
+struct ShardLeaderRow {
+    ShardId shard = 0;
+    Epoch epoch = 0;
+    std::string address;
+};
+
+/// Reads the row of a shard; empty when it has no leader or cannot be parsed.
+std::optional<ShardLeaderRow> parseShardRow(std::string_view key, std::string_view value);
+
+/// The entry's view of what the table says about entries, shard leaders and drained hosts. Keeps this entry's own row.
+/// Safe to call from several threads.
+class ClusterView
+{
+public:
+    struct Options {
+        std::string name;
+        std::string address;
+        Milliseconds interval{1000};
+        /// An entry whose row has not changed for this long is left out.
+        Milliseconds entryTimeout{10000};
+    };
+
+    using DrainListener = std::function<void(std::vector<std::string>)>;
+
+    ClusterView(Options options, TableService &table, DrainListener listener);
+
+    /// Writes the own row and reads the others until the process ends.
+    boost::asio::awaitable<void> run();
+
+    /// Marks the own row as leaving, so that agents forget this entry.
+    boost::asio::awaitable<void> leave();
+
+    /// Sets or ends the drain of a host's upstreams; false when the table did not confirm it.
+    boost::asio::awaitable<bool> setDrained(std::string host, bool drained);
+
+    [[nodiscard]] std::vector<EntryMember> entries() const;
+    [[nodiscard]] std::vector<ShardLeaderRow> leaders() const;
+    [[nodiscard]] std::optional<std::string> leaderAddress(ShardId shard) const;
+    [[nodiscard]] bool isDrained(const std::string &host) const;
+
+private:
+    struct Seen {
+        std::string value;
+        TimePoint changedAt;
+    };
+
+    boost::asio::awaitable<void> writeOwnRow();
+    boost::asio::awaitable<void> readEntries();
+    boost::asio::awaitable<void> readLeaders();
+    boost::asio::awaitable<void> readDrains();
+
+    Options m_options;
+    TableService &m_table;
+    DrainListener m_drainListener;
+    std::uint64_t m_counter = 0;
+    bool m_leaving = false;
+    std::map<std::string, Seen> m_seen;
+    mutable std::mutex m_mutex;
+    std::vector<EntryMember> m_entries;
+    std::vector<ShardLeaderRow> m_leaders;
+    std::vector<std::string> m_drained;
+};
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/entryservice.cpp
@@ -0,0 +1,69 @@
+#include "carobflow/daemon/entryservice.h"
+
+#include "carobflow/core/routing.h"
+#include "carobflow/daemon/clusterview.h"
+#include "carobflow/daemon/protocolconversion.h"
+#include "carobflow/daemon/sheetrepository.h"
+
+namespace Carobflow
+{
+
+EntryService::EntryService(SheetRepository &sheets, ClusterView &cluster, Routing &routing)
+    : m_sheets(sheets)
+    , m_cluster(cluster)
+    , m_routing(routing)
+{
+}
+
+grpc::ServerUnaryReactor *EntryService::Announce(grpc::CallbackServerContext *context,
+                                                 const carobflow::AnnounceRequest *request,
+                                                 carobflow::AnnounceReply *reply)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    m_routing.onAnnouncement(now, fromMessage(*request));
+    // The time is read before the version: the version is then at least as new as the confirmation.
+    const auto confirmedAt = m_sheets.confirmedAt();
+    if (const auto sheet = m_sheets.current()) {
+        reply->set_sheet_version(sheet->version);
+        reply->set_sheet_row_version(sheet->rowVersion);
+    }
+    constexpr std::uint64_t NeverConfirmed = std::uint64_t{1} << 40U;
+    reply->set_sheet_confirmed_age_ms(
+        confirmedAt ? static_cast<std::uint64_t>(std::chrono::ceil<Milliseconds>(now - *confirmedAt).count())
+                    : NeverConfirmed);
+    for (const EntryMember &member : m_cluster.entries()) {
+        auto *entry = reply->add_entries();
+        entry->set_name(member.name);
+        entry->set_address(member.address);
+    }
+    for (const ShardLeaderRow &row : m_cluster.leaders()) {
+        auto *leader = reply->add_leaders();
+        leader->set_shard(row.shard);
+        leader->set_epoch(row.epoch);
+        leader->set_address(row.address);
+    }
+    reply->set_drained(m_cluster.isDrained(request->host()));
+    auto *reactor = context->DefaultReactor();
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+}
+
+grpc::ServerUnaryReactor *EntryService::GetSheet(grpc::CallbackServerContext *context,
+                                                 const carobflow::GetSheetRequest *request,
+                                                 carobflow::GetSheetReply *reply)
+{
+    auto *reactor = context->DefaultReactor();
+    const auto sheet = m_sheets.current();
+    if (!sheet || sheet->version < request->version()) {
+        reactor->Finish({grpc::StatusCode::NOT_FOUND, "this entry does not have that version yet"});
+        return reactor;
+    }
+    reply->set_version(sheet->version);
+    reply->set_row_version(sheet->rowVersion);
+    reply->set_reference_unix_seconds(sheet->referenceUnixSeconds);
+    reply->set_text(sheet->text);
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "carobflow/core/admission.h"
+#include "carobflow/core/hostmessages.h"
+#include "carobflow/daemon/internal/windowrecorder.h"
+#include "carobflow/platform/httpclient.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <carobflow.pb.h>
+
+namespace Carobflow
+{
+
+class Metrics;
+
+/// What an upstream says about itself to the agent beside it.
+struct LocalAnnouncement {
+    std::string service;
+    HttpEndpoint address;
+    std::uint32_t slots = 0;
+    std::uint32_t connections = 0;
+};
+
+/// Runs requests on the upstreams of this host. It alone counts their slots; a refusal here is the only one that is
+/// called `not-run` after a request has reached an agent. All functions but inProgress() run on its strand.
+class RequestExecutor
+{
+public:
+    struct Options {
+        std::uint32_t queueLimit = 16;
+        bool adaptivePolicy = true;
+        /// An upstream that has not announced itself for this long is gone.
+        Milliseconds announcementTimeout{2500};
+        /// How long an answer is awaited after its request was given up, during which the slot stays taken.
+        Milliseconds abandonedHold{10000};
+    };
+
+    RequestExecutor(boost::asio::any_io_executor executor,
+                    Options options,
+                    std::shared_ptr<HttpClient> client,
+                    Metrics &metrics);
+    ~RequestExecutor();
+
+    [[nodiscard]] const boost::asio::any_io_executor &strand() const;
+
+    void announce(const LocalAnnouncement &announcement);
+
+    /// The upstream leaves: nothing new is sent to it, what it works on goes on.
+    void leave(std::string_view service);
+
+    /// Refuses everything from now on.
+    void close();
+
+    /// Runs one attempt; ends by the deadline of the request at the latest.
+    boost::asio::awaitable<void> execute(const carobflow::ForwardRequest &request, carobflow::ForwardReply &reply);
+
+    /// Forgets upstreams that are gone and frees slots that were held for too long; called a few times a second.
+    void tick();
+
+    [[nodiscard]] std::vector<carobflow::UpstreamInfo> upstreams() const;
+
+    /// Ends the current measurement window of each service and returns it.
+    std::vector<ServiceWindow> takeWindows(const std::vector<std::string> &jobClasses);
+
+    /// Requests that run or wait.
+    [[nodiscard]] std::uint32_t inProgress() const;
+
+private:
+    struct Request;
+    struct Service;
+
+    boost::asio::awaitable<void> waitForSlot(Service &service, const std::shared_ptr<Request> &request);
+    boost::asio::awaitable<void> call(std::shared_ptr<Service> service, std::shared_ptr<Request> request);
+    void applyChanges(Service &service, const Admission::Changes &changes);
+    HttpRequest toHttpRequest(const carobflow::ForwardRequest &request) const;
+
+    boost::asio::any_io_executor m_strand;
+    Options m_options;
+    std::shared_ptr<HttpClient> m_client;
+    Metrics &m_metrics;
+    bool m_closed = false;
+    std::uint64_t m_nextId = 1;
+    std::unordered_map<std::string, std::shared_ptr<Service>> m_services;
+    std::atomic<std::uint32_t> m_inProgress{0};
+};
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/rpc.cpp
@@ -0,0 +1,71 @@
+#include "carobflow/daemon/rpc.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace Carobflow
+{
+namespace
+{
+
+constexpr int KeepaliveTimeMs = 2000;
+constexpr int KeepaliveTimeoutMs = 2000;
+// Reconnecting is cheap inside a data centre, and an upstream without a connection gets no requests.
+constexpr int MaxReconnectBackoffMs = 1000;
+
+} // namespace
+
+std::shared_ptr<grpc::Channel> ChannelPool::channel(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &channel = m_channels[address];
+    if (!channel) {
+        grpc::ChannelArguments arguments;
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveTimeMs);
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMs);
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+        arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+        arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 500);
+        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MaxReconnectBackoffMs);
+        arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+        channel = grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+        channel->GetState(true);
+    }
+    return channel;
+}
+
+boost::asio::awaitable<bool> ChannelPool::waitReady(const std::string &address, Milliseconds limit)
+{
+    constexpr Milliseconds Step{10};
+    const auto connection = channel(address);
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    for (Milliseconds waited{0};; waited += Step) {
+        if (connection->GetState(true) == GRPC_CHANNEL_READY) {
+            co_return true;
+        }
+        if (waited >= limit) {
+            co_return false;
+        }
+        timer.expires_after(Step);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+}
+
+void ChannelPool::forget(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    m_channels.erase(address);
+}
+
+void configureServer(grpc::ServerBuilder &builder)
+{
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveTimeMs);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveTimeoutMs);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, KeepaliveTimeMs / 4);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -0,0 +1,327 @@
+#include "carobflow/daemon/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <variant>
+
+#include <boost/asio/ip/address.hpp>
+#include <ini.h>
+
+namespace Carobflow
+{
+namespace
+{
+
+/// Where a value goes; the type of the member decides how the text is read.
+using Field = std::variant<std::string Settings::*,
+                           std::int64_t Settings::*,
+                           double Settings::*,
+                           bool Settings::*,
+                           Milliseconds Settings::*,
+                           Endpoint Settings::*,
+                           Role Settings::*>;
+
+enum class Need { Always, EntryOnly, AgentOnly, Optional };
+
+struct Key {
+    std::string_view section;
+    std::string_view name;
+    Field field;
+    Need need = Need::Optional;
+    /// Bounds of numbers and durations.
+    double least = 0;
+    double most = 0;
+    std::string_view example;
+};
+
+const std::array Keys{
+    Key{"process", "role", &Settings::role, Need::Always, 0, 0, "entry"},
+    Key{"process", "name", &Settings::name, Need::Always, 0, 0, "entry-1"},
+    Key{"process", "data_centre", &Settings::dataCentre, Need::Always, 0, 0, "hanoi"},
+    Key{"process", "rack", &Settings::rack, Need::Optional, 0, 0, "rack-1"},
+    Key{"process", "log_level", &Settings::logLevel, Need::Optional, 0, 0, "info"},
+    Key{"process", "threads", &Settings::threads, Need::Optional, 1, 64, "2"},
+    Key{"process", "shards", &Settings::shards, Need::Optional, 1, 1000, "1"},
+    Key{"process", "policy", &Settings::adaptivePolicy, Need::Optional, 0, 0, "adaptive"},
+    Key{"process", "seed", &Settings::seed, Need::Optional, 0, 9e15, "0"},
+    Key{"listen", "http", &Settings::http, Need::Always, 0, 0, "127.0.0.1:8080"},
+    Key{"listen", "grpc", &Settings::grpc, Need::Always, 0, 0, "127.0.0.1:9090"},
+    Key{"listen", "advertise", &Settings::advertise, Need::Optional, 0, 0, "127.0.0.1:9090"},
+    Key{"platform", "table", &Settings::table, Need::Always, 0, 0, "127.0.0.1:7000"},
+    Key{"platform", "objects", &Settings::objects, Need::Always, 0, 0, "127.0.0.1:7000"},
+    Key{"platform", "worker", &Settings::worker, Need::AgentOnly, 0, 0, "127.0.0.1:7100"},
+    Key{"platform", "timeout_ms", &Settings::platformTimeout, Need::Optional, 10, 60000, "1000"},
+    Key{"entry", "operator_token", &Settings::operatorToken, Need::EntryOnly, 0, 0, "a-long-random-text"},
+    Key{"entry", "max_body_bytes", &Settings::maxBodyBytes, Need::Optional, 1024, 16777216, "1048576"},
+    Key{"entry", "default_timeout_ms", &Settings::defaultTimeout, Need::Optional, 10, 25000, "2000"},
+    Key{"entry", "max_timeout_ms", &Settings::maxTimeout, Need::Optional, 10, 25000, "25000"},
+    Key{"entry", "retry_ratio", &Settings::retryRatio, Need::Optional, 0, 1, "0.2"},
+    Key{"agent", "cpu_millis", &Settings::cpuMillis, Need::AgentOnly, 1, 1e9, "32000"},
+    Key{"agent", "memory_mib", &Settings::memoryMiB, Need::AgentOnly, 1, 1e9, "128000"},
+    Key{"agent", "accelerators", &Settings::accelerators, Need::Optional, 0, 1000, "0"},
+    Key{"agent", "queue_limit", &Settings::queueLimit, Need::Optional, 0, 10000, "16"},
+    Key{"timing", "announce_interval_ms", &Settings::announceInterval, Need::Optional, 10, 10000, "500"},
+    Key{"timing", "announce_timeout_ms", &Settings::announceTimeout, Need::Optional, 50, 60000, "2000"},
+    Key{"timing", "sheet_poll_interval_ms", &Settings::sheetPollInterval, Need::Optional, 10, 10000, "500"},
+    Key{"timing", "max_sheet_age_ms", &Settings::maxSheetAge, Need::Optional, 50, 60000, "2000"},
+    Key{"timing", "leader_lease_ms", &Settings::leaderLease, Need::Optional, 100, 60000, "4000"},
+    Key{"timing", "host_grant_ms", &Settings::hostGrant, Need::Optional, 200, 600000, "10000"},
+    Key{"timing", "worker_lease_ms", &Settings::workerLease, Need::Optional, 200, 600000, "5000"},
+    Key{"timing", "reassign_margin_ms", &Settings::reassignMargin, Need::Optional, 50, 600000, "2000"},
+    Key{"timing", "outage_grace_ms", &Settings::outageGrace, Need::Optional, 100, 3600000, "300000"},
+    Key{"timing", "drain_delay_ms", &Settings::drainDelay, Need::Optional, 0, 30000, "1500"},
+    Key{"timing", "stop_timeout_ms", &Settings::stopTimeout, Need::Optional, 100, 120000, "30000"},
+};
+
+/// What was expected instead of a bad value; empty when the value was taken.
+using Expectation = std::string;
+
+std::string boundsText(const Key &key, std::string_view unit)
+{
+    std::ostringstream text;
+    text.precision(12);
+    text << "a number" << unit << " from " << key.least << " to " << key.most;
+    return text.str();
+}
+
+template<typename Number>
+bool parseNumber(std::string_view text, Number &number)
+{
+    const auto *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc{} && rest == end;
+}
+
+template<typename Number>
+bool parseBounded(const Key &key, const std::string &text, Number &number)
+{
+    return parseNumber(std::string_view(text), number) && static_cast<double>(number) >= key.least
+        && static_cast<double>(number) <= key.most;
+}
+
+Expectation assign(Settings &settings, const Key &key, std::string Settings::*field, const std::string &text)
+{
+    if (text.empty()) {
+        return "a text that is not empty";
+    }
+    if (key.name == "log_level" && text != "debug" && text != "info" && text != "warning" && text != "error") {
+        return "debug, info, warning or error";
+    }
+    settings.*field = text;
+    return {};
+}
+
+Expectation assign(Settings &settings, const Key &key, std::int64_t Settings::*field, const std::string &text)
+{
+    std::int64_t number = 0;
+    if (!parseBounded(key, text, number)) {
+        return boundsText(key, "");
+    }
+    settings.*field = number;
+    return {};
+}
+
+Expectation assign(Settings &settings, const Key &key, double Settings::*field, const std::string &text)
+{
+    double number = 0;
+    if (!parseBounded(key, text, number)) {
+        return boundsText(key, "");
+    }
+    settings.*field = number;
+    return {};
+}
+
+Expectation assign(Settings &settings, const Key & /*key*/, bool Settings::*field, const std::string &text)
+{
+    if (text != "adaptive" && text != "baseline") {
+        return "adaptive or baseline";
+    }
+    settings.*field = text == "adaptive";
+    return {};
+}
+
+Expectation assign(Settings &settings, const Key &key, Milliseconds Settings::*field, const std::string &text)
+{
+    std::int64_t number = 0;
+    if (!parseBounded(key, text, number)) {
+        return boundsText(key, " of milliseconds");
+    }
+    settings.*field = Milliseconds(number);
+    return {};
+}
+
+Expectation assign(Settings &settings, const Key & /*key*/, Endpoint Settings::*field, const std::string &text)
+{
+    auto endpoint = parseEndpoint(text);
+    if (!isOk(endpoint)) {
+        return "an IP address and a port";
+    }
+    settings.*field = valueOf(endpoint);
+    return {};
+}
+
+Expectation assign(Settings &settings, const Key & /*key*/, Role Settings::*field, const std::string &text)
+{
+    if (text != "entry" && text != "agent") {
+        return "entry or agent";
+    }
+    settings.*field = text == "entry" ? Role::Entry : Role::Agent;
+    return {};
+}
+
+/// The values of an INI text by section and key.
+using IniValues = std::map<std::pair<std::string, std::string>, std::string>;
+
+int storeValue(void *values, const char *section, const char *name, const char *value)
+{
+    static_cast<IniValues *>(values)->insert_or_assign({section, name}, value == nullptr ? "" : value);
+    return 1;
+}
+
+class Reader
+{
+public:
+    Reader(std::string_view text, std::string_view path)
+        : m_faultyLine(ini_parse_string(std::string(text).c_str(), storeValue, &m_values))
+        , m_path(path)
+    {
+    }
+
+    Result<Settings> read()
+    {
+        if (m_faultyLine != 0) {
+            m_faults << m_path << ":" << m_faultyLine << ": expected '[section]' or 'key = value'; correct this line\n";
+        }
+        reportUnknownKeys();
+        for (const Key &key : Keys) {
+            readKey(key);
+        }
+        for (const Key &key : Keys) {
+            reportMissing(key);
+        }
+        checkTogether();
+        const std::string faults = m_faults.str();
+        if (!faults.empty()) {
+            return Error{ErrorKind::InvalidArgument, faults};
+        }
+        return m_settings;
+    }
+
+private:
+    std::ostream &fault(std::string_view section, std::string_view key)
+    {
+        return m_faults << m_path << ": [" << section << "] " << key << ": ";
+    }
+
+    void reportUnknownKeys()
+    {
+        for (const auto &[place, value] : m_values) {
+            const auto &[section, name] = place;
+            const bool known = std::ranges::any_of(
+                Keys, [&](const Key &key) { return key.section == section && key.name == name; });
+            if (!known) {
+                fault(section, name) << "unknown key; expected a key of docs/operations.md, so remove the line or "
+                                        "correct its spelling\n";
+            }
+        }
+    }
+
+    void readKey(const Key &key)
+    {
+        const auto found = find(key);
+        if (found == m_values.end()) {
+            return;
+        }
+        const std::string &text = found->second;
+        const Expectation expected = std::visit([&](auto field) { return assign(m_settings, key, field, text); },
+                                                key.field);
+        if (!expected.empty()) {
+            fault(key.section, key.name) << "'" << text << "' is not valid; expected " << expected
+                                         << "; write for example '" << key.name << " = " << key.example << "'\n";
+        }
+    }
+
+    void reportMissing(const Key &key)
+    {
+        const bool needed = key.need == Need::Always || (key.need == Need::EntryOnly && m_settings.role == Role::Entry)
+            || (key.need == Need::AgentOnly && m_settings.role == Role::Agent);
+        if (needed && find(key) == m_values.end()) {
+            fault(key.section, key.name) << "missing; write for example '" << key.name << " = " << key.example << "'\n";
+        }
+    }
+
+    void checkTogether()
+    {
+        if (m_settings.announceTimeout < 2 * m_settings.announceInterval) {
+            fault("timing", "announce_timeout_ms")
+                << "expected at least twice announce_interval_ms, so that one lost message removes no upstream\n";
+        }
+    }
+
+    [[nodiscard]] IniValues::const_iterator find(const Key &key) const
+    {
+        return m_values.find({std::string(key.section), std::string(key.name)});
+    }
+
+    IniValues m_values;
+    int m_faultyLine = 0;
+    std::string m_path;
+    std::ostringstream m_faults;
+    Settings m_settings;
+};
+
+} // namespace
+
+std::string Endpoint::toString() const
+{
+    return address.find(':') == std::string::npos ? address + ":" + std::to_string(port)
+                                                  : "[" + address + "]:" + std::to_string(port);
+}
+
+Result<Endpoint> parseEndpoint(std::string_view text)
+{
+    const Error error{ErrorKind::InvalidArgument,
+                      "'" + std::string(text)
+                          + "' is not an address; write an IP address and a port such as "
+                            "127.0.0.1:8080"};
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return error;
+    }
+    std::string address(text.substr(0, colon));
+    if (address.size() > 2 && address.front() == '[' && address.back() == ']') {
+        address = address.substr(1, address.size() - 2);
+    }
+    boost::system::error_code invalid;
+    boost::asio::ip::make_address(address, invalid);
+    Endpoint endpoint{.address = address, .port = 0};
+    if (invalid || !parseNumber(text.substr(colon + 1), endpoint.port)) {
+        return error;
+    }
+    return endpoint;
+}
+
+Result<Settings> parseSettings(std::string_view text, std::string_view path)
+{
+    return Reader(text, path).read();
+}
+
+Result<Settings> loadSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return Error{ErrorKind::NotFound,
+                     path
+                         + ": cannot be read; name an existing INI file with --settings FILE (examples are in "
+                           "config/)\n"};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), path);
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "carobflow/core/result.h"
+#include "carobflow/core/types.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Carobflow
+{
+
+enum class Role { Entry, Agent };
+
+/// An IP address and a port. Port 0 lets the system choose.
+struct Endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    [[nodiscard]] std::string toString() const;
+};
+
+/// All settings of the daemon, with their defaults. `docs/operations.md` describes each.
+struct Settings {
+    // [process]
+    Role role = Role::Entry;
+    std::string name;
+    std::string dataCentre;
+    std::string rack;
+    std::string logLevel = "info";
+    std::int64_t threads = 2;
+    std::int64_t shards = 1;
+    bool adaptivePolicy = true;
+    std::int64_t seed = 0;
+
+    // [listen]
+    Endpoint http;
+    Endpoint grpc;
+    /// The address under which other processes reach the gRPC port; empty for the listening address.
+    std::string advertise;
+
+    // [platform]
+    Endpoint table;
+    Endpoint objects;
+    Endpoint worker;
+    Milliseconds platformTimeout{1000};
+
+    // [entry]
+    std::string operatorToken;
+    std::int64_t maxBodyBytes = 1048576;
+    Milliseconds defaultTimeout{2000};
+    Milliseconds maxTimeout{25000};
+    double retryRatio = 0.2;
+
+    // [agent]
+    std::int64_t cpuMillis = 0;
+    std::int64_t memoryMiB = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t queueLimit = 16;
+
+    // [timing]
+    Milliseconds announceInterval{500};
+    Milliseconds announceTimeout{2000};
+    Milliseconds sheetPollInterval{500};
+    Milliseconds maxSheetAge{2000};
+    Milliseconds leaderLease{4000};
+    Milliseconds hostGrant{10000};
+    Milliseconds workerLease{5000};
+    Milliseconds reassignMargin{2000};
+    Milliseconds outageGrace{300000};
+    Milliseconds drainDelay{1500};
+    Milliseconds stopTimeout{30000};
+};
+
+/// Reads and checks settings from an INI file. On failure the message has a line for each fault with file, section,
+/// key, what was expected and what to write instead. Errors: NotFound, InvalidArgument.
+Result<Settings> loadSettings(const std::string &path);
+
+/// The same for text that is already in memory; `path` appears in messages only.
+Result<Settings> parseSettings(std::string_view text, std::string_view path);
+
+/// Parses "address:port". Errors: InvalidArgument.
+Result<Endpoint> parseEndpoint(std::string_view text);
+
+} // namespace Carobflow
