Add the HTTP client and the three HTTP adapters of the platform

Cause: the daemon and the operators' client need HTTP to the table service, the object store, the workers and the upstreams, and must know whether a call that failed may have taken effect.

Change: HttpClient keeps a pool of connections, each on its own strand, bounds each call by one total timeout, looks for a close before it reuses a connection and never retries. Its outcome is HttpAnswer, HttpNotSent or HttpUnanswered; NotSent requires that no byte was handed to the network. After a call without a whole answer the other idle connections of that endpoint are closed, since what silenced one has probably hit them too. HttpTableService, HttpObjectStore and HttpWorkerRuntime map the outcomes to the interfaces.

Ruled out: resolving host names (addresses are IP addresses, and getaddrinfo cannot be bounded by the timeout); answers that end with the connection (a cut body cannot be told from a whole one); cancelling a call from the awaiting coroutine (Asio 1.81 hands a cancellation to another executor by a pointer that may dangle); own percent-encoding (Boost.URL, compiled header-only).

--- /dev/null
+++ b/packages/platform/src/carobflow/platform/httpworkerruntime.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "carobflow/platform/httpclient.h"
+#include "carobflow/platform/workerruntime.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace Carobflow
+{
+
+/// The worker of one host over HTTP with JSON bodies (section 4 of the design page).
+class HttpWorkerRuntime : public WorkerRuntime
+{
+public:
+    struct Options {
+        HttpEndpoint endpoint;
+        /// Bounds each call. A renewal that takes longer than a lease is of no use, so it is well below the lease.
+        Milliseconds timeout{1000};
+    };
+
+    HttpWorkerRuntime(std::shared_ptr<HttpClient> client, Options options);
+
+    boost::asio::awaitable<Status> start(const TaskStart &start) override;
+    boost::asio::awaitable<Status> renew(std::string_view job, Fence fence, Milliseconds lease) override;
+    boost::asio::awaitable<Status> checkpoint(std::string_view job, Fence fence) override;
+    boost::asio::awaitable<Status> throttle(std::string_view job, Fence fence, std::uint32_t percent) override;
+    boost::asio::awaitable<Status> stop(std::string_view job, Fence fence) override;
+    boost::asio::awaitable<Result<std::vector<TaskInfo>>> list() override;
+
+private:
+    boost::asio::awaitable<Status>
+    command(std::string_view job, Fence fence, std::string_view verb, std::string_view body);
+
+    std::shared_ptr<HttpClient> m_client;
+    Options m_options;
+};
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/platform/src/carobflow/platform/internal/httpcall.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "carobflow/core/result.h"
+#include "carobflow/platform/httpclient.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/json/value.hpp>
+
+namespace Carobflow::Detail
+{
+
+/// A POST of a JSON body.
+HttpRequest jsonPost(std::string target, const boost::json::value &body, Milliseconds timeout);
+
+/// The error of a call that did not end with the expected answer: Unavailable for nothing sent and for refusals,
+/// Timeout when the time ran out after sending, otherwise `uncertain`.
+Error failureOf(std::string_view what, const HttpOutcome &outcome, ErrorKind uncertain);
+
+/// The answer when there is one with this status, else null.
+const HttpAnswer *answerWith(const HttpOutcome &outcome, unsigned status);
+
+/// Parses JSON; nothing when it is not an object.
+std::optional<boost::json::object> parseObject(std::string_view text);
+
+/// Percent-encodes one segment of a path.
+std::string encodeSegment(std::string_view text);
+
+/// Percent-encodes a path; slashes stay.
+std::string encodePath(std::string_view text);
+
+} // namespace Carobflow::Detail
--- a/packages/platform/src/carobflow/platform/placeholder.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-#include "carobflow/platform/objectstore.h"
-#include "carobflow/platform/tableservice.h"
-#include "carobflow/platform/workerruntime.h"
