core: add the shard leader, its state and the batch scheduler

Cause: entries and agents need a leader that accepts jobs, assigns them and survives lost replies of the store.

Ruled out: speculative state that is rolled back when a commit fails. A batch holds at most one record for a job instead, so every decision rests on committed state and nothing has to be undone. Running is not a ledger record: it is known from reports and would double the records of each task.

Change: shardstate applies ledger records (Boost.JSON, Boost.Describe); CommitAttempt settles one commit with the same transaction until its outcome is certain; DecisionMaker makes the records of a commit; OrderBook derives orders from committed state; HostRegistry bounds how long a silent host may run. A start order that may be obeyed is given to one start of the agent only. shardleader.h: Options::shardCount is new, because the leader submits the sheet's jobs of its own shard; Options::seed must differ between starts.

--- /dev/null
+++ b/packages/core/src/carobflow/core/internal/decisionmaker.cpp
@@ -0,0 +1,404 @@
+#include "carobflow/core/internal/decisionmaker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Carobflow
+{
+
+namespace
+{
+
+/// Bounds the size of a ledger row to a few hundred kilobytes.
+constexpr std::size_t MaxRecords = 500;
+
+/// Evictions of one commit: enough to empty a shard's part of a data centre within seconds, and few enough that the
+/// jobs with the least slack go first.
+constexpr std::size_t MaxEvictions = 50;
+
+/// A host that handed a start order back has no room or lags behind; others are tried first.
+constexpr Milliseconds RefusedHostPause{1000};
+constexpr Milliseconds RefusedPairPause{10000};
+
+/// Wait after each failure of a job, times the number of failures.
+constexpr Milliseconds FailurePause{1000};
+
+/// Ended jobs that stay in the state, for status calls and against a repeated submission of the same id.
+constexpr std::size_t RetainedEndedJobs = 10000;
+
+std::int64_t permille(double share)
+{
+    return static_cast<std::int64_t>(std::clamp(share, 0.0, 1.0) * 1000);
+}
+
+} // namespace
+
+bool DecisionMaker::Batch::isFull() const
+{
+    return records.size() >= MaxRecords;
+}
+
+bool DecisionMaker::Batch::canTouch(std::string_view job) const
+{
+    return !isFull() && !touched.contains(job);
+}
+
+void DecisionMaker::Batch::add(LedgerRecord record)
+{
+    touched.emplace(jobOf(record));
+    records.push_back(std::move(record));
+}
+
+DecisionMaker::DecisionMaker(BatchScheduler::Options options, const SheetView &sheet, RequestQueue &requests)
+    : m_scheduler(options)
+    , m_sheet(sheet)
+    , m_requests(requests)
+{
+}
+
+void DecisionMaker::reset()
+{
+    m_carriedOver.clear();
+    m_ended.clear();
+    m_avoidUntil.clear();
+    m_notBefore.clear();
+}
+
+void DecisionMaker::onReport(const ShardState &state, const HostReport &report)
+{
+    for (const TaskReport &task : report.tasks) {
+        const JobRecord *job = state.findActive(task.job, task.fence);
+        if (job != nullptr && job->host == report.host.name && isEndedReport(task.state)) {
+            m_ended.insert_or_assign(task.job, EndedTask{.report = task, .host = report.host.name});
+        }
+    }
+}
+
+void DecisionMaker::carryOver(std::vector<LedgerRecord> records)
+{
+    m_carriedOver = std::move(records);
+}
+
+bool DecisionMaker::hasInput() const
+{
+    return !m_carriedOver.empty() || !m_ended.empty() || !m_requests.waiting().empty();
+}
+
+std::vector<LedgerRecord>
+DecisionMaker::decide(TimePoint now, std::int64_t unixSeconds, const ShardState &state, HostRegistry &hosts)
+{
+    // Ends come first because they free resources, new work comes last.
+    static constexpr Step Steps[] = {&DecisionMaker::addEndedTasks,
+                                     &DecisionMaker::addLostTasks,
+                                     &DecisionMaker::addRequests,
+                                     &DecisionMaker::addSheetChanges,
+                                     &DecisionMaker::addEvictions,
+                                     &DecisionMaker::addCheckpoints,
+                                     &DecisionMaker::addForgotten,
+                                     &DecisionMaker::addUnrunnable,
+                                     &DecisionMaker::addAssignments};
+    Batch batch{.now = now, .unixSeconds = unixSeconds, .state = state, .hosts = hosts, .records = {}, .touched = {}};
+    for (LedgerRecord &record : m_carriedOver) {
+        batch.add(std::move(record));
+    }
+    m_carriedOver.clear();
+    for (const Step step : Steps) {
+        if (!batch.isFull()) {
+            (this->*step)(batch);
+        }
+    }
+    return std::move(batch.records);
+}
+
+void DecisionMaker::addEndedTasks(Batch &batch)
+{
+    for (auto entry = m_ended.begin(); entry != m_ended.end() && !batch.isFull();) {
+        const TaskReport &report = entry->second.report;
+        if (batch.touched.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        if (batch.state.findActive(report.job, report.fence) != nullptr) {
+            noteFailedStart(batch, entry->second);
+            batch.add(TaskEnded{.job = report.job,
+                                .fence = report.fence,
+                                .outcome = report.state,
+                                .reason = report.reason,
+                                .checkpoint = report.checkpoint,
+                                .progressPermille = permille(report.progress),
+                                .result = report.result,
+                                .runMilliseconds = report.runTime.count()});
+        }
+        entry = m_ended.erase(entry);
+    }
+}
+
+void DecisionMaker::noteFailedStart(Batch &batch, const EndedTask &ended)
+{
+    const std::string &job = ended.report.job;
+    if (ended.report.state == ReportedState::Refused) {
+        m_avoidUntil[job][ended.host] = batch.now + RefusedPairPause;
+        if (HostEntry *host = batch.hosts.find(ended.host)) {
+            host->refusedUntil = batch.now + RefusedHostPause;
+        }
+    } else if (ended.report.state == ReportedState::Failed) {
+        m_notBefore[job] = batch.now + FailurePause * (batch.state.find(job)->failures + 1);
+    } else {
+        m_avoidUntil.erase(job);
+        m_notBefore.erase(job);
+    }
+}
+
+void DecisionMaker::addLostTasks(Batch &batch)
+{
+    for (const std::string &id : batch.state.active()) {
+        const JobRecord &job = *batch.state.find(id);
+        if (batch.canTouch(id) && batch.now >= batch.hosts.tasksEndBy(job.host)) {
+            batch.add(TaskEnded{.job = id,
+                                .fence = job.fence,
+                                .outcome = ReportedState::Lost,
+                                .reason = "host " + job.host + " was silent until its leases had lapsed",
+                                .checkpoint = {},
+                                .progressPermille = 0,
+                                .result = {},
+                                .runMilliseconds = 0});
+        }
+    }
+}
+
+void DecisionMaker::addRequests(Batch &batch)
+{
+    std::deque<JobRequest> &waiting = m_requests.waiting();
+    for (auto request = waiting.begin(); request != waiting.end() && !batch.isFull();) {
+        const std::string &job = request->cancelledJob.empty() ? request->spec.id : request->cancelledJob;
+        if (batch.touched.contains(job) || !settleRequest(batch, *request)) {
+            ++request;
+        } else {
+            request = waiting.erase(request);
+        }
+    }
+}
+
+bool DecisionMaker::settleRequest(Batch &batch, const JobRequest &request)
+{
+    using Outcome = JobReply::Outcome;
+    const bool cancels = !request.cancelledJob.empty();
+    const JobRecord *job = batch.state.find(cancels ? request.cancelledJob : request.spec.id);
+    if (!cancels) {
+        if (job == nullptr) {
+            batch.add(JobSubmitted{request.spec});
+            m_requests.replyAfterCommit(request, Outcome::Accepted);
+        } else if (job->spec == request.spec) {
+            m_requests.reply(request.ticket, Outcome::Exists);
+        } else {
+            m_requests.reply(request.ticket, Outcome::Conflict, "another job has this id: choose a new id");
+        }
+    } else if (job == nullptr) {
+        m_requests.reply(request.ticket, Outcome::NotFound, "no job has this id: check the id");
+    } else if (isTerminal(job->state)) {
+        m_requests.reply(request.ticket, Outcome::Ended, "the job is " + std::string(jobStateName(job->state)));
+    } else if (job->cancelRequested && !job->cancelledBySheet) {
+        m_requests.reply(request.ticket, Outcome::Cancelled);
+    } else {
+        batch.add(JobCancelRequested{.job = request.cancelledJob, .reason = "cancelled by a caller", .bySheet = false});
+        m_requests.replyAfterCommit(request, Outcome::Cancelled);
+    }
+    return true;
+}
+
+void DecisionMaker::addSheetChanges(Batch &batch)
+{
+    if (m_sheet.sheet() == nullptr || m_sheet.version() <= batch.state.sheetVersion()) {
+        return;
+    }
+    bool complete = true;
+    for (const auto &[id, spec] : m_sheet.listed()) {
+        const JobRecord *job = batch.state.find(id);
+        const bool unlistedBefore = job != nullptr && job->cancelRequested && job->cancelledBySheet;
+        if (job != nullptr
+            && (isTerminal(job->state) ? job->state != JobState::Unrunnable && !unlistedBefore
+                                       : job->spec == *spec && !unlistedBefore)) {
+            continue;
+        }
+        // A task that is being stopped because an earlier sheet dropped its job has to end before the job returns.
+        complete = false;
+        if (!batch.canTouch(id) || (unlistedBefore && !isTerminal(job->state))) {
+            continue;
+        }
+        if (job == nullptr) {
+            batch.add(JobSubmitted{*spec});
+        } else {
+            batch.add(JobRevised{*spec});
+        }
+    }
+    for (const auto &[id, job] : batch.state.jobs()) {
+        if (!job.spec.fromSheet || isTerminal(job.state) || job.cancelRequested || m_sheet.listed().contains(id)) {
+            continue;
+        }
+        complete = false;
+        if (batch.canTouch(id)) {
+            batch.add(JobCancelRequested{.job = id, .reason = "the sheet no longer lists the job", .bySheet = true});
+        }
+    }
+    if (complete && !batch.isFull()) {
+        batch.add(SheetApplied{m_sheet.version()});
+    }
+}
+
+void DecisionMaker::addEvictions(Batch &batch)
+{
+    std::vector<std::pair<std::int64_t, const JobRecord *>> leaving;
+    for (const std::string &id : batch.state.active()) {
+        const JobRecord &job = *batch.state.find(id);
+        const HostEntry *host = batch.hosts.find(job.host);
+        if (job.state != JobState::Evicting && host != nullptr && !m_sheet.isInService(host->info.dataCentre)) {
+            leaving.emplace_back(BatchScheduler::slackSeconds(batch.state, job, batch.unixSeconds), &job);
+        }
+    }
+    std::ranges::stable_sort(leaving, {}, &std::pair<std::int64_t, const JobRecord *>::first);
+    leaving.resize(std::min(leaving.size(), MaxEvictions));
+    for (const auto &[slack, job] : leaving) {
+        if (batch.canTouch(job->spec.id)) {
+            batch.add(TaskStopRequested{.job = job->spec.id,
+                                        .fence = job->fence,
+                                        .reason = "the data centre of host " + job->host + " is out"});
+        }
+    }
+}
+
+void DecisionMaker::addCheckpoints(Batch &batch)
+{
+    for (const std::string &id : batch.state.active()) {
+        const JobRecord &job = *batch.state.find(id);
+        const HostEntry *host = batch.hosts.find(job.host);
+        if (host == nullptr || !batch.canTouch(id)) {
+            continue;
+        }
+        const auto task = host->tasks.find(TaskRef{.job = id, .fence = job.fence});
+        if (task == host->tasks.end() || task->second.checkpoint.empty() || task->second.checkpoint == job.checkpoint) {
+            continue;
+        }
+        // A report of an earlier start of the agent that arrives late must not bring back an older checkpoint.
+        const std::int64_t progress = permille(task->second.progress);
+        if (job.checkpointFence == job.fence && progress < job.progressPermille) {
+            continue;
+        }
+        batch.add(CheckpointRecorded{
+            .job = id, .fence = job.fence, .checkpoint = task->second.checkpoint, .progressPermille = progress});
+    }
+}
+
+void DecisionMaker::addForgotten(Batch &batch)
+{
+    const auto &ended = batch.state.ended();
+    if (ended.size() <= RetainedEndedJobs || m_sheet.version() < batch.state.sheetVersion()) {
+        return;
+    }
+    std::size_t excess = ended.size() - RetainedEndedJobs;
+    for (auto entry = ended.begin(); entry != ended.end() && excess > 0; ++entry) {
+        // A listed job that is forgotten would be submitted and run again.
+        if (batch.canTouch(entry->second) && !m_sheet.listed().contains(entry->second)) {
+            m_avoidUntil.erase(entry->second);
+            m_notBefore.erase(entry->second);
+            batch.add(JobForgotten{entry->second});
+            --excess;
+        }
+    }
+}
+
+void DecisionMaker::addUnrunnable(Batch &batch)
+{
+    // While a sheet is being applied, its corrections come first; else a job could go back and forth.
+    const bool applyingSheet = m_sheet.sheet() != nullptr && m_sheet.version() > batch.state.sheetVersion();
+    if (applyingSheet || !batch.hosts.isSettled(batch.now)) {
+        return;
+    }
+    const std::vector<HostInfo> known = batch.hosts.known();
+    for (const std::string &id : batch.state.pending()) {
+        if (!batch.canTouch(id)) {
+            continue;
+        }
+        const JobSpec &spec = batch.state.find(id)->spec;
+        std::string reason = BatchScheduler::whyUnrunnable(spec, known, m_sheet.sheet());
+        if (!reason.empty()) {
+            batch.add(JobUnrunnable{.job = id, .reason = std::move(reason)});
+        }
+    }
+}
+
+std::vector<SchedulableHost> DecisionMaker::assignableHosts(const Batch &batch) const
+{
+    std::map<std::string_view, SchedulableHost> byName;
+    for (const auto &[name, entry] : batch.hosts.hosts()) {
+        if (batch.hosts.isAssignable(batch.now, entry) && m_sheet.isInService(entry.info.dataCentre)) {
+            byName.emplace(name,
+                           SchedulableHost{
+                               .info = entry.info, .reserved = {}, .tasks = 0, .onTrial = batch.state.isOnTrial(name)});
+        }
+    }
+    for (const std::string &id : batch.state.active()) {
+        const JobRecord &job = *batch.state.find(id);
+        const auto host = byName.find(job.host);
+        if (host == byName.end()) {
+            continue;
+        }
+        const HostEntry &entry = *batch.hosts.find(job.host);
+        const auto task = entry.tasks.find(TaskRef{.job = id, .fence = job.fence});
+        host->second.reserved += task == entry.tasks.end() ? job.spec.declared
+                                                           : maxOf(job.spec.declared, task->second.usage);
+        ++host->second.tasks;
+    }
+    std::vector<SchedulableHost> hosts;
+    hosts.reserve(byName.size());
+    for (auto &[name, host] : byName) {
+        hosts.push_back(std::move(host));
+    }
+    return hosts;
+}
+
+std::vector<std::string>
+DecisionMaker::avoidedHosts(const Batch &batch, const JobRecord &job, const std::vector<SchedulableHost> &hosts) const
+{
+    std::vector<std::string> avoided;
+    const bool hasOther = std::ranges::any_of(hosts, [&job](const SchedulableHost &host) {
+        return job.spec.declared.fitsIn(host.info.capacity) && !job.failedHosts.contains(host.info.name);
+    });
+    if (hasOther) {
+        avoided.assign(job.failedHosts.begin(), job.failedHosts.end());
+    }
+    if (const auto pauses = m_avoidUntil.find(job.spec.id); pauses != m_avoidUntil.end()) {
+        for (const auto &[host, until] : pauses->second) {
+            if (batch.now < until) {
+                avoided.push_back(host);
+            }
+        }
+    }
+    return avoided;
+}
+
+void DecisionMaker::addAssignments(Batch &batch)
+{
+    if (!m_sheet.mayAssign() || m_sheet.version() < batch.state.sheetVersion()) {
+        return;
+    }
+    std::vector<SchedulableHost> hosts = assignableHosts(batch);
+    std::vector<WaitingJob> waiting;
+    for (const std::string &id : batch.state.pending()) {
+        const auto pause = m_notBefore.find(id);
+        if (batch.canTouch(id) && (pause == m_notBefore.end() || batch.now >= pause->second)) {
+            const JobRecord &job = *batch.state.find(id);
+            waiting.push_back({.job = &job, .avoidedHosts = avoidedHosts(batch, job, hosts)});
+        }
+    }
+    Fence fence = batch.state.lastFence();
+    for (Placement &placement : m_scheduler.place(batch.state,
+                                                  std::move(waiting),
+                                                  std::move(hosts),
+                                                  m_sheet.sheet(),
+                                                  batch.unixSeconds,
+                                                  MaxRecords - batch.records.size())) {
+        batch.add(TaskAssigned{.job = std::move(placement.job), .host = std::move(placement.host), .fence = ++fence});
+    }
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/core/src/carobflow/core/internal/hostregistry.cpp
@@ -0,0 +1,128 @@
+#include "carobflow/core/internal/hostregistry.h"
+
+#include <algorithm>
+
+namespace Carobflow
+{
+
+namespace
+{
+
+/// Agents report at least every second; a host that is silent for longer than this gets no new task.
+constexpr Milliseconds ReportTimeout{3000};
+
+/// Hosts report within about a second of a take-over; a job is judged unrunnable only well after that.
+constexpr Milliseconds SettleTime{5000};
+
+} // namespace
+
+bool isEndedReport(ReportedState state)
+{
+    return state != ReportedState::Running && state != ReportedState::Stopping;
+}
+
+HostRegistry::HostRegistry(Options options)
+    : m_options(options)
+{
+}
+
+void HostRegistry::reset(TimePoint takeOver, Epoch epoch)
+{
+    m_hosts.clear();
+    m_firstHeardAt.reset();
+    m_takeOver = takeOver;
+    m_epoch = epoch;
+}
+
+HostEntry *HostRegistry::onReport(TimePoint now, const HostReport &report)
+{
+    const auto [position, added] = m_hosts.try_emplace(report.host.name);
+    HostEntry &entry = position->second;
+    const bool sameBoot = !added && entry.bootId == report.bootId;
+    if (sameBoot && report.sequence <= entry.lastSequence) {
+        return nullptr;
+    }
+    if (!sameBoot) {
+        entry.stopsSent.clear();
+    }
+    if (!sameBoot || report.full) {
+        entry.complete = report.full;
+        entry.tasks.clear();
+        entry.ended.clear();
+    }
+    entry.info = report.host;
+    entry.bootId = report.bootId;
+    entry.lastSequence = report.sequence;
+    entry.leaving = report.leaving;
+    entry.heardAt = now;
+    if (report.epoch == m_epoch) {
+        entry.confirmedAt = now;
+    }
+    for (const TaskReport &task : report.tasks) {
+        const TaskRef ref{.job = task.job, .fence = task.fence};
+        entry.tasks.insert_or_assign(ref, task);
+        if (isEndedReport(task.state)) {
+            entry.ended.insert(ref);
+        }
+    }
+    if (!m_firstHeardAt) {
+        m_firstHeardAt = now;
+    }
+    return &entry;
+}
+
+HostEntry *HostRegistry::find(std::string_view host)
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+const HostEntry *HostRegistry::find(std::string_view host) const
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+const std::map<std::string, HostEntry, std::less<>> &HostRegistry::hosts() const
+{
+    return m_hosts;
+}
+
+TimePoint HostRegistry::tasksEndBy(std::string_view host) const
+{
+    const Milliseconds afterGrant = m_options.hostGrant + m_options.workerLease + m_options.reassignMargin;
+    const HostEntry *entry = find(host);
+    TimePoint end = m_takeOver;
+    if (entry == nullptr || !entry->confirmedAt) {
+        // The host may still run on grants that the previous leader gave during a store outage.
+        end += m_options.outageGrace + afterGrant;
+    } else {
+        end = *entry->confirmedAt + afterGrant;
+    }
+    if (entry != nullptr && entry->grantedAt) {
+        end = std::max(end, *entry->grantedAt + afterGrant);
+    }
+    return end;
+}
+
+bool HostRegistry::isAssignable(TimePoint now, const HostEntry &entry) const
+{
+    return entry.complete && entry.confirmedAt && !entry.leaving && now - entry.heardAt <= ReportTimeout
+        && now >= entry.refusedUntil;
+}
+
+std::vector<HostInfo> HostRegistry::known() const
+{
+    std::vector<HostInfo> infos;
+    for (const auto &[name, entry] : m_hosts) {
+        infos.push_back(entry.info);
+    }
+    return infos;
+}
+
+bool HostRegistry::isSettled(TimePoint now) const
+{
+    return m_firstHeardAt && now - *m_firstHeardAt >= SettleTime;
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/core/src/carobflow/core/internal/sheetview.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "carobflow/core/sheet.h"
+#include "carobflow/core/types.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Carobflow
+{
+
+/// The sheet that a shard's leader decides under, and whether it may assign under it.
+class SheetView
+{
+public:
+    SheetView(ShardId shard, std::uint32_t shardCount);
+
+    /// Returns false, and changes nothing, for an older version.
+    bool set(SheetVersion version, std::uint64_t rowVersion, std::shared_ptr<const Sheet> sheet);
+
+    /// Another process acts under this version, so nothing is assigned under an older one.
+    void seen(SheetVersion version);
+
+    /// A commit found another version of the row sheet/current: nothing is assigned until it is known.
+    void markOutdated();
+
+    [[nodiscard]] bool mayAssign() const;
+    [[nodiscard]] SheetVersion version() const;
+    [[nodiscard]] std::uint64_t rowVersion() const;
+    [[nodiscard]] const Sheet *sheet() const;
+    [[nodiscard]] bool isInService(std::string_view dataCentre) const;
+
+    /// The jobs of the sheet that belong to this shard.
+    [[nodiscard]] const std::map<std::string_view, const JobSpec *> &listed() const;
+
+private:
+    ShardId m_shard = 0;
+    std::uint32_t m_shardCount = 1;
+    SheetVersion m_version = 0;
+    SheetVersion m_seen = 0;
+    std::uint64_t m_rowVersion = 0;
+    std::optional<std::uint64_t> m_outdatedRow;
+    std::shared_ptr<const Sheet> m_sheet;
+    std::map<std::string_view, const JobSpec *> m_listed;
+};
+
+} // namespace Carobflow
--- a/packages/core/src/carobflow/core/shardleader.h
+++ b/packages/core/src/carobflow/core/shardleader.h
@@ -78,6 +78,8 @@
 public:
     struct Options {
         ShardId shard = 0;
+        /// Number of shards; it decides which jobs of the sheet belong to this one.
+        std::uint32_t shardCount = 1;
         std::string host;
         /// Address at which this process serves the shard.
         std::string address;
@@ -97,6 +99,7 @@
         std::uint32_t snapshotEvery = 200;
         /// False selects the baseline policy: first fit, order of submission, no throttling or eviction for latency.
         bool adaptivePolicy = true;
+        /// Makes the tokens of commits unique; it must differ between starts of a process.
         std::uint64_t seed = 1;
     };
 
@@ -146,7 +149,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace Carobflow
--- /dev/null
+++ b/packages/core/src/carobflow/core/shardstate.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "carobflow/core/internal/ledgerrecord.h"
+#include "carobflow/core/result.h"
+#include "carobflow/core/types.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/describe/class.hpp>
+
+namespace Carobflow
+{
+
+/// What the ledger says about one job. The state is never Running: that a task runs is known from reports only.
+struct JobRecord {
+    JobSpec spec;
+    JobState state = JobState::Accepted;
+    std::string host;
+    Fence fence = 0;
+    /// The last recorded checkpoint, the assignment that wrote it, and the progress reported with it.
+    std::string checkpoint;
+    Fence checkpointFence = 0;
+    std::int64_t progressPermille = 0;
+    /// True when the current assignment began from a checkpoint, so that its run time is not the whole one.
+    bool resumed = false;
+    std::string reason;
+    std::string result;
+    std::uint32_t evictions = 0;
+    bool cancelRequested = false;
+    bool cancelledBySheet = false;
+    /// Position in the order of submission.
+    std::uint64_t order = 0;
+    /// Hosts that failed the job and were not on trial at that time.
+    std::set<std::string> failedHosts;
+    std::uint32_t failures = 0;
+
+    bool operator==(const JobRecord &) const = default;
+};
+BOOST_DESCRIBE_STRUCT(JobRecord,
+                      (),
+                      (spec,
+                       state,
+                       host,
+                       fence,
+                       checkpoint,
+                       checkpointFence,
+                       progressPermille,
+                       resumed,
+                       reason,
+                       result,
+                       evictions,
+                       cancelRequested,
+                       cancelledBySheet,
+                       order,
+                       failedHosts,
+                       failures))
+
+/// Measured run time of a job class as a moving average.
+struct ClassRunTime {
+    std::int64_t milliseconds = 0;
+    std::uint64_t runs = 0;
+
+    bool operator==(const ClassRunTime &) const = default;
+};
+BOOST_DESCRIBE_STRUCT(ClassRunTime, (), (milliseconds, runs))
+
+/// Everything that a snapshot holds.
+struct ShardContent {
+    Fence lastFence = 0;
+    std::uint64_t nextOrder = 0;
+    SheetVersion sheetVersion = 0;
+    std::map<std::string, JobRecord, std::less<>> jobs;
+    /// Per host the jobs that failed there since the last job that finished there.
+    std::map<std::string, std::set<std::string>, std::less<>> hostFaults;
+    std::map<std::string, ClassRunTime, std::less<>> runTimes;
+};
+BOOST_DESCRIBE_STRUCT(ShardContent, (), (lastFence, nextOrder, sheetVersion, jobs, hostFaults, runTimes))
+
+/// The jobs of one shard as the ledger describes them. The same records in the same order give the same state in every
+/// process.
+class ShardState
+{
+public:
+    /// Different hosts that must fail a job before the fault is attributed to the job.
+    static constexpr std::size_t JobFaultHosts = 3;
+    /// Different jobs that must fail on a host before it is put on trial.
+    static constexpr std::size_t HostFaultJobs = 3;
+    /// Failures on hosts on trial do not count for a job; this bound ends a job that fails everywhere all the same.
+    static constexpr std::uint32_t MaxFailures = 10;
+
+    /// Applies one record. A record that contradicts the state violates an invariant.
+    void apply(const LedgerRecord &record);
+
+    /// The state as text; equal states give equal text.
+    [[nodiscard]] std::string snapshot() const;
+
+    /// Errors: Internal when the text is no snapshot of this format.
+    static Result<ShardState> restore(std::string_view text);
+
+    [[nodiscard]] const JobRecord *find(std::string_view job) const;
+    [[nodiscard]] const std::map<std::string, JobRecord, std::less<>> &jobs() const;
+
+    /// Jobs that wait for an assignment.
+    [[nodiscard]] const std::set<std::string, std::less<>> &pending() const;
+
+    /// Jobs that may run somewhere: assigned or evicting.
+    [[nodiscard]] const std::set<std::string, std::less<>> &active() const;
+
+    /// Ended jobs by the order of their submission.
+    [[nodiscard]] const std::map<std::uint64_t, std::string> &ended() const;
+
+    /// The job when this is its current assignment and it has not ended, else null.
+    [[nodiscard]] const JobRecord *findActive(std::string_view job, Fence fence) const;
+
+    [[nodiscard]] Fence lastFence() const;
+    [[nodiscard]] SheetVersion sheetVersion() const;
+    [[nodiscard]] bool isOnTrial(std::string_view host) const;
+
+    /// The measured run time of a class, or null.
+    [[nodiscard]] const ClassRunTime *runTime(std::string_view jobClass) const;
+
+private:
+    void applyRecord(const JobSubmitted &record);
+    void applyRecord(const JobRevised &record);
+    void applyRecord(const JobCancelRequested &record);
+    void applyRecord(const JobUnrunnable &record);
+    void applyRecord(const JobForgotten &record);
+    void applyRecord(const TaskAssigned &record);
+    void applyRecord(const TaskStopRequested &record);
+    void applyRecord(const CheckpointRecorded &record);
+    void applyRecord(const TaskEnded &record);
+    void applyRecord(const SheetApplied &record);
+
+    JobRecord &existing(const std::string &job);
+    JobRecord &current(const std::string &job, Fence fence);
+    void setState(JobRecord &job, JobState state);
+    void returnToPending(JobRecord &job);
+    void finish(JobRecord &job, const TaskEnded &record);
+    void fail(JobRecord &job, const TaskEnded &record);
+
+    ShardContent m_content;
+    std::set<std::string, std::less<>> m_pending;
+    std::set<std::string, std::less<>> m_active;
+    std::map<std::uint64_t, std::string> m_ended;
+};
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/core/tests/shardleader_test.cpp
@@ -0,0 +1,328 @@
+#include "carobflow/core/shardleader.h"
+
+#include <algorithm>
+#include <map>
+
+#include <catch2/catch.hpp>
+
+using namespace Carobflow;
+
+namespace
+{
+
+/// A table and object store that answer at once unless a test says otherwise.
+struct Store {
+    std::map<std::string, Row> rows;
+    std::map<std::string, std::string> objects;
+    std::uint64_t version = 0;
+    /// Outcomes of the next commits: true loses the reply, and `appliesLost` tells whether it takes effect.
+    int loseReplies = 0;
+    bool appliesLost = true;
+
+    std::optional<std::string> conflictOf(const Transaction &transaction) const
+    {
+        for (const Condition &condition : transaction.conditions) {
+            const auto row = rows.find(condition.key);
+            if ((row == rows.end() ? 0 : row->second.version) != condition.version) {
+                return condition.key;
+            }
+        }
+        return std::nullopt;
+    }
+
+    TransactOutcome transact(const Transaction &transaction)
+    {
+        if (const auto conflict = conflictOf(transaction)) {
+            return Conflict{*conflict};
+        }
+        ++version;
+        for (const Mutation &mutation : transaction.mutations) {
+            rows.erase(mutation.key);
+            if (mutation.value) {
+                rows[mutation.key] = {.key = mutation.key, .value = *mutation.value, .version = version};
+            }
+        }
+        return Committed{version};
+    }
+
+    std::vector<Row> range(const ReadRangeOperation &read) const
+    {
+        std::vector<Row> found;
+        for (auto row = rows.upper_bound(read.after); row != rows.end() && found.size() < read.limit; ++row) {
+            if (row->first.starts_with(read.prefix)) {
+                found.push_back(row->second);
+            }
+        }
+        return found;
+    }
+};
+
+struct Fixture {
+    Store store;
+    TimePoint now{std::chrono::hours(1)};
+
+    /// Runs a leader until it has nothing more to do at this time.
+    void step(ShardLeader &leader)
+    {
+        while (const auto operation = leader.nextOperation(now, 1000)) {
+            if (const auto *read = std::get_if<ReadRowOperation>(&*operation)) {
+                const auto row = store.rows.find(read->key);
+                leader.onRows(now, row == store.rows.end() ? std::vector<Row>{} : std::vector<Row>{row->second});
+            } else if (const auto *range = std::get_if<ReadRangeOperation>(&*operation)) {
+                leader.onRows(now, store.range(*range));
+            } else if (const auto *commit = std::get_if<TransactOperation>(&*operation)) {
+                if (store.loseReplies > 0) {
+                    --store.loseReplies;
+                    if (store.appliesLost) {
+                        store.transact(commit->transaction);
+                    }
+                    leader.onTransact(now, ReplyLost{"test"});
+                } else {
+                    leader.onTransact(now, store.transact(commit->transaction));
+                }
+            } else if (const auto *object = std::get_if<ReadObjectOperation>(&*operation)) {
+                leader.onObjectRead(now, store.objects.at(object->key));
+            } else if (const auto *write = std::get_if<WriteObjectOperation>(&*operation)) {
+                store.objects[write->key] = write->bytes;
+                leader.onObjectWritten(now, std::monostate());
+            }
+        }
+    }
+
+    void pass(ShardLeader &leader, Milliseconds time)
+    {
+        for (const TimePoint end = now + time; now < end; now += Milliseconds(50)) {
+            step(leader);
+        }
+        step(leader);
+    }
+
+    HostOrders report(ShardLeader &leader, const std::string &host, std::vector<TaskReport> tasks, Epoch epoch = 1)
+    {
+        static std::uint64_t sequence = 0;
+        leader.onReport(now,
+                        {.host = {.name = host, .dataCentre = "dc-" + host, .rack = {}, .capacity = {4000, 4000, 0}},
+                         .bootId = 1,
+                         .sequence = ++sequence,
+                         .epoch = epoch,
+                         .sheetVersion = 0,
+                         .full = true,
+                         .tasks = std::move(tasks),
+                         .windows = {},
+                         .leaving = false});
+        pass(leader, Milliseconds(100));
+        return leader.ordersFor(now, host);
+    }
+};
+
+JobSpec makeJob(std::string id, Resources declared = {1000, 1000, 0})
+{
+    return {.id = std::move(id), .team = "sewing", .jobClass = "reseam", .declared = declared, .runSeconds = 10};
+}
+
+TaskReport makeTask(const StartOrder &order, ReportedState state)
+{
+    TaskReport task;
+    task.job = order.job;
+    task.fence = order.fence;
+    task.state = state;
+    return task;
+}
+
+ShardLeader::Options options(std::string host, std::uint64_t seed)
+{
+    ShardLeader::Options options;
+    options.host = std::move(host);
+    options.seed = seed;
+    options.snapshotEvery = 5;
+    return options;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "a leader accepts, assigns and finishes a job", "[shardleader]")
+{
+    ShardLeader leader(options("a", 1));
+    step(leader);
+    REQUIRE(leader.isLeading(now));
+    CHECK(leader.epoch() == 1);
+    report(leader, "h1", {});
+
+    const std::uint64_t ticket = leader.submit(now, makeJob("j1"));
+    CHECK(leader.takeReplies().empty());
+    pass(leader, Milliseconds(200));
+    const std::vector<JobReply> replies = leader.takeReplies();
+    REQUIRE(replies.size() == 1);
+    CHECK(replies.front().ticket == ticket);
+    CHECK(replies.front().outcome == JobReply::Outcome::Accepted);
+
+    const HostOrders orders = leader.ordersFor(now, "h1");
+    REQUIRE(orders.starts.size() == 1);
+    CHECK(orders.grant == Milliseconds(10000));
+    report(leader, "h1", {makeTask(orders.starts.front(), ReportedState::Running)});
+    CHECK(leader.find("j1")->state == JobState::Running);
+
+    SECTION("a finished task is acknowledged once its end is committed")
+    {
+        const HostOrders answer = report(leader, "h1", {makeTask(orders.starts.front(), ReportedState::Finished)});
+        CHECK(leader.find("j1")->state == JobState::Finished);
+        CHECK(answer.acknowledged.size() == 1);
+    }
+    SECTION("a report with another fence changes nothing but is acknowledged")
+    {
+        StartOrder old = orders.starts.front();
+        old.fence = 0;
+        const HostOrders answer = report(
+            leader,
+            "h1",
+            {makeTask(orders.starts.front(), ReportedState::Running), makeTask(old, ReportedState::Finished)});
+        CHECK(leader.find("j1")->state == JobState::Running);
+        CHECK(answer.acknowledged.size() == 1);
+    }
+    SECTION("a job of a silent host is assigned again only after grant, lease and margin")
+    {
+        pass(leader, Milliseconds(16500));
+        CHECK(leader.find("j1")->state == JobState::Running);
+        report(leader, "h2", {});
+        pass(leader, Milliseconds(1500));
+        CHECK(leader.find("j1")->state == JobState::Assigned);
+        CHECK(leader.find("j1")->host == "h2");
+        CHECK(leader.find("j1")->fence > orders.starts.front().fence);
+    }
+    SECTION("a new leader replays the ledger and waits for the outage grace before it reassigns")
+    {
+        ShardLeader next(options("b", 2));
+        pass(next, Milliseconds(6000));
+        REQUIRE(next.isLeading(now));
+        CHECK(next.epoch() == 2);
+        CHECK(next.find("j1")->host == "h1");
+        for (int second = 0; second < 305; ++second) {
+            report(next, "h2", {}, 2);
+            pass(next, Milliseconds(900));
+        }
+        CHECK(next.find("j1")->host == "h1");
+        pass(next, Milliseconds(13000));
+        CHECK(next.find("j1")->host.empty());
+        pass(leader, Milliseconds(100));
+        CHECK_FALSE(leader.isLeading(now));
+    }
+    SECTION("a report with a higher epoch deposes the leader")
+    {
+        leader.onReport(now, {.host = {}, .epoch = 2, .tasks = {}, .windows = {}});
+        CHECK_FALSE(leader.isLeading(now));
+    }
+}
+
+TEST_CASE_METHOD(Fixture, "a lost reply of a commit is resolved by reading back", "[shardleader]")
+{
+    ShardLeader leader(options("a", 1));
+    step(leader);
+    store.appliesLost = GENERATE(true, false);
+    store.loseReplies = 3;
+    leader.submit(now, makeJob("j1"));
+    pass(leader, Milliseconds(2000));
+    const std::vector<JobReply> replies = leader.takeReplies();
+    REQUIRE(replies.size() == 1);
+    CHECK(replies.front().outcome == JobReply::Outcome::Accepted);
+    CHECK(leader.isLeading(now));
+    CHECK(leader.list().size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "assignments are withdrawn when the sheet has changed", "[shardleader]")
+{
+    ShardLeader leader(options("a", 1));
+    step(leader);
+    report(leader, "h1", {});
+    store.transact({.conditions = {}, .mutations = {{.key = "sheet/current", .value = "new"}}});
+    leader.submit(now, makeJob("j1"));
+    pass(leader, Milliseconds(300));
+    CHECK(leader.find("j1")->state == JobState::Accepted);
+
+    auto sheet = std::make_shared<Sheet>();
+    sheet->dataCentres = {{.name = "dc-h1", .inService = true}};
+    leader.setSheet(now, 1, store.rows.at("sheet/current").version, sheet);
+    pass(leader, Milliseconds(300));
+    CHECK(leader.find("j1")->state == JobState::Assigned);
+}
+
+TEST_CASE_METHOD(Fixture, "the sheet submits and cancels its jobs", "[shardleader]")
+{
+    ShardLeader leader(options("a", 1));
+    step(leader);
+    auto sheet = std::make_shared<Sheet>();
+    sheet->jobs = {makeJob("j1"), makeJob("big", {90000, 1, 0}), makeJob("check")};
+    for (JobSpec &job : sheet->jobs) {
+        job.fromSheet = true;
+    }
+    sheet->jobs.back().kind = JobKind::Check;
+    leader.setSheet(now, 1, 0, sheet);
+    report(leader, "h1", {});
+    pass(leader, Milliseconds(6000));
+    CHECK(leader.find("big")->state == JobState::Unrunnable);
+    CHECK_THAT(leader.find("big")->reason, Catch::Contains("cpu_millis=90000"));
+
+    const HostOrders orders = report(leader, "h1", {});
+    REQUIRE(orders.starts.size() == 2);
+    std::vector<TaskReport> tasks;
+    for (const StartOrder &start : orders.starts) {
+        tasks.push_back(makeTask(start, start.job == "check" ? ReportedState::Finished : ReportedState::Running));
+    }
+    SECTION("a finished check runs again")
+    {
+        report(leader, "h1", tasks);
+        CHECK(leader.find("check")->state == JobState::Assigned);
+        CHECK(leader.find("check")->fence > tasks.back().fence);
+    }
+    SECTION("a running job that is no longer listed is stopped, then cancelled")
+    {
+        report(leader, "h1", tasks);
+        leader.setSheet(now, 2, 0, std::make_shared<Sheet>());
+        const HostOrders stops = report(leader, "h1", tasks);
+        CHECK(leader.find("j1")->state == JobState::Evicting);
+        REQUIRE(stops.stops.size() == 1);
+        CHECK_FALSE(stops.stops.front().checkpoint);
+        for (TaskReport &task : tasks) {
+            task.state = ReportedState::Stopped;
+        }
+        report(leader, "h1", tasks);
+        CHECK(leader.find("j1")->state == JobState::Cancelled);
+    }
+    SECTION("tasks in a data centre that is out are evicted and resume from their checkpoint elsewhere")
+    {
+        auto out = std::make_shared<Sheet>(*sheet);
+        out->dataCentres = {{.name = "dc-h1", .inService = false}};
+        report(leader, "h1", tasks);
+        leader.setSheet(now, 2, 0, out);
+        CHECK(report(leader, "h1", tasks).stops.size() == 1);
+        for (TaskReport &task : tasks) {
+            task.state = ReportedState::Stopped;
+            task.checkpoint = "checkpoint-1";
+        }
+        report(leader, "h1", tasks);
+        CHECK(leader.find("j1")->state == JobState::Checkpointed);
+        const HostOrders moved = report(leader, "h2", {});
+        CHECK(std::ranges::any_of(moved.starts, [](const StartOrder &start) {
+            return start.job == "j1" && start.checkpoint == "checkpoint-1";
+        }));
+    }
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a leader that restores a snapshot has the same jobs, and old rows are deleted",
+                 "[shardleader]")
+{
+    ShardLeader leader(options("a", 1));
+    for (int job = 0; job < 20; ++job) {
+        pass(leader, Milliseconds(100));
+        leader.submit(now, makeJob("j" + std::to_string(job)));
+    }
+    pass(leader, Milliseconds(5000));
+    CHECK(store.rows.size() < 8);
+    leader.release(now);
+    step(leader);
+    CHECK(leader.isReleased());
+    ShardLeader next(options("b", 2));
+    step(next);
+    CHECK(next.isLeading(now));
+    CHECK(next.list().size() == 20);
+}
