--- a/packages/core/src/carobflow/core/admission.h
+++ b/packages/core/src/carobflow/core/admission.h
@@ -6,8 +6,11 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include <boost/circular_buffer.hpp>
+
 namespace Carobflow
 {
 
@@ -18,12 +21,19 @@
 public:
     using RequestId = std::uint64_t;
 
+    /// Which queued request gets the next free slot.
+    enum class Order { OldestFirst, EarliestDeadlineFirst, NewestFirst };
+
     struct Options {
         std::uint32_t slots = 1;
         /// Requests that may wait for a slot.
         std::uint32_t queueLimit = 16;
         /// How long an abandoned request holds its slot at most.
         Milliseconds abandonedHold{10000};
+        /// Order while the queue has not been empty for a while. In the simulation of admission_test.cpp at 2 to 3
+        /// times the capacity, newest first kept 0.92 of the capacity useful, the others 0.74 to 0.78: they run
+        /// requests that have little time left.
+        Order overloadOrder = Order::NewestFirst;
         /// False selects the baseline: a queue in order of arrival that sheds only when it is full.
         bool adaptivePolicy = true;
     };
@@ -37,7 +47,8 @@
         Milliseconds retryAfter{0};
     };
 
-    /// What became of queued requests: each may run now or is refused.
+    /// What became of queued requests: each may run now or is refused. This includes queued requests that a request()
+    /// since the previous Changes displaced from a full queue.
     struct Changes {
         std::vector<RequestId> run;
         std::vector<RequestId> refused;
@@ -45,7 +56,8 @@
 
     explicit Admission(Options options);
 
-    /// Changes the number of slots, as announced by the upstream.
+    /// Changes the number of slots, as announced by the upstream. Queued requests take new slots with the next expire()
+    /// or finish().
     void setSlots(std::uint32_t slots);
 
     /// Refuses everything from now on; queued requests are returned as refused.
@@ -64,14 +76,15 @@
     /// Removes a queued request that its caller gave up.
     void cancelQueued(RequestId id);
 
-    /// Refuses queued requests whose deadline cannot be met and frees slots whose hold time has passed.
+    /// Refuses queued requests whose deadline cannot be met, frees slots whose hold time has passed, and gives free
+    /// slots to queued requests. Called every few milliseconds while requests are queued.
     Changes expire(TimePoint now);
 
     /// Slots that are taken, abandoned requests included.
     [[nodiscard]] std::uint32_t taken() const;
     [[nodiscard]] std::uint32_t queued() const;
 
-    /// Estimated time that a request spends in the upstream, from recent requests.
+    /// Estimated time that a request spends in the upstream: the median of recent requests, or 0 without any.
     [[nodiscard]] Duration expectedServiceTime() const;
 
 private:
@@ -82,13 +95,30 @@
 
     struct Holding {
         bool abandoned = false;
+        TimePoint startedAt;
         TimePoint releaseAt;
     };
 
+    void run(TimePoint now, RequestId id);
+    void addServiceTime(TimePoint now, Duration serviceTime);
+    void updateExpectedServiceTime(TimePoint now);
+    [[nodiscard]] bool canFinish(TimePoint now, TimePoint deadline, Duration wait) const;
+    [[nodiscard]] Duration expectedWait(std::size_t requestsAhead) const;
+    [[nodiscard]] bool isOverloaded(TimePoint now) const;
+    Waiting takeNext(TimePoint now);
+    /// Gives free slots to queued requests, in order, and moves those that cannot finish in time to the refused.
+    Changes dispatch(TimePoint now);
+
     Options m_options;
     bool m_closed = false;
     Duration m_expectedServiceTime{0};
+    /// Times of recent requests, with the time at which each ended.
+    boost::circular_buffer<std::pair<TimePoint, Duration>> m_serviceTimes;
+    /// In order of arrival.
     std::deque<Waiting> m_queue;
+    /// Since when the queue has not been empty.
+    TimePoint m_queuedSince;
+    std::vector<RequestId> m_displaced;
     std::unordered_map<RequestId, Holding> m_holding;
 };
 
--- /dev/null
+++ b/packages/core/src/carobflow/core/internal/rcupointer.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <utility>
+
+namespace Carobflow
+{
+
+namespace Detail
+{
+
+/// A read-side critical section of liburcu. Sections may nest, and entering one never blocks.
+class RcuReadSection
+{
+public:
+    RcuReadSection();
+    ~RcuReadSection();
+    RcuReadSection(const RcuReadSection &) = delete;
+    RcuReadSection &operator=(const RcuReadSection &) = delete;
+};
+
+/// Calls destroy(object) on a background thread once all read sections that are open now have ended. Does not wait.
+void deferDestroy(const void *object, void (*destroy)(const void *));
+
+} // namespace Detail
+
+/// Owns an immutable object that readers use while writers replace it. Readers never block. A replaced object is
+/// destroyed in the background, so that a writer need not wait for readers.
+template<typename T>
+class RcuPointer
+{
+public:
+    explicit RcuPointer(std::unique_ptr<const T> initial)
+        : m_current(initial.release())
+    {
+    }
+
+    /// No reader may be active.
+    ~RcuPointer()
+    {
+        delete m_current.load();
+    }
+
+    RcuPointer(const RcuPointer &) = delete;
+    RcuPointer &operator=(const RcuPointer &) = delete;
+
+    /// Calls the function with the current object, which stays valid until the function returns.
+    template<typename Function>
+    auto read(Function &&function) const
+    {
+        const Detail::RcuReadSection section;
+        return std::forward<Function>(function)(*m_current.load(std::memory_order_acquire));
+    }
+
+    /// Publishes another object. Every read() that starts after the return sees it or a later one.
+    void replace(std::unique_ptr<const T> next)
+    {
+        const T *previous = m_current.exchange(next.release());
+        Detail::deferDestroy(previous, [](const void *object) { delete static_cast<const T *>(object); });
+    }
+
+private:
+    std::atomic<const T *> m_current;
+};
+
+} // namespace Carobflow
--- a/packages/core/src/carobflow/core/routing.h
+++ b/packages/core/src/carobflow/core/routing.h
@@ -25,6 +25,8 @@
     std::uint32_t slots = 0;
     /// Shared by all snapshots that hold this upstream.
     std::shared_ptr<UpstreamHealth> health;
+    /// True when the attempt that choose() counted is the probe of an ejected upstream.
+    bool probe = false;
 };
 
 /// What an agent announced.
@@ -44,8 +46,9 @@
     std::vector<Service> services;
 };
 
-/// How an attempt ended, as far as it says something about the upstream.
-enum class AttemptResult { Answered, NotRun, Unknown };
+/// How an attempt ended, as far as it says something about the upstream. Cancelled: the caller gave the attempt up
+/// before its deadline, for example because another attempt of the same request was answered first.
+enum class AttemptResult { Answered, NotRun, Unknown, Cancelled };
 
 /// Finds upstreams for requests. Announcements, the sheet and drains replace an immutable snapshot; choose() reads it
 /// through read-copy-update and never waits for a writer. Safe to call from several threads.
@@ -81,7 +84,8 @@
     void expire(TimePoint now);
 
     /// Chooses an upstream of the service and counts one outstanding attempt on it; the caller ends it with settle().
-    /// Returns nothing when there is no upstream in service outside `excludedHosts`.
+    /// Returns nothing when there is no upstream in service outside `excludedHosts`. An ejected upstream is returned
+    /// only as a probe, or when all others are ejected too.
     std::optional<Upstream>
     choose(TimePoint now, std::string_view service, std::span<const std::string> excludedHosts = {});
 
@@ -107,7 +111,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace Carobflow
