--- /dev/null
+++ b/packages/bench/src/carobflow/bench/cluster.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "carobflow/bench/childprocess.h"
+#include "carobflow/bench/deployment.h"
+#include "carobflow/bench/httpcaller.h"
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace Carobflow::Bench
+{
+
+/// A whole system of real processes on the loopback interface: stand-ins of the platform and of each host, entries and
+/// agents. All ports are chosen by the system.
+class Cluster
+{
+public:
+    struct Options {
+        Deployment deployment = coopDeployment();
+        /// Extra settings of the daemons by "section.key".
+        std::map<std::string, std::string> settings;
+        /// Extra arguments of the host stand-ins, and of single ones by their index.
+        std::vector<std::string> hostArguments;
+        std::map<std::uint32_t, std::vector<std::string>> singleHostArguments;
+        /// True puts the fault-injecting proxy between all processes. Its routes are named table, worker-<i>,
+        /// agent-<i> and entry-<j>.
+        bool proxied = false;
+        std::uint64_t seed = 1;
+    };
+
+    explicit Cluster(Options options);
+    ~Cluster();
+    Cluster(const Cluster &) = delete;
+    Cluster &operator=(const Cluster &) = delete;
+
+    /// Starts everything, applies the sheet, and waits until requests can be served and the shards are led.
+    void start(const std::string &sheet);
+
+    /// Stops all daemons gracefully; returns the names of those that did not end with code 0 in time.
+    std::vector<std::string> stop(Milliseconds limit = Milliseconds(40000));
+
+    HttpCaller &caller();
+    [[nodiscard]] HttpEndpoint entry(std::uint32_t index) const;
+    [[nodiscard]] HttpEndpoint agentHttp(std::uint32_t index) const;
+    [[nodiscard]] HttpEndpoint platformControl() const;
+    [[nodiscard]] HttpEndpoint hostControl(std::uint32_t index) const;
+    [[nodiscard]] HttpEndpoint upstream(std::uint32_t index) const;
+    [[nodiscard]] std::string hostName(std::uint32_t index) const;
+    [[nodiscard]] std::string dataCentreOf(std::uint32_t index) const;
+
+    ChildProcess &entryProcess(std::uint32_t index);
+    ChildProcess &agentProcess(std::uint32_t index);
+
+    /// Starts an entry or agent again after it has ended, with the same settings and addresses.
+    void restartEntry(std::uint32_t index);
+    void restartAgent(std::uint32_t index);
+
+    /// Sets the mode of a proxy route; "*" means all.
+    void setRoute(std::string_view route, std::string_view mode, std::uint32_t delayMilliseconds = 0);
+
+    /// Sets the mode of the platform stand-in.
+    void setPlatform(std::string_view mode, std::uint32_t delayMilliseconds = 0, std::uint32_t dropReplies = 0);
+
+    /// Applies a sheet through an entry; throws when it is refused. Returns its version.
+    std::uint64_t applySheet(const std::string &text, std::uint32_t entryIndex = 0);
+    void setDataCentre(std::string_view dataCentre, bool inService, std::uint32_t entryIndex = 0);
+
+    void submitJob(std::string_view id,
+                   std::string_view jobClass,
+                   std::int64_t runSeconds,
+                   std::int64_t cpuMillis = 1000,
+                   std::string_view urgency = "normal",
+                   std::int64_t deadlineUnixSeconds = 0);
+    boost::json::object job(std::string_view id);
+
+    /// The index of the agent that leads shard 0, by the agents' metrics.
+    std::uint32_t leaderIndex();
+
+    /// The logs of all host stand-ins.
+    std::vector<boost::json::object> hostLogs();
+
+    [[nodiscard]] const Deployment &deployment() const;
+    [[nodiscard]] const std::filesystem::path &directory() const;
+    [[nodiscard]] static std::string_view operatorToken();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Carobflow::Bench
