core: add the supervisor of a host's tasks

Cause: a host must never hold more than it can, a job must not run in two places, and no result may be lost, while calls to the worker and reports to the leader are lost, late, or cut off by pauses and restarts.

Change: TaskSupervisor with StartGate (bounds of a start in time, sheet, data centre and grant, checked on arrival and again when the call is made) and SupervisedTask (presence at the worker, goal, outcome, calls in flight).

Additions to the header: WorkerAction::sendBefore, after which the owner drops a start or renewal instead of sending it late; Options::startSettle, the wait between a start without a reply and the list that decides on it.

Ruled out: repeating a stop without a list that shows the task running (a stop of an ended task removes it with its result); refusing an order that a predecessor process may have received (it may have run, so it is reported as lost); refusing starts under a newer sheet (each change of the sheet would hand back every start until it arrives).

Not covered: a start call of a dead process that reaches the worker after its successor's first list.

--- /dev/null
+++ b/packages/core/src/carobflow/core/tasksupervisor.cpp
@@ -0,0 +1,377 @@
+#include "carobflow/core/tasksupervisor.h"
+
+#include "carobflow/core/internal/startgate.h"
+#include "carobflow/core/internal/supervisedtask.h"
+#include "carobflow/core/invariant.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace Carobflow
+{
+
+class TaskSupervisor::Private
+{
+public:
+    using Tasks = std::map<TaskRef, SupervisedTask>;
+
+    explicit Private(Options givenOptions)
+        : options(std::move(givenOptions))
+        , gate({.maxStartAge = options.maxStartAge, .maxSheetAge = options.maxSheetAge})
+    {
+    }
+
+    void startOrder(TimePoint sentAt, TimePoint now, SheetVersion sheetVersion, const StartOrder &order);
+    void stopOrder(TimePoint now, const StopOrder &order);
+    void adopt(TimePoint requestedAt, const TaskInfo &info);
+    std::optional<WorkerAction> makeAction(TimePoint now, SupervisedTask &task, WorkerAction::Kind kind);
+    bool allowStart(TimePoint now, SupervisedTask &task, WorkerAction &action);
+    void forget(Tasks::iterator task);
+    [[nodiscard]] Resources reserved() const;
+    [[nodiscard]] std::string refusalToFit(const Resources &demand) const;
+
+    Options options;
+    StartGate gate;
+    Tasks tasks;
+    /// The highest fence of each job that was seen here: an assignment that is not newer never starts. It grows with
+    /// the jobs of this host during the life of the process, about ten a day at the target size.
+    std::unordered_map<std::string, Fence> fences;
+    std::map<std::uint64_t, WorkerAction> calls;
+    std::uint64_t lastCall = 0;
+    std::optional<TimePoint> firstListedAt;
+    std::optional<TimePoint> listedAt;
+    Epoch epoch = 0;
+    std::uint64_t sequence = 0;
+    bool nextIsFull = true;
+    bool reportSoon = true;
+};
+
+TaskSupervisor::TaskSupervisor(Options options)
+    : d(std::make_unique<Private>(std::move(options)))
+{
+}
+
+TaskSupervisor::~TaskSupervisor() = default;
+
+void TaskSupervisor::setMinimumEpoch(Epoch epoch)
+{
+    d->epoch = std::max(d->epoch, epoch);
+}
+
+void TaskSupervisor::onSheet(TimePoint confirmedAt, SheetVersion version, bool dataCentreIn)
+{
+    d->gate.onSheet(confirmedAt, version, dataCentreIn);
+}
+
+void TaskSupervisor::setLeaving()
+{
+    d->gate.setLeaving();
+    d->reportSoon = true;
+}
+
+Resources TaskSupervisor::Private::reserved() const
+{
+    Resources sum;
+    for (const auto &[ref, task] : tasks) {
+        if (task.isReserved()) {
+            sum += task.demand();
+        }
+    }
+    return sum;
+}
+
+std::string TaskSupervisor::Private::refusalToFit(const Resources &demand) const
+{
+    const Resources needed = reserved() + demand;
+    const auto describe = [](std::string_view name, std::int64_t need, std::int64_t capacity) {
+        return need > capacity
+            ? " " + std::string(name) + " " + std::to_string(need) + " of " + std::to_string(capacity)
+            : std::string();
+    };
+    return "does not fit:" + describe("cpuMillis", needed.cpuMillis, options.host.capacity.cpuMillis)
+        + describe("memoryMiB", needed.memoryMiB, options.host.capacity.memoryMiB)
+        + describe("accelerators", needed.accelerators, options.host.capacity.accelerators);
+}
+
+void TaskSupervisor::onOrders(TimePoint sentAt, TimePoint now, const HostOrders &orders)
+{
+    requireInvariant(sentAt <= now, "orders-answer-an-earlier-report");
+    if (!orders.leading || orders.epoch < d->epoch) {
+        // The report did not reach the leader.
+        d->nextIsFull = true;
+        return;
+    }
+    if (orders.epoch > d->epoch) {
+        d->epoch = orders.epoch;
+        d->nextIsFull = true;
+    }
+    if (orders.wantFull) {
+        d->nextIsFull = true;
+        d->reportSoon = true;
+    }
+    d->gate.onGrant(sentAt + orders.grant);
+    for (const TaskRef &ref : orders.acknowledged) {
+        if (const auto found = d->tasks.find(ref); found != d->tasks.end()) {
+            found->second.acknowledge();
+            d->forget(found);
+        }
+    }
+    for (const StopOrder &order : orders.stops) {
+        d->stopOrder(now, order);
+    }
+    for (const ThrottleOrder &order : orders.throttles) {
+        if (const auto found = d->tasks.find({order.job, order.fence}); found != d->tasks.end()) {
+            found->second.throttle(order.percent);
+        }
+    }
+    for (const StartOrder &order : orders.starts) {
+        d->startOrder(sentAt, now, orders.sheetVersion, order);
+    }
+}
+
+void TaskSupervisor::Private::forget(Tasks::iterator task)
+{
+    if (task->second.isForgettable()) {
+        requireInvariant(
+            task->second.isEnded() && !task->second.isReserved(), "forgets-ended-tasks-only", task->first.job);
+        tasks.erase(task);
+    }
+}
+
+void TaskSupervisor::Private::stopOrder(TimePoint now, const StopOrder &order)
+{
+    const TaskRef ref{.job = order.job, .fence = order.fence};
+    // A task that is not known here may run all the same, for example since before a restart of this process.
+    const auto task = tasks.try_emplace(ref, ref, now).first;
+    Fence &fence = fences[order.job];
+    fence = std::max(fence, order.fence);
+    task->second.order(order.checkpoint ? SupervisedTask::Goal::CheckpointThenStop : SupervisedTask::Goal::Stop);
+}
+
+void TaskSupervisor::Private::startOrder(TimePoint sentAt,
+                                         TimePoint now,
+                                         SheetVersion sheetVersion,
+                                         const StartOrder &order)
+{
+    const TaskRef ref{.job = order.job, .fence = order.fence};
+    if (const auto known = tasks.find(ref); known != tasks.end()) {
+        known->second.reportAgain();
+        return;
+    }
+    if (!firstListedAt) {
+        // The task may run already since before a restart of this process. The leader repeats the order.
+        return;
+    }
+    const TimePoint decidedAt = sentAt - order.age;
+    const StartGate::Order startOrder{
+        .decidedAt = decidedAt, .sheetVersion = sheetVersion, .mayHaveRun = decidedAt < *firstListedAt};
+    SupervisedTask task({.job = order.job,
+                         .fence = order.fence,
+                         .jobClass = order.jobClass,
+                         .reserved = order.reserved,
+                         .lease = options.workerLease,
+                         .checkpoint = order.checkpoint,
+                         .runSeconds = order.runSeconds},
+                        startOrder);
+    Fence &fence = fences[order.job];
+    const StartGate::Verdict verdict = gate.check(now, startOrder);
+    const bool runsAlready = std::any_of(tasks.begin(), tasks.end(), [&order](const auto &entry) {
+        return entry.first.job == order.job && entry.second.isReserved();
+    });
+    if (order.fence <= fence) {
+        // Not refused: under this fence the job may have run here before.
+        task.lose("a task with this fencing number or a newer one was here before");
+    } else if (verdict.kind == StartGate::Verdict::Kind::Refuse) {
+        task.refuse(verdict.reason);
+    } else if (runsAlready) {
+        task.refuse("an earlier assignment of the job may still run here");
+    } else if (!(reserved() + order.reserved).fitsIn(options.host.capacity)) {
+        task.refuse(refusalToFit(order.reserved));
+    }
+    fence = std::max(fence, order.fence);
+    const bool admitted = task.isReserved();
+    tasks.emplace(ref, std::move(task));
+    requireInvariant(!admitted || reserved().fitsIn(options.host.capacity), "reserved-fits-capacity", order.job);
+}
+
+void TaskSupervisor::Private::adopt(TimePoint requestedAt, const TaskInfo &info)
+{
+    const TaskRef ref{.job = info.job, .fence = info.fence};
+    const auto [task, added] = tasks.try_emplace(ref, ref, requestedAt);
+    Fence &fence = fences[info.job];
+    if (added && info.fence <= fence) {
+        // A start call that took effect after its task was forgotten, or an older assignment.
+        task->second.order(SupervisedTask::Goal::Stop);
+    }
+    fence = std::max(fence, info.fence);
+    task->second.onListed(requestedAt, info);
+}
+
+void TaskSupervisor::onWorkerList(TimePoint requestedAt, TimePoint now, std::span<const TaskInfo> tasks)
+{
+    requireInvariant(requestedAt <= now, "list-was-requested-before");
+    if (d->listedAt && requestedAt < *d->listedAt) {
+        return;
+    }
+    d->listedAt = requestedAt;
+    if (!d->firstListedAt) {
+        d->firstListedAt = requestedAt;
+        d->reportSoon = true;
+    }
+    std::set<TaskRef> listed;
+    for (const TaskInfo &info : tasks) {
+        listed.insert({.job = info.job, .fence = info.fence});
+        d->adopt(requestedAt, info);
+    }
+    for (auto task = d->tasks.begin(); task != d->tasks.end();) {
+        const auto current = task++;
+        if (!listed.contains(current->first)) {
+            current->second.onNotListed(requestedAt);
+            d->forget(current);
+        }
+    }
+}
+
+std::vector<WorkerAction> TaskSupervisor::takeActions(TimePoint now)
+{
+    using Kind = WorkerAction::Kind;
+    const SupervisedTask::Context context{.now = now,
+                                          .grantHolds = d->gate.grantHolds(now),
+                                          .retryInterval = d->options.renewInterval,
+                                          .checkpointTimeout = d->options.checkpointTimeout};
+    std::vector<WorkerAction> actions;
+    for (auto &[ref, task] : d->tasks) {
+        task.updateGoal(context);
+        for (const Kind kind : {Kind::Start, Kind::Renew, Kind::Checkpoint, Kind::Throttle, Kind::Stop}) {
+            if (task.isDue(kind, context)) {
+                if (std::optional<WorkerAction> action = d->makeAction(now, task, kind)) {
+                    actions.push_back(std::move(*action));
+                }
+            }
+        }
+    }
+    return actions;
+}
+
+std::optional<WorkerAction>
+TaskSupervisor::Private::makeAction(TimePoint now, SupervisedTask &task, WorkerAction::Kind kind)
+{
+    WorkerAction action;
+    action.kind = kind;
+    action.task = task.ref();
+    switch (kind) {
+    case WorkerAction::Kind::Start:
+        if (!allowStart(now, task, action)) {
+            return std::nullopt;
+        }
+        break;
+    case WorkerAction::Kind::Renew:
+        requireInvariant(now < gate.grantUntil(), "renews-with-grant-only", task.ref().job);
+        action.lease = options.workerLease;
+        action.sendBefore = gate.grantUntil();
+        break;
+    case WorkerAction::Kind::Throttle:
+        action.percent = task.percent();
+        break;
+    case WorkerAction::Kind::Checkpoint:
+    case WorkerAction::Kind::Stop:
+        break;
+    }
+    action.id = ++lastCall;
+    task.onCallMade(now, kind, action.id);
+    calls.emplace(action.id, action);
+    return action;
+}
+
+bool TaskSupervisor::Private::allowStart(TimePoint now, SupervisedTask &task, WorkerAction &action)
+{
+    const StartGate::Verdict verdict = gate.check(now, task.startOrder());
+    if (verdict.kind == StartGate::Verdict::Kind::Refuse) {
+        task.refuse(verdict.reason);
+    }
+    if (verdict.kind != StartGate::Verdict::Kind::Allow) {
+        return false;
+    }
+    requireInvariant(
+        now - task.startOrder().decidedAt <= options.maxStartAge, "starts-within-age-bound", task.ref().job);
+    requireInvariant(now < gate.grantUntil(), "starts-with-grant-only", task.ref().job);
+    action.start = task.start();
+    action.sendBefore = verdict.validUntil;
+    return true;
+}
+
+void TaskSupervisor::onActionResult(TimePoint sentAt, TimePoint now, std::uint64_t actionId, const Status &status)
+{
+    requireInvariant(sentAt <= now, "result-follows-call");
+    const auto call = d->calls.extract(actionId);
+    if (call.empty()) {
+        return;
+    }
+    if (const auto task = d->tasks.find(call.mapped().task); task != d->tasks.end()) {
+        task->second.onCallResult(now, call.mapped(), status, d->options.startSettle);
+    }
+}
+
+HostReport TaskSupervisor::makeReport(TimePoint /*now*/)
+{
+    HostReport report{.host = d->options.host,
+                      .bootId = d->options.bootId,
+                      .sequence = ++d->sequence,
+                      .epoch = d->epoch,
+                      .sheetVersion = d->gate.sheetVersion(),
+                      .full = d->nextIsFull && d->firstListedAt,
+                      .tasks = {},
+                      .windows = {},
+                      .leaving = d->gate.isLeaving()};
+    for (auto &[ref, task] : d->tasks) {
+        if (task.isAcknowledged()) {
+            continue;
+        }
+        TaskReport entry = task.report();
+        if (report.full || task.isEnded() || task.reported() != entry) {
+            task.setReported(entry);
+            report.tasks.push_back(std::move(entry));
+        }
+    }
+    d->nextIsFull = d->nextIsFull && !report.full;
+    d->reportSoon = false;
+    return report;
+}
+
+void TaskSupervisor::onReportLost()
+{
+    d->nextIsFull = true;
+}
+
+bool TaskSupervisor::hasChanges() const
+{
+    // Usage and progress change with each list; they wait for the next report.
+    return d->reportSoon || std::any_of(d->tasks.begin(), d->tasks.end(), [](const auto &entry) {
+               const SupervisedTask &task = entry.second;
+               return !task.isAcknowledged()
+                   && (!task.reported() || task.reported()->state != task.report().state
+                       || task.reported()->checkpoint != task.report().checkpoint);
+           });
+}
+
+Resources TaskSupervisor::reserved() const
+{
+    return d->reserved();
+}
+
+std::vector<std::string> TaskSupervisor::runningClasses() const
+{
+    std::set<std::string> classes;
+    for (const auto &[ref, task] : d->tasks) {
+        if (task.presence() == SupervisedTask::Presence::Running) {
+            classes.insert(task.start().jobClass);
+        }
+    }
+    return {classes.begin(), classes.end()};
+}
+
+} // namespace Carobflow
--- a/packages/core/src/carobflow/core/tasksupervisor.h
+++ b/packages/core/src/carobflow/core/tasksupervisor.h
@@ -28,6 +28,9 @@
     Milliseconds lease{0};
     /// For Throttle only.
     std::uint32_t percent = 100;
+    /// For Start and Renew: the owner does not send the call after this time, for example after a pause, and reports
+    /// it as Unavailable. The grant or the age bound that allowed the call holds no longer.
+    TimePoint sendBefore = TimePoint::max();
 };
 
 /// Runs the tasks of one host: admits start orders, renews leases while the leader grants it, stops tasks, and keeps
@@ -47,6 +50,9 @@
         Milliseconds maxSheetAge{2000};
         /// Time between asking for a checkpoint and stopping the task without it.
         Milliseconds checkpointTimeout{3000};
+        /// After a start without a reply, the list that decides whether the task runs is requested at least this much
+        /// later, because the worker may still be working on the call.
+        Milliseconds startSettle{1000};
     };
 
     explicit TaskSupervisor(Options options);
@@ -73,7 +79,8 @@
     /// The result of a call that was sent at `sentAt`.
     void onActionResult(TimePoint sentAt, TimePoint now, std::uint64_t actionId, const Status &status);
 
-    /// The next report. After a failed send the owner calls onReportLost, so that the next report is full.
+    /// The next report; none is full before the first worker list. After a failed send the owner calls onReportLost, so
+    /// that the next report is full.
     HostReport makeReport(TimePoint now);
     void onReportLost();
 
--- a/packages/core/tests/chargeflow_test.cpp
+++ b/packages/core/tests/chargeflow_test.cpp
@@ -264,6 +264,19 @@
     }
 }
 
+// Guards against a request that is sent although its row was not created.
+TEST_CASE("a create that was not applied is repeated and nothing is sent", "[chargeflow]")
+{
+    ChargeFlow flow(callWith("mine"));
+    flow.next();
+    CHECK(writeOf(flow.onTransact(TableUnavailable{})) == Write{"pending", 0});
+    CHECK(flow.shouldBackOff());
+    const std::optional<ChargeReply> reply = flow.onDeadline();
+    REQUIRE(reply);
+    CHECK(std::holds_alternative<NotRunOutcome>(*reply));
+    CHECK(isDone(flow.onTransact(TableUnavailable{})));
+}
+
 TEST_CASE("a charge that was given up before it began does nothing", "[chargeflow]")
 {
     ChargeFlow flow(callWith("mine"));
--- /dev/null
+++ b/packages/core/tests/tasksupervisor_random_test.cpp
@@ -0,0 +1,487 @@
+#include "carobflow/core/tasksupervisor.h"
+#include "randomised.h"
+
+#include <algorithm>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace Carobflow;
+using namespace Carobflow::Testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Resources Capacity{.cpuMillis = 10000, .memoryMiB = 1000, .accelerators = 0};
+constexpr Milliseconds Tick{100};
+
+bool isActive(TaskState state)
+{
+    return state == TaskState::Running || state == TaskState::Stopping;
+}
+
+/// A worker with leases and fencing that checks what it is asked to do.
+class FakeWorker
+{
+public:
+    explicit FakeWorker(Random &random)
+        : m_random(random)
+    {
+    }
+
+    struct Entry {
+        TaskInfo info;
+        TimePoint leaseUntil;
+        TimePoint stopsAt = TimePoint::max();
+        TimePoint endedAt = TimePoint::max();
+        Resources usage;
+    };
+
+    Status start(TimePoint now, const TaskStart &start)
+    {
+        if (start.fence <= fences[start.job]) {
+            return Error{.kind = ErrorKind::Conflict, .message = "fence"};
+        }
+        fences[start.job] = start.fence;
+        Entry entry;
+        entry.info.job = start.job;
+        entry.info.fence = start.fence;
+        entry.info.jobClass = start.jobClass;
+        entry.info.reserved = start.reserved;
+        entry.leaseUntil = now + start.lease;
+        entry.usage = start.reserved;
+        entry.usage.cpuMillis = start.reserved.cpuMillis * m_random.between(30, 140) / 100;
+        tasks[{start.job, start.fence}] = entry;
+        Resources sum;
+        for (const auto &[ref, task] : tasks) {
+            CHECK_FALSE((isActive(task.info.state) && ref.job == start.job && ref.fence != start.fence));
+            if (isActive(task.info.state)) {
+                sum += task.info.reserved;
+            }
+        }
+        CHECK(sum.fitsIn(Capacity));
+        return std::monostate{};
+    }
+
+    void advance(TimePoint now)
+    {
+        for (auto &[ref, task] : tasks) {
+            if (task.info.state == TaskState::Running) {
+                task.info.usage = m_random.chance(5) ? task.usage : task.info.usage;
+                if (now >= task.leaseUntil) {
+                    stop(now, task);
+                } else if (m_random.chance(1)) {
+                    task.info.state = m_random.chance(70) ? TaskState::Finished : TaskState::Failed;
+                    task.info.result = "result of " + ref.job;
+                    task.endedAt = now;
+                } else if (m_random.chance(1)) {
+                    checkpoint(task);
+                }
+            } else if (task.info.state == TaskState::Stopping && now >= task.stopsAt) {
+                task.info.state = TaskState::Stopped;
+                task.endedAt = now;
+            }
+        }
+    }
+
+    void stop(TimePoint now, Entry &task)
+    {
+        task.info.state = TaskState::Stopping;
+        task.stopsAt = now + Milliseconds(m_random.between(0, 2000));
+    }
+
+    void checkpoint(Entry &task)
+    {
+        task.info.checkpoint = "cp" + std::to_string(++m_checkpoints);
+    }
+
+    std::vector<TaskInfo> list() const
+    {
+        std::vector<TaskInfo> infos;
+        for (const auto &[ref, task] : tasks) {
+            infos.push_back(task.info);
+        }
+        return infos;
+    }
+
+    std::map<TaskRef, Entry> tasks;
+    std::map<std::string, Fence> fences;
+
+private:
+    Random &m_random;
+    int m_checkpoints = 0;
+};
+
+class World
+{
+public:
+    explicit World(std::uint64_t seed)
+        : m_random(seed)
+        , m_worker(m_random)
+    {
+        restart();
+    }
+
+    void run()
+    {
+        for (int tick = 0; tick < 1200; ++tick) {
+            advance();
+            if (m_random.chance(1)) {
+                // A pause of the process, often longer than the lease.
+                for (std::int64_t paused = m_random.between(0, 80); paused > 0; --paused) {
+                    advance();
+                }
+            }
+            if (m_random.between(1, 400) == 1) {
+                restart();
+            }
+            step();
+        }
+        m_calm = true;
+        for (int tick = 0; tick < 600; ++tick) {
+            advance();
+            step();
+        }
+        for (const TaskRef &ref : m_started) {
+            INFO(ref.job << " fence " << ref.fence);
+            CHECK(m_ended.contains(ref));
+        }
+        CHECK(m_worker.tasks.empty());
+        CHECK(m_supervisor->reserved() == Resources{});
+    }
+
+private:
+    struct Event {
+        TimePoint due;
+        std::function<void()> deliver;
+    };
+
+    bool fault(std::int64_t percent)
+    {
+        return !m_calm && m_random.chance(percent);
+    }
+
+    void advance()
+    {
+        m_now += Tick;
+        m_worker.advance(m_now);
+        // What happens at the worker goes on while the supervisor is paused.
+        deliver(m_atWorker);
+    }
+
+    void deliver(std::list<Event> &events)
+    {
+        for (auto event = events.begin(); event != events.end();) {
+            if (event->due <= m_now) {
+                const auto call = std::move(event->deliver);
+                event = events.erase(event);
+                call();
+            } else {
+                ++event;
+            }
+        }
+    }
+
+    void restart()
+    {
+        // A start of the dead process that is still on its way cannot be told apart from one of the new process, and
+        // nothing bounds it; the test lets it arrive at once.
+        for (const Event &event : m_atWorker) {
+            event.deliver();
+        }
+        m_atWorker.clear();
+        m_replies.clear();
+        m_startCalls.clear();
+        m_mustReport.clear();
+        m_grantUntil = TimePoint::min();
+        m_confirmedAt = TimePoint::min();
+        m_sheet = 0;
+        m_listInFlight = m_syncInFlight = false;
+        m_listDelivered = TimePoint::min();
+        m_seenEpoch = m_epoch;
+        m_supervisor = std::make_unique<TaskSupervisor>(TaskSupervisor::Options{
+            .host = {.name = "h", .dataCentre = "d", .rack = "r", .capacity = Capacity}, .bootId = ++m_boots});
+        m_supervisor->setMinimumEpoch(m_epoch);
+    }
+
+    void step()
+    {
+        deliver(m_replies);
+        if (fault(1)) {
+            ++m_epoch;
+        }
+        if (fault(1)) {
+            ++m_sheetVersion;
+            m_dataCentreIn = m_random.chance(80);
+        }
+        if (m_calm || m_random.chance(20)) {
+            m_sheet = m_sheetVersion;
+            m_confirmedAt = m_now - (m_calm ? 0ms : Milliseconds(m_random.between(0, 1500)));
+            m_confirmedIn = m_dataCentreIn;
+            m_supervisor->onSheet(m_confirmedAt, m_sheet, m_confirmedIn);
+            // The supervisor keeps the latest confirmation of a version.
+            m_latest = m_latestVersion == m_sheet && m_latestBoot == m_boots ? std::max(m_latest, m_confirmedAt)
+                                                                             : m_confirmedAt;
+            m_latestVersion = m_sheet;
+            m_latestBoot = m_boots;
+        }
+        if (!m_listInFlight && m_random.chance(30)) {
+            requestList();
+        }
+        for (const WorkerAction &action : m_supervisor->takeActions(m_now)) {
+            carryOut(action);
+        }
+        if (!m_syncInFlight) {
+            sync();
+        }
+    }
+
+    void requestList()
+    {
+        m_listInFlight = true;
+        const bool lost = fault(10);
+        const TimePoint requestedAt = m_now;
+        m_replies.push_back(
+            {m_now + Milliseconds(m_random.between(0, 800)), [this, lost, requestedAt, tasks = m_worker.list()] {
+                 m_listInFlight = false;
+                 if (!lost) {
+                     m_listDelivered = requestedAt;
+                     m_supervisor->onWorkerList(requestedAt, m_now, tasks);
+                 }
+             }});
+    }
+
+    /// Makes a call at the worker, at once or late, and loses its reply at times.
+    void carryOut(const WorkerAction &action)
+    {
+        if (action.kind == WorkerAction::Kind::Start) {
+            checkStart(action);
+        } else if (action.kind == WorkerAction::Kind::Renew) {
+            CHECK(m_now < m_grantUntil);
+            CHECK(action.lease <= 5s);
+        }
+        const TimePoint sentAt = m_now;
+        const auto reply = [this, sentAt, id = action.id](const Status &status, Milliseconds delay) {
+            m_replies.push_back({m_now + delay, [this, sentAt, id, status] {
+                                     m_supervisor->onActionResult(sentAt, m_now, id, status);
+                                 }});
+        };
+        const Milliseconds delay{m_calm ? 0 : m_random.between(0, 500)};
+        if (fault(10)) {
+            reply(Error{.kind = ErrorKind::Unavailable, .message = "down"}, delay);
+        } else if (fault(10)) {
+            // The reply is given up before the call takes effect.
+            m_atWorker.push_back(
+                {m_now + delay + 800ms, [this, action, known = m_listDelivered] { atWorker(action, known); }});
+            reply(Error{.kind = ErrorKind::Unknown, .message = "late"}, delay);
+        } else {
+            Status status = atWorker(action, m_listDelivered);
+            reply(fault(10) ? Status(Error{.kind = ErrorKind::Timeout, .message = "lost"}) : status, delay);
+        }
+    }
+
+    void checkStart(const WorkerAction &action)
+    {
+        const TaskRef ref = action.task;
+        INFO("start of " << ref.job << " fence " << ref.fence);
+        CHECK(m_startCalls.insert(ref).second);
+        CHECK(m_now - m_decided.at(ref) <= 2000ms);
+        CHECK(m_now - m_latest <= 2000ms);
+        CHECK(m_decidedSheet.at(ref) == m_latestVersion);
+        CHECK(m_confirmedIn);
+        CHECK(m_now < m_grantUntil);
+        CHECK(action.sendBefore >= m_now);
+    }
+
+    /// `known` is the request time of the last list that the supervisor had when it made the call.
+    Status atWorker(const WorkerAction &action, TimePoint known)
+    {
+        if (action.kind == WorkerAction::Kind::Start) {
+            const Status status = m_worker.start(m_now, action.start);
+            if (isOk(status)) {
+                m_started.insert(action.task);
+            }
+            return status;
+        }
+        const auto found = m_worker.tasks.find(action.task);
+        if (found == m_worker.tasks.end()) {
+            return Error{.kind = ErrorKind::NotFound, .message = "no task"};
+        }
+        FakeWorker::Entry &task = found->second;
+        const bool runs = task.info.state == TaskState::Running;
+        if (action.kind == WorkerAction::Kind::Renew && runs) {
+            task.leaseUntil = std::max(task.leaseUntil, m_now + action.lease);
+        } else if (action.kind == WorkerAction::Kind::Checkpoint && runs) {
+            m_worker.checkpoint(task);
+        } else if (action.kind == WorkerAction::Kind::Stop && runs) {
+            m_worker.stop(m_now, task);
+        } else if (action.kind == WorkerAction::Kind::Stop && !isActive(task.info.state)) {
+            // The worker's call removes an ended task with its result. A task that ends while a stop is on its way
+            // is removed unseen; nothing else may be.
+            CHECK((m_acknowledged.contains(action.task) || known < task.endedAt));
+            m_worker.tasks.erase(found);
+        } else if (!runs) {
+            return Error{.kind = ErrorKind::NotFound, .message = "ended"};
+        }
+        return std::monostate{};
+    }
+
+    void sync()
+    {
+        const HostReport report = m_supervisor->makeReport(m_now);
+        checkReport(report);
+        const TimePoint sentAt = m_now;
+        m_syncInFlight = true;
+        const Milliseconds delay{m_calm                   ? 200
+                                     : m_random.chance(5) ? m_random.between(0, 4000)
+                                                          : m_random.between(0, 600)};
+        if (fault(10)) {
+            m_replies.push_back({m_now + delay, [this] {
+                                     m_syncInFlight = false;
+                                     m_supervisor->onReportLost();
+                                 }});
+            return;
+        }
+        const HostOrders orders = lead(report);
+        m_replies.push_back({m_now + delay, [this, sentAt, orders] {
+                                 m_syncInFlight = false;
+                                 if (orders.leading && orders.epoch >= m_seenEpoch) {
+                                     m_seenEpoch = orders.epoch;
+                                     m_grantUntil = std::max(m_grantUntil, sentAt + orders.grant);
+                                     for (const TaskRef &ref : orders.acknowledged) {
+                                         m_mustReport.erase(ref);
+                                     }
+                                 }
+                                 m_supervisor->onOrders(sentAt, m_now, orders);
+                             }});
+    }
+
+    void checkReport(const HostReport &report)
+    {
+        std::set<TaskRef> reported;
+        for (const TaskReport &task : report.tasks) {
+            const TaskRef ref{.job = task.job, .fence = task.fence};
+            INFO("report of " << ref.job << " fence " << ref.fence << " state " << static_cast<int>(task.state));
+            reported.insert(ref);
+            if (task.state == ReportedState::Running || task.state == ReportedState::Stopping) {
+                continue;
+            }
+            m_mustReport.insert(ref);
+            const auto found = m_worker.tasks.find(ref);
+            const bool runs = found != m_worker.tasks.end() && isActive(found->second.info.state);
+            CHECK_FALSE(runs);
+            if (task.state == ReportedState::Refused) {
+                CHECK_FALSE(m_started.contains(ref));
+            }
+            if (found != m_worker.tasks.end() && found->second.info.state == TaskState::Finished) {
+                CHECK(task.state == ReportedState::Finished);
+                CHECK(task.result == "result of " + ref.job);
+            }
+        }
+        CHECK(std::includes(reported.begin(), reported.end(), m_mustReport.begin(), m_mustReport.end()));
+    }
+
+    /// The leader: at most one assignment of a job at a time, acknowledgements some time after the report.
+    HostOrders lead(const HostReport &report)
+    {
+        HostOrders orders;
+        if (fault(3)) {
+            return orders;
+        }
+        orders.leading = true;
+        // At times a leader that was replaced answers.
+        orders.epoch = fault(5) && m_epoch > 1 ? m_epoch - 1 : m_epoch;
+        orders.sheetVersion = m_sheetVersion;
+        orders.grant = fault(5) ? 0ms : 10000ms;
+        orders.wantFull = fault(5);
+        for (const TaskReport &task : report.tasks) {
+            const TaskRef ref{.job = task.job, .fence = task.fence};
+            if (task.state != ReportedState::Running && task.state != ReportedState::Stopping) {
+                m_ended.insert(ref);
+                m_open.erase(ref);
+                if (m_calm || m_random.chance(60)) {
+                    orders.acknowledged.push_back(ref);
+                    m_acknowledged.insert(ref);
+                }
+            } else if (m_calm || m_random.chance(5)) {
+                orders.stops.push_back({.job = ref.job, .fence = ref.fence, .checkpoint = m_random.chance(60)});
+            }
+        }
+        for (const auto &[ref, order] : m_open) {
+            if (m_random.chance(30)) {
+                repeat(orders, order);
+            }
+            if (m_calm) {
+                orders.stops.push_back({.job = ref.job, .fence = ref.fence, .checkpoint = false});
+            }
+        }
+        for (int job = 0; job < 6 && !m_calm; ++job) {
+            const std::string name = "job" + std::to_string(job);
+            const bool assigned = std::any_of(
+                m_open.begin(), m_open.end(), [&name](const auto &entry) { return entry.first.job == name; });
+            if (!assigned && m_random.chance(15)) {
+                StartOrder order;
+                order.job = name;
+                order.fence = ++m_fences[name];
+                order.reserved = {.cpuMillis = m_random.between(1000, 6000), .memoryMiB = m_random.between(1, 400)};
+                const TaskRef ref{.job = name, .fence = order.fence};
+                m_decided[ref] = m_now;
+                m_open[ref] = order;
+                repeat(orders, order);
+            }
+        }
+        return orders;
+    }
+
+    void repeat(HostOrders &orders, StartOrder order)
+    {
+        const TaskRef ref{.job = order.job, .fence = order.fence};
+        order.age = std::chrono::duration_cast<Milliseconds>(m_now - m_decided.at(ref));
+        m_decidedSheet[ref] = orders.sheetVersion;
+        orders.starts.push_back(order);
+    }
+
+    Random m_random;
+    TimePoint m_now = TimePoint() + 1h;
+    FakeWorker m_worker;
+    std::unique_ptr<TaskSupervisor> m_supervisor;
+    std::list<Event> m_replies;
+    std::list<Event> m_atWorker;
+    bool m_calm = false;
+    bool m_listInFlight = false;
+    bool m_syncInFlight = false;
+    std::uint64_t m_boots = 0;
+    Epoch m_epoch = 1;
+    Epoch m_seenEpoch = 0;
+    SheetVersion m_sheetVersion = 1;
+    SheetVersion m_sheet = 0;
+    bool m_dataCentreIn = true;
+    bool m_confirmedIn = false;
+    TimePoint m_confirmedAt;
+    TimePoint m_latest;
+    SheetVersion m_latestVersion = 0;
+    std::uint64_t m_latestBoot = 0;
+    TimePoint m_grantUntil = TimePoint::min();
+    TimePoint m_listDelivered = TimePoint::min();
+    std::map<std::string, Fence> m_fences;
+    std::map<TaskRef, StartOrder> m_open;
+    std::map<TaskRef, TimePoint> m_decided;
+    std::map<TaskRef, SheetVersion> m_decidedSheet;
+    std::set<TaskRef> m_startCalls;
+    std::set<TaskRef> m_started;
+    std::set<TaskRef> m_ended;
+    std::set<TaskRef> m_acknowledged;
+    std::set<TaskRef> m_mustReport;
+};
+
+} // namespace
+
+// Guards against overbooking, leases renewed without a grant, late starts, second starts and results that are not
+// reported until acknowledged, under lost and late calls, pauses longer than the lease, restarts and changes of leader.
+TEST_CASE("a supervisor keeps its bounds whatever the worker and the leader lose", "[tasksupervisor][randomised]")
+{
+    forEachSeed(300, [](std::uint64_t seed) { World(seed).run(); });
+}
