--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -257,7 +257,9 @@
         if (!isOk(announcement)) {
             co_return errorResponse(errorOf(announcement));
         }
-        co_await runOn(m_requests.strand(), [this, leave = request.method == "DELETE", said = valueOf(announcement)] {
+        const bool leave = request.method == "DELETE";
+        const LocalAnnouncement &said = valueOf(announcement);
+        co_await runOn(m_requests.strand(), [this, leave, &said] {
             if (leave) {
                 m_requests.leave(said.service);
             } else {
@@ -265,7 +267,7 @@
             }
             return true;
         });
-        if (request.method == "DELETE") {
+        if (leave) {
             // The entries hear of it at once and not with the next announcement.
             co_await asio::co_spawn(m_announcer->strand(), m_announcer->announceOnce(), asio::use_awaitable);
         }
--- a/packages/daemon/src/carobflow/daemon/chargeservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.cpp
@@ -92,20 +92,23 @@
         std::move(request));
     // The flow and the wait for its reply share a strand, so that the deadline sees the flow between two steps.
     co_return co_await boost::asio::co_spawn(
-        call->strand,
-        [this, call, deadline]() -> boost::asio::awaitable<ChargeReply> {
-            boost::asio::co_spawn(call->strand, run(call), boost::asio::detached);
-            if (!call->reply) {
-                co_await call->replied.waitUntil(deadline);
-            }
-            if (!call->reply) {
-                call->reply = call->flow.onDeadline();
-            }
-            ChargeReply reply = call->reply.value_or(UnknownOutcome{.reason = "the deadline passed"});
-            m_metrics.countCharge(replyName(reply));
-            co_return reply;
-        },
-        boost::asio::use_awaitable);
+        call->strand, runUntilReply(call, deadline), boost::asio::use_awaitable);
+}
+
+boost::asio::awaitable<ChargeReply> ChargeService::runUntilReply(std::shared_ptr<Call> call, TimePoint deadline)
+{
+    boost::asio::co_spawn(call->strand, run(call), boost::asio::detached);
+    if (!call->reply) {
+        co_await call->replied.waitUntil(deadline);
+    }
+    if (!call->reply) {
+        call->reply = call->flow.onDeadline();
+    }
+    if (!call->reply) {
+        call->reply = UnknownOutcome{.reason = "the deadline passed"};
+    }
+    m_metrics.countCharge(replyName(*call->reply));
+    co_return *call->reply;
 }
 
 boost::asio::awaitable<void> ChargeService::run(std::shared_ptr<Call> call)
--- a/packages/daemon/src/carobflow/daemon/chargeservice.h
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.h
@@ -31,6 +31,7 @@
 private:
     struct Call;
 
+    boost::asio::awaitable<ChargeReply> runUntilReply(std::shared_ptr<Call> call, TimePoint deadline);
     boost::asio::awaitable<void> run(std::shared_ptr<Call> call);
     boost::asio::awaitable<ChargeFlow::Step> carryOut(Call &call, ChargeFlow::Step step);
 
--- a/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
+++ b/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
@@ -185,15 +185,15 @@
     if (current.version != replaces) {
         co_return SheetConflict{current.version};
     }
-    const std::string digest = sheetDigest(text);
-    co_return co_await commit({.row = {.version = replaces + 1,
-                                       .digest = digest,
-                                       .author = std::move(author),
-                                       .token = randomToken(),
-                                       .referenceUnixSeconds = now,
-                                       .acceptedUnixSeconds = now},
-                               .replacedRowVersion = rowVersion,
-                               .text = std::move(text)});
+    Change change{.row = {.version = replaces + 1,
+                          .digest = sheetDigest(text),
+                          .author = std::move(author),
+                          .token = randomToken(),
+                          .referenceUnixSeconds = now,
+                          .acceptedUnixSeconds = now},
+                  .replacedRowVersion = rowVersion,
+                  .text = std::move(text)};
+    co_return co_await commit(std::move(change));
 }
 
 boost::asio::awaitable<ApplyOutcome> SheetRepository::setDataCentre(std::string dataCentre,
@@ -213,15 +213,15 @@
     if (!isOk(text)) {
         co_return errorOf(text);
     }
-    const std::string digest = sheetDigest(valueOf(text));
-    co_return co_await commit({.row = {.version = sheet->version + 1,
-                                       .digest = digest,
-                                       .author = std::move(author),
-                                       .token = randomToken(),
-                                       .referenceUnixSeconds = sheet->referenceUnixSeconds,
-                                       .acceptedUnixSeconds = unixSeconds()},
-                               .replacedRowVersion = sheet->rowVersion,
-                               .text = takeValue(std::move(text))});
+    Change change{.row = {.version = sheet->version + 1,
+                          .digest = sheetDigest(valueOf(text)),
+                          .author = std::move(author),
+                          .token = randomToken(),
+                          .referenceUnixSeconds = sheet->referenceUnixSeconds,
+                          .acceptedUnixSeconds = unixSeconds()},
+                  .replacedRowVersion = sheet->rowVersion,
+                  .text = takeValue(std::move(text))};
+    co_return co_await commit(std::move(change));
 }
 
 boost::asio::awaitable<ApplyOutcome> SheetRepository::commit(Change change)
