Add the operators' client

EntryClient tries the entries in turn: a read after any failure, a change only when no connection was made or the entry answered not-run. The burn report can be written as one HTML page with inline SVG.

Ruled out: INIReader alone, because it cannot list keys, so that unknown keys would go unnoticed; the parser of the same library (inih) finds them. Number options of cxxopts, because its message does not name the option. A second try of a change after 503 without the header Carobflow-Outcome: not-run, because it may have taken effect.

--- /dev/null
+++ b/packages/client/src/carobflow/client/entryclient.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "carobflow/core/result.h"
+#include "carobflow/core/types.h"
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/beast/http/verb.hpp>
+
+namespace Carobflow
+{
+
+/// Where an entry listens.
+struct EntryAddress {
+    std::string host;
+    std::string port;
+
+    bool operator==(const EntryAddress &) const = default;
+};
+
+/// Parses host:port or [IPv6 address]:port.
+Result<EntryAddress> parseEntryAddress(std::string_view text);
+
+struct EntryRequest {
+    boost::beast::http::verb method = boost::beast::http::verb::get;
+    /// Path with names already percent-encoded.
+    std::string path;
+    std::string body = {};
+    std::vector<std::pair<std::string, std::string>> headers = {};
+};
+
+/// A whole reply of an entry.
+struct EntryReply {
+    unsigned status = 0;
+    /// The header Carobflow-Outcome; empty when there is none.
+    std::string outcome;
+    std::string body;
+
+    /// The entry says that the request certainly did not take effect.
+    [[nodiscard]] bool isNotRun() const;
+};
+
+/// Calls the entries of a system one after the other and waits for the reply.
+class EntryClient
+{
+public:
+    struct Options {
+        /// Tried in this order.
+        std::vector<EntryAddress> entries;
+        /// Sent as bearer token unless empty.
+        std::string token;
+        Milliseconds connectTimeout{2000};
+        /// For sending the request and receiving the reply.
+        Milliseconds timeout{30000};
+    };
+
+    explicit EntryClient(Options options);
+
+    /// Sends a request. A GET goes to the next entry when one cannot be reached, breaks off or is unavailable; any
+    /// other method only when the previous entry certainly did not carry it out. Errors: Unavailable when no entry was
+    /// reached, Unknown when a change may have taken effect.
+    [[nodiscard]] Result<EntryReply> send(const EntryRequest &request) const;
+
+private:
+    Options m_options;
+};
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/client/src/carobflow/client/internal/commands.cpp
@@ -0,0 +1,502 @@
+#include "carobflow/client/internal/commands.h"
+
+#include "carobflow/client/burnpage.h"
+#include "carobflow/core/sheet.h"
+
+#include <charconv>
+#include <chrono>
+#include <fstream>
+#include <ostream>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+
+namespace Carobflow
+{
+
+namespace
+{
+
+namespace Json = boost::json;
+using JsonView::Column;
+using Verb = boost::beast::http::verb;
+
+// Statuses of the entry that the client tells apart; all others are reported with the entry's message.
+constexpr unsigned StatusUnauthorized = 401;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+
+constexpr std::array<Column, 4> HistoryColumns{{
+    {"VERSION", "version"},
+    {"ACCEPTED", "acceptedUnixSeconds", JsonView::unixTime},
+    {"AUTHOR", "author"},
+    {"DIGEST", "digest"},
+}};
+constexpr std::array<Column, 11> JobColumns{{
+    {"ID", "id"},
+    {"TEAM", "team"},
+    {"CLASS", "jobClass"},
+    {"KIND", "kind"},
+    {"STATE", "state"},
+    {"HOST", "host"},
+    {"PROGRESS", "progress", JsonView::percent},
+    {"SLACK_S", "slackSeconds"},
+    {"DEADLINE", "deadlineUnixSeconds", JsonView::unixTime},
+    {"EVICTIONS", "evictions"},
+    {"REASON", "reason"},
+}};
+constexpr std::array<Column, 3> PlacedJobColumns{{
+    {"JOB", "id"},
+    {"CLASS", "jobClass"},
+    {"STATE", "state"},
+}};
+constexpr std::array<Column, 11> UpstreamColumns{{
+    {"SERVICE", "service"},
+    {"HOST", "host"},
+    {"DATA_CENTRE", "dataCentre"},
+    {"ADDRESS", "address"},
+    {"SLOTS", "slots"},
+    {"OUTSTANDING", "outstanding"},
+    {"LATENCY_MS", "latencyMs"},
+    {"IN_SERVICE", "inService"},
+    {"LEAVING", "leaving"},
+    {"DRAINED", "drained"},
+    {"EJECTED", "ejected"},
+}};
+constexpr std::array<Column, 7> BurnColumns{{
+    {"SERVICE", "service"},
+    {"OBJECTIVE", "objective"},
+    {"TARGET", "targetRatio"},
+    {"WINDOW_MIN", "windowMinutes"},
+    {"TOTAL", "total"},
+    {"BAD", "bad"},
+    {"BURN_RATE", "burnRate"},
+}};
+
+std::string encoded(std::string_view name)
+{
+    return boost::urls::encode(name, boost::urls::unreserved_chars);
+}
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    constexpr std::size_t blockBytes = 65536;
+    std::string content;
+    std::string block(blockBytes, '\0');
+    do {
+        file.read(block.data(), static_cast<std::streamsize>(block.size()));
+        content.append(block, 0, static_cast<std::size_t>(file.gcount()));
+    } while (file);
+    // A folder can be opened, but reading it is an error.
+    return file.bad() ? std::nullopt : std::optional(std::move(content));
+}
+
+std::int64_t nowUnixSeconds()
+{
+    return std::chrono::duration_cast<Seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+/// Parses a deadline as seconds since the Unix epoch, or + and seconds from now.
+std::optional<std::int64_t> parseDeadline(std::string_view text)
+{
+    const bool relative = text.starts_with('+');
+    const std::string_view digits = relative ? text.substr(1) : text;
+    std::int64_t seconds = 0;
+    const char *const end = digits.data() + digits.size();
+    const auto [parsedTo, error] = std::from_chars(digits.data(), end, seconds);
+    constexpr std::int64_t most = 100'000'000'000;
+    if (error != std::errc() || parsedTo != end || seconds < 1 || seconds > most) {
+        return std::nullopt;
+    }
+    return relative ? nowUnixSeconds() + seconds : seconds;
+}
+
+bool isSuccess(const EntryReply &reply)
+{
+    constexpr unsigned firstSuccess = 200;
+    constexpr unsigned lastSuccess = 299;
+    return reply.status >= firstSuccess && reply.status <= lastSuccess;
+}
+
+std::string lineOf(const std::string &file, const Json::value &fault)
+{
+    return file + ":" + JsonView::plain(JsonView::member(fault, "line")) + ":"
+        + JsonView::plain(JsonView::member(fault, "column")) + ": "
+        + printable(JsonView::plain(JsonView::member(fault, "message")));
+}
+
+Json::object faultJson(const SheetFault &fault)
+{
+    return {{"line", fault.line}, {"column", fault.column}, {"message", fault.message}};
+}
+
+} // namespace
+
+Commands::Commands(const CommandCall &call, const ClientSettings &settings, std::ostream &out, std::ostream &err)
+    : m_call(call)
+    , m_settings(settings)
+    , m_out(out)
+    , m_err(err)
+{
+}
+
+ExitCode Commands::sheetCheck() const
+{
+    const std::string &file = m_call.words[0];
+    const auto content = readFile(file);
+    if (!content) {
+        return usage("cannot read " + file + "; write the path of a sheet");
+    }
+    const auto parsed = parseSheet(*content, nowUnixSeconds());
+    const auto *faults = std::get_if<std::vector<SheetFault>>(&parsed);
+    Json::array list;
+    if (faults != nullptr) {
+        for (const SheetFault &fault : *faults) {
+            list.push_back(faultJson(fault));
+        }
+    }
+    if (has("json")) {
+        m_out << Json::serialize(Json::object{{"faults", list}}) << '\n';
+    } else {
+        for (const Json::value &fault : list) {
+            m_out << lineOf(file, fault) << '\n';
+        }
+    }
+    if (faults != nullptr) {
+        return ExitCode::Failed;
+    }
+    m_err << file << ": no faults\n";
+    return ExitCode::Success;
+}
+
+ExitCode Commands::sheetApply() const
+{
+    const std::string &file = m_call.words[0];
+    const auto content = readFile(file);
+    if (!content) {
+        return usage("cannot read " + file + "; write the path of a sheet");
+    }
+    EntryRequest request{.method = Verb::put, .path = "/v1/sheet", .body = *content};
+    request.headers = {{"Content-Type", "text/csv; charset=utf-8"}};
+    addSheetHeaders(request);
+    return call(
+        request, [this](const Json::value &reply) { printVersion(reply); }, file);
+}
+
+ExitCode Commands::sheetShow() const
+{
+    return call({.path = "/v1/sheet"}, [this](const Json::value &reply) {
+        // Only the text goes to the output, so that it can be redirected into a file and edited.
+        m_out << JsonView::plain(JsonView::member(reply, "text"));
+        m_err << "version=" << JsonView::plain(JsonView::member(reply, "version"))
+              << " digest=" << JsonView::plain(JsonView::member(reply, "digest"))
+              << " author=" << printable(JsonView::plain(JsonView::member(reply, "author"))) << '\n';
+    });
+}
+
+ExitCode Commands::sheetHistory() const
+{
+    return call({.path = "/v1/sheet/history"},
+                [this](const Json::value &reply) { JsonView::table(reply, "versions", HistoryColumns).print(m_out); });
+}
+
+ExitCode Commands::dataCentreOut() const
+{
+    return setDataCentre("out");
+}
+
+ExitCode Commands::dataCentreIn() const
+{
+    return setDataCentre("in");
+}
+
+ExitCode Commands::jobSubmit() const
+{
+    std::int64_t deadlineUnixSeconds = 0;
+    if (has("deadline")) {
+        const auto deadline = parseDeadline(text("deadline"));
+        if (!deadline) {
+            return usage(
+                "--deadline '" + text("deadline")
+                + "' is not accepted; write seconds since the Unix epoch, or + and seconds from now, as +3600");
+        }
+        deadlineUnixSeconds = *deadline;
+    }
+    const Json::object job{
+        {"id", m_call.words[0]},
+        {"team", text("team")},
+        {"jobClass", text("class")},
+        {"kind", "batch"},
+        {"urgency", has("urgent") ? "urgent" : "normal"},
+        {"cpuMillis", number("cpu-millis")},
+        {"memoryMiB", number("memory-mib")},
+        {"accelerators", has("accelerators") ? number("accelerators") : 0},
+        {"runSeconds", number("run-seconds")},
+        {"deadlineUnixSeconds", deadlineUnixSeconds},
+    };
+    return call({.method = Verb::post,
+                 .path = "/v1/jobs",
+                 .body = Json::serialize(job),
+                 .headers = {{"Content-Type", "application/json"}}},
+                [this](const Json::value &reply) { printJobState(reply); });
+}
+
+ExitCode Commands::jobCancel() const
+{
+    return call({.method = Verb::delete_, .path = "/v1/jobs/" + encoded(m_call.words[0])},
+                [this](const Json::value &reply) { printJobState(reply); });
+}
+
+ExitCode Commands::jobStatus() const
+{
+    if (m_call.words.empty()) {
+        return call({.path = "/v1/jobs"},
+                    [this](const Json::value &reply) { JsonView::table(reply, "jobs", JobColumns).print(m_out); });
+    }
+    return call({.path = "/v1/jobs/" + encoded(m_call.words[0])}, [this](const Json::value &reply) {
+        TextTable fields({"FIELD", "VALUE"});
+        const auto addField = [&](std::string_view title, const std::string &value) {
+            fields.addRow({std::string(title), value});
+        };
+        for (const Column &column : JobColumns) {
+            addField(column.title, column.format(JsonView::member(reply, column.key)));
+        }
+        addField("FENCE", JsonView::plain(JsonView::member(reply, "fence")));
+        addField("RESULT", JsonView::plain(JsonView::member(reply, "result")));
+        fields.print(m_out);
+    });
+}
+
+ExitCode Commands::upstreamList() const
+{
+    return call({.path = "/v1/upstreams"}, [this](const Json::value &reply) {
+        JsonView::table(reply, "upstreams", UpstreamColumns).print(m_out);
+    });
+}
+
+ExitCode Commands::upstreamDrain() const
+{
+    const bool end = has("end");
+    return call(
+        {.method = end ? Verb::delete_ : Verb::post, .path = "/v1/upstreams/" + encoded(m_call.words[0]) + "/drain"},
+        [this, end](const Json::value & /*reply*/) {
+            m_out << m_call.words[0] << (end ? ": the drain has ended\n" : ": drained\n");
+        });
+}
+
+ExitCode Commands::reportBurn() const
+{
+    const auto fetched = fetch({.path = "/v1/report/burn"});
+    if (const auto *failure = std::get_if<ExitCode>(&fetched)) {
+        return *failure;
+    }
+    const auto &reply = std::get<Json::value>(fetched);
+    if (has("html")) {
+        std::vector<BurnRow> rows;
+        for (const Json::value &row : JsonView::elements(reply, "rows")) {
+            auto parsed = Json::try_value_to<BurnRow>(row);
+            if (!parsed) {
+                m_err << "the reply is not of the expected form (" << parsed.error().message()
+                      << "); use a client of the entry's version\n";
+                return ExitCode::Failed;
+            }
+            rows.push_back(std::move(*parsed));
+        }
+        std::ofstream page(text("html"), std::ios::binary);
+        page << burnPage(rows, JsonView::unixTime(nowUnixSeconds()));
+        page.close();
+        if (!page) {
+            return usage("cannot write " + text("html") + "; write a path in a folder that can be written to");
+        }
+    }
+    if (!has("json")) {
+        JsonView::table(reply, "rows", BurnColumns).print(m_out);
+    }
+    return ExitCode::Success;
+}
+
+ExitCode Commands::reportJobs() const
+{
+    return call({.path = "/v1/report/jobs"}, [this](const Json::value &reply) {
+        auto titles = JsonView::titles(JobColumns);
+        titles.insert(titles.begin(), "ATTENTION");
+        TextTable table(std::move(titles));
+        for (const auto &[key, title] : {std::pair("late", "late"),
+                                         std::pair("atRisk", "at-risk"),
+                                         std::pair("unrunnable", "unrunnable"),
+                                         std::pair("failed", "failed")}) {
+            for (const Json::value &job : JsonView::elements(reply, key)) {
+                auto cells = JsonView::cells(job, JobColumns);
+                cells.insert(cells.begin(), title);
+                table.addRow(std::move(cells));
+            }
+        }
+        table.print(m_out);
+    });
+}
+
+ExitCode Commands::reportPlacement() const
+{
+    return call({.path = "/v1/report/placement"}, [this](const Json::value &reply) {
+        std::vector<std::string> titles{"HOST", "DATA_CENTRE"};
+        for (const std::string &title : JsonView::titles(PlacedJobColumns)) {
+            titles.push_back(title);
+        }
+        TextTable table(std::move(titles));
+        for (const Json::value &host : JsonView::elements(reply, "hosts")) {
+            const std::vector<std::string> hostCells{JsonView::plain(JsonView::member(host, "host")),
+                                                     JsonView::plain(JsonView::member(host, "dataCentre"))};
+            const auto tasks = JsonView::elements(host, "tasks");
+            for (const Json::value &task : tasks) {
+                auto cells = JsonView::cells(task, PlacedJobColumns);
+                cells.insert(cells.begin(), hostCells.begin(), hostCells.end());
+                table.addRow(std::move(cells));
+            }
+            if (tasks.empty()) {
+                table.addRow({hostCells[0], hostCells[1], "", "", ""});
+            }
+        }
+        table.print(m_out);
+    });
+}
+
+std::variant<Json::value, ExitCode> Commands::fetch(const EntryRequest &request, const std::string &file) const
+{
+    const auto result = EntryClient(m_settings.entry).send(request);
+    if (!isOk(result)) {
+        return reportError(errorOf(result));
+    }
+    const EntryReply &reply = valueOf(result);
+    boost::system::error_code error;
+    Json::value json = Json::parse(reply.body, error);
+    if (has("json") && !error) {
+        m_out << reply.body << (reply.body.ends_with('\n') ? "" : "\n");
+    }
+    if (!isSuccess(reply)) {
+        return reportFailure(reply, file);
+    }
+    if (error) {
+        m_err << "the reply is not JSON; check that --entry is the address of an entry\n";
+        return ExitCode::Failed;
+    }
+    return json;
+}
+
+ExitCode Commands::call(const EntryRequest &request, const PrintReply &print, const std::string &file) const
+{
+    const auto fetched = fetch(request, file);
+    if (const auto *failure = std::get_if<ExitCode>(&fetched)) {
+        return *failure;
+    }
+    if (!has("json")) {
+        print(std::get<Json::value>(fetched));
+    }
+    return ExitCode::Success;
+}
+
+ExitCode Commands::setDataCentre(const std::string &state) const
+{
+    EntryRequest request{.method = Verb::post, .path = "/v1/datacentres/" + encoded(m_call.words[0]) + "/" + state};
+    addSheetHeaders(request);
+    return call(request, [this](const Json::value &reply) { printVersion(reply); });
+}
+
+void Commands::addSheetHeaders(EntryRequest &request) const
+{
+    if (has("replaces")) {
+        request.headers.emplace_back("If-Match", std::to_string(number("replaces")));
+    }
+    if (!m_settings.author.empty()) {
+        request.headers.emplace_back("Carobflow-Author", m_settings.author);
+    }
+}
+
+void Commands::printVersion(const Json::value &reply) const
+{
+    m_out << "version=" << JsonView::plain(JsonView::member(reply, "version"))
+          << " digest=" << JsonView::plain(JsonView::member(reply, "digest")) << '\n';
+}
+
+void Commands::printJobState(const Json::value &reply) const
+{
+    m_out << printable(JsonView::plain(JsonView::member(reply, "id"))) << ": "
+          << printable(JsonView::plain(JsonView::member(reply, "state"))) << '\n';
+}
+
+ExitCode Commands::reportFailure(const EntryReply &reply, const std::string &file) const
+{
+    boost::system::error_code error;
+    const Json::value json = Json::parse(reply.body, error);
+    std::string message = printable(JsonView::plain(JsonView::member(json, "message")));
+    if (message.empty()) {
+        message = "no message";
+    }
+    for (const Json::value &fault : JsonView::elements(json, "faults")) {
+        m_err << lineOf(file, fault) << '\n';
+    }
+    switch (reply.status) {
+    case StatusConflict: {
+        const std::string version = JsonView::plain(JsonView::member(json, "currentVersion"));
+        m_err << "conflict: " << message;
+        if (!version.empty()) {
+            m_err << "; the current version is " << version << ": read it with 'carobflow sheet show' and repeat with "
+                  << "--replaces " << version;
+        }
+        m_err << '\n';
+        return ExitCode::Conflict;
+    }
+    case StatusUnauthorized:
+        m_err << "refused: " << message << "; give the operators' token with --token or in the settings file\n";
+        return ExitCode::Failed;
+    case StatusUnavailable:
+        m_err << (reply.isNotRun() ? "not run: " : "unavailable: ") << message << "; try again later\n";
+        return ExitCode::Failed;
+    case StatusGatewayTimeout:
+        m_err << "unknown: " << message << "; the request may have taken effect, check before you repeat it\n";
+        return ExitCode::Failed;
+    default:
+        m_err << "failed: the entry answered " << reply.status << ": " << message << '\n';
+        return ExitCode::Failed;
+    }
+}
+
+ExitCode Commands::reportError(const Error &error) const
+{
+    if (error.kind == ErrorKind::Unknown) {
+        m_err << "unknown: " << error.message << "; the request may have taken effect, check before you repeat it\n";
+        return ExitCode::Failed;
+    }
+    m_err << "unreachable: " << error.message << "; check --entry and that an entry runs there\n";
+    return ExitCode::Unreachable;
+}
+
+ExitCode Commands::usage(const std::string &message) const
+{
+    m_err << message << '\n';
+    return ExitCode::Usage;
+}
+
+bool Commands::has(const std::string &option) const
+{
+    return m_call.options.count(option) != 0;
+}
+
+std::string Commands::text(const std::string &option) const
+{
+    return m_call.options[option].as<std::string>();
+}
+
+std::uint64_t Commands::number(const std::string &option) const
+{
+    return parseNumber(m_call.options[option].as<std::string>()).value_or(0);
+}
+
+} // namespace Carobflow
--- a/packages/client/src/carobflow/client/main.cpp
+++ b/packages/client/src/carobflow/client/main.cpp
@@ -1,14 +1,11 @@
+#include "carobflow/client/client.h"
 
 #include <iostream>
-
-#include <cxxopts.hpp>
+#include <string>
+#include <vector>
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options("carobflow", "Operates a carobflow system.");
-    options.add_options()("h,help", "print this help");
-    if (options.parse(argc, argv).count("help") != 0) {
-        std::cout << options.help() << std::endl;
-    }
-    return 0;
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return static_cast<int>(Carobflow::runClient(arguments, std::cout, std::cerr));
 }
