Make the colocation controller slower to raise throttles

A violation now counts against the last raise for 300 s, a raise needs 5 windows with room, and waits 30 s instead of 10 s after a violation. Acting only after 3 windows over the target was ruled out: every reaction would be later.

It now bounds reductions that follow a raise by 1, and all actions on a host by 12 instead of 20.

--- a/packages/core/src/carobflow/core/colocation.cpp
+++ b/packages/core/src/carobflow/core/colocation.cpp
@@ -28,14 +28,15 @@
 
 /// Windows in a row before an action, so that one noisy window does not cause any.
 constexpr std::uint32_t ViolationsToAct = 2;
-constexpr std::uint32_t WindowsToRaise = 3;
+constexpr std::uint32_t WindowsToRaise = 5;
 /// Windows with fewer requests say too little about a tail.
 constexpr std::uint32_t MinCompleted = 20;
 constexpr std::uint32_t PercentStep = 25;
 constexpr std::uint32_t FullPercent = 100;
 constexpr std::uint32_t MaxRaiseDelayFactor = 16;
-/// A violation within this multiple of the measurement lag after a raise is taken as its consequence.
-constexpr int RaiseConsequenceLags = 4;
+/// A violation within this time after a raise is taken as its consequence. With 12 s a host whose tail was near the
+/// target after the raise went on being raised and reduced by noise (seed 924 of the simulation in the test).
+constexpr Seconds RaiseConsequenceTime{300};
 /// Services whose last window is older are taken as gone from the host.
 constexpr Seconds WindowLifetime{30};
 /// Neighbours with a smaller effect (5%) are left alone: the load explains the tail, not they.
@@ -199,7 +200,7 @@
                                                              std::span<const ColocatedTask> tasks)
 {
     host.violatedAt = now;
-    if (host.raisedAt && now - *host.raisedAt < RaiseConsequenceLags * m_options.measurementLag) {
+    if (host.raisedAt && now - *host.raisedAt < RaiseConsequenceTime) {
         host.raiseDelayFactor = std::min(2 * host.raiseDelayFactor, MaxRaiseDelayFactor);
     }
     host.raisedAt.reset();
--- a/packages/core/src/carobflow/core/colocation.h
+++ b/packages/core/src/carobflow/core/colocation.h
@@ -48,7 +48,7 @@
         Milliseconds holdOff{60000};
         /// Time without a violation after which a throttle is raised. It doubles, up to 16 times, each time that a
         /// raise was followed by a violation.
-        Milliseconds raiseDelay{10000};
+        Milliseconds raiseDelay{30000};
         /// In the whole shard.
         std::uint32_t evictionsPerMinute = 6;
         /// The lowest throttle; a task that still disturbs there is evicted.
--- a/packages/core/tests/colocation_test.cpp
+++ b/packages/core/tests/colocation_test.cpp
@@ -204,7 +204,8 @@
     int actions = 0;
     int evictions = 0;
     /// In the last third of the run.
-    int lateActions = 0;
+    int lateReversals = 0;
+    bool raisedLast = false;
     int lateViolations = 0;
 };
 
@@ -245,10 +246,12 @@
             host.windows.pop_front();
             for (const auto &decision : controller.onWindow(now, "h" + std::to_string(index), seen, tasks)) {
                 ++host.actions;
-                host.lateActions += isLate ? 1 : 0;
                 const auto task = std::ranges::find(
                     host.tasks, decision.task, [](const auto &item) { return item.task.task; });
                 REQUIRE(task != host.tasks.end());
+                const bool isReduction = decision.kind == Kind::Evict || decision.percent / 100.0 < task->share;
+                host.lateReversals += isLate && isReduction && host.raisedLast ? 1 : 0;
+                host.raisedLast = !isReduction;
                 if (decision.kind == Kind::Evict) {
                     ++host.evictions;
                     host.tasks.erase(task);
@@ -271,10 +274,11 @@
     forEachSeed(20, [&](std::uint64_t seed) {
         INFO("seed " << seed);
         for (const SimulatedHost &host : simulate(seed, true)) {
-            CAPTURE(host.load, host.tasks.size(), host.actions, host.lateActions, host.lateViolations);
+            CAPTURE(host.load, host.tasks.size(), host.actions, host.lateReversals, host.lateViolations);
             CHECK(host.lateViolations <= 15);
-            CHECK(host.actions <= 20);
-            CHECK(host.lateActions <= 4);
+            CHECK(host.actions <= 12);
+            // Each cycle of an oscillation has a reduction after a raise.
+            CHECK(host.lateReversals <= 1);
             violations += host.lateViolations;
         }
         for (const SimulatedHost &host : simulate(seed, false)) {
