core: test the shard leader at random and correct what it found

Cause: the leader's promises (one place at a time, nothing lost, one resume from the last checkpoint) have to hold with drifting clocks, pauses, kills, partitions, lost and late replies of the table, and sheets that change.

Change: shardleader_random_test runs three candidates, six agents and workers over a fake table.

Found and corrected: - a commit that conflicts on the sheet after a newer sheet had arrived marked the newer one as outdated, and nothing was assigned until the next change; - a SheetApplied record of a withdrawn commit was committed twice; - a job was unrunnable when the only hosts that fit it were silent at a take-over: the ledger now keeps the largest capacities seen (CapacitySeen); - failures on a host on trial counted for the job; now they count only after ten failures, and three different hosts are needed in any case.

Ruled out: making unrunnable jobs runnable when a larger host appears; a caller who was told so may have submitted the work again. A job for a kind of host that has never reported is still unrunnable after five seconds, so the test keeps its first five seconds free of faults.

--- a/packages/core/src/carobflow/core/batchscheduler.cpp
+++ b/packages/core/src/carobflow/core/batchscheduler.cpp
@@ -149,7 +149,8 @@
     return placements;
 }
 
-std::string BatchScheduler::whyUnrunnable(const JobSpec &spec, std::span<const HostInfo> hosts, const Sheet *sheet)
+std::string
+BatchScheduler::whyUnrunnable(const JobSpec &spec, std::span<const Resources> capacities, const Sheet *sheet)
 {
     const TeamEntry *team = sheet == nullptr ? nullptr : sheet->findTeam(spec.team);
     if (team != nullptr && !spec.declared.fitsIn(team->quota)) {
@@ -157,11 +158,11 @@
             + describe(team->quota) + ": correct the job or the quota in the sheet";
     }
     Resources largest;
-    for (const HostInfo &host : hosts) {
-        if (spec.declared.fitsIn(host.capacity)) {
+    for (const Resources &capacity : capacities) {
+        if (spec.declared.fitsIn(capacity)) {
             return {};
         }
-        largest = maxOf(largest, host.capacity);
+        largest = maxOf(largest, capacity);
     }
     return "needs " + describe(spec.declared) + " but no host has that; the largest amounts of any host are "
         + describe(largest) + ": correct the job's sizes";
--- a/packages/core/src/carobflow/core/batchscheduler.h
+++ b/packages/core/src/carobflow/core/batchscheduler.h
@@ -59,8 +59,8 @@
                                  std::int64_t unixSeconds,
                                  std::size_t limit) const;
 
-    /// Why the job can run on none of these hosts even when they are idle; empty when it can.
-    static std::string whyUnrunnable(const JobSpec &spec, std::span<const HostInfo> hosts, const Sheet *sheet);
+    /// Why the job can run on no host of these capacities even when it is idle; empty when it can.
+    static std::string whyUnrunnable(const JobSpec &spec, std::span<const Resources> capacities, const Sheet *sheet);
 
 private:
     void sortByPriority(const ShardState &state, std::vector<WaitingJob> &waiting, std::int64_t unixSeconds) const;
--- a/packages/core/src/carobflow/core/internal/decisionmaker.cpp
+++ b/packages/core/src/carobflow/core/internal/decisionmaker.cpp
@@ -20,8 +20,9 @@
 constexpr Milliseconds RefusedHostPause{1000};
 constexpr Milliseconds RefusedPairPause{10000};
 
-/// Wait after each failure of a job, times the number of failures.
+/// Wait after each failure of a job, times the number of failures up to a bound.
 constexpr Milliseconds FailurePause{1000};
+constexpr std::uint32_t MaxFailurePauses = 60;
 
 /// Ended jobs that stay in the state, for status calls and against a repeated submission of the same id.
 constexpr std::size_t RetainedEndedJobs = 10000;
@@ -76,6 +77,10 @@
 
 void DecisionMaker::carryOver(std::vector<LedgerRecord> records)
 {
+    // Assignments rest on the sheet of that commit, and records about no job are made anew when they are still due.
+    std::erase_if(records, [](const LedgerRecord &record) {
+        return std::holds_alternative<TaskAssigned>(record) || jobOf(record).empty();
+    });
     m_carriedOver = std::move(records);
 }
 
@@ -95,6 +100,7 @@
                                      &DecisionMaker::addEvictions,
                                      &DecisionMaker::addCheckpoints,
                                      &DecisionMaker::addForgotten,
+                                     &DecisionMaker::addCapacities,
                                      &DecisionMaker::addUnrunnable,
                                      &DecisionMaker::addAssignments};
     Batch batch{.now = now, .unixSeconds = unixSeconds, .state = state, .hosts = hosts, .records = {}, .touched = {}};
@@ -142,7 +148,7 @@
             host->refusedUntil = batch.now + RefusedHostPause;
         }
     } else if (ended.report.state == ReportedState::Failed) {
-        m_notBefore[job] = batch.now + FailurePause * (batch.state.find(job)->failures + 1);
+        m_notBefore[job] = batch.now + FailurePause * std::min(batch.state.find(job)->failures + 1, MaxFailurePauses);
     } else {
         m_avoidUntil.erase(job);
         m_notBefore.erase(job);
@@ -306,6 +312,18 @@
     }
 }
 
+void DecisionMaker::addCapacities(Batch &batch)
+{
+    std::vector<Resources> seen = batch.state.capacities();
+    for (const auto &[name, entry] : batch.hosts.hosts()) {
+        const Resources &capacity = entry.info.capacity;
+        if (std::ranges::none_of(seen, [&](const Resources &larger) { return capacity.fitsIn(larger); })) {
+            seen.push_back(capacity);
+            batch.add(CapacitySeen{capacity});
+        }
+    }
+}
+
 void DecisionMaker::addUnrunnable(Batch &batch)
 {
     // While a sheet is being applied, its corrections come first; else a job could go back and forth.
@@ -313,13 +331,12 @@
     if (applyingSheet || !batch.hosts.isSettled(batch.now)) {
         return;
     }
-    const std::vector<HostInfo> known = batch.hosts.known();
     for (const std::string &id : batch.state.pending()) {
         if (!batch.canTouch(id)) {
             continue;
         }
         const JobSpec &spec = batch.state.find(id)->spec;
-        std::string reason = BatchScheduler::whyUnrunnable(spec, known, m_sheet.sheet());
+        std::string reason = BatchScheduler::whyUnrunnable(spec, batch.state.capacities(), m_sheet.sheet());
         if (!reason.empty()) {
             batch.add(JobUnrunnable{.job = id, .reason = std::move(reason)});
         }
--- a/packages/core/src/carobflow/core/internal/decisionmaker.h
+++ b/packages/core/src/carobflow/core/internal/decisionmaker.h
@@ -30,7 +30,8 @@
     /// Takes the ended tasks of a report into account.
     void onReport(const ShardState &state, const HostReport &report);
 
-    /// Puts records back that a commit did not apply; they come first in the next batch.
+    /// Puts the records of a commit that was not applied back, but for its assignments; they come first in the next
+    /// batch.
     void carryOver(std::vector<LedgerRecord> records);
 
     /// The records of the next commit.
@@ -70,6 +71,7 @@
     void addEvictions(Batch &batch);
     void addCheckpoints(Batch &batch);
     void addForgotten(Batch &batch);
+    void addCapacities(Batch &batch);
     void addUnrunnable(Batch &batch);
     void addAssignments(Batch &batch);
 
--- a/packages/core/src/carobflow/core/internal/hostregistry.cpp
+++ b/packages/core/src/carobflow/core/internal/hostregistry.cpp
@@ -29,7 +29,7 @@
 void HostRegistry::reset(TimePoint takeOver, Epoch epoch)
 {
     m_hosts.clear();
-    m_firstHeardAt.reset();
+    m_newestHostAt.reset();
     m_takeOver = takeOver;
     m_epoch = epoch;
 }
@@ -65,8 +65,8 @@
             entry.ended.insert(ref);
         }
     }
-    if (!m_firstHeardAt) {
-        m_firstHeardAt = now;
+    if (added) {
+        m_newestHostAt = now;
     }
     return &entry;
 }
@@ -111,18 +111,9 @@
         && now >= entry.refusedUntil;
 }
 
-std::vector<HostInfo> HostRegistry::known() const
-{
-    std::vector<HostInfo> infos;
-    for (const auto &[name, entry] : m_hosts) {
-        infos.push_back(entry.info);
-    }
-    return infos;
-}
-
 bool HostRegistry::isSettled(TimePoint now) const
 {
-    return m_firstHeardAt && now - *m_firstHeardAt >= SettleTime;
+    return m_newestHostAt && now - *m_newestHostAt >= SettleTime;
 }
 
 } // namespace Carobflow
--- a/packages/core/src/carobflow/core/internal/hostregistry.h
+++ b/packages/core/src/carobflow/core/internal/hostregistry.h
@@ -65,17 +65,14 @@
     /// True when the host reported lately, completely, under this epoch, and is not leaving.
     [[nodiscard]] bool isAssignable(TimePoint now, const HostEntry &entry) const;
 
-    /// All hosts heard of, those that are silent now included.
-    [[nodiscard]] std::vector<HostInfo> known() const;
-
-    /// True once hosts have been known for a few seconds, so that the list of them is likely whole.
+    /// True once no new host has appeared for a few seconds, so that the list of them is likely whole.
     [[nodiscard]] bool isSettled(TimePoint now) const;
 
 private:
     Options m_options;
     Epoch m_epoch = 0;
     TimePoint m_takeOver;
-    std::optional<TimePoint> m_firstHeardAt;
+    std::optional<TimePoint> m_newestHostAt;
     std::map<std::string, HostEntry, std::less<>> m_hosts;
 };
 
--- a/packages/core/src/carobflow/core/internal/ledgerrecord.h
+++ b/packages/core/src/carobflow/core/internal/ledgerrecord.h
@@ -97,6 +97,13 @@
                       (),
                       (job, fence, outcome, reason, checkpoint, progressPermille, result, runMilliseconds))
 
+/// A host offers more of something than every host before it.
+struct CapacitySeen {
+    static constexpr std::string_view Type = "capacity-seen";
+    Resources capacity;
+};
+BOOST_DESCRIBE_STRUCT(CapacitySeen, (), (capacity))
+
 /// The jobs of this version of the sheet are submitted, and those that it no longer lists are cancelled.
 struct SheetApplied {
     static constexpr std::string_view Type = "sheet-applied";
@@ -114,9 +121,10 @@
                                   TaskStopRequested,
                                   CheckpointRecorded,
                                   TaskEnded,
+                                  CapacitySeen,
                                   SheetApplied>;
 
-/// The job that a record is about; empty for SheetApplied.
+/// The job that a record is about; empty when it is about none.
 std::string_view jobOf(const LedgerRecord &record);
 
 /// The value of a ledger row.
--- a/packages/core/src/carobflow/core/internal/sheetview.cpp
+++ b/packages/core/src/carobflow/core/internal/sheetview.cpp
@@ -36,9 +36,9 @@
     m_seen = std::max(m_seen, version);
 }
 
-void SheetView::markOutdated()
+void SheetView::markOutdated(std::uint64_t rowVersion)
 {
-    m_outdatedRow = m_rowVersion;
+    m_outdatedRow = rowVersion;
 }
 
 bool SheetView::mayAssign() const
--- a/packages/core/src/carobflow/core/internal/sheetview.h
+++ b/packages/core/src/carobflow/core/internal/sheetview.h
@@ -24,8 +24,9 @@
     /// Another process acts under this version, so nothing is assigned under an older one.
     void seen(SheetVersion version);
 
-    /// A commit found another version of the row sheet/current: nothing is assigned until it is known.
-    void markOutdated();
+    /// A commit found that the row sheet/current no longer has this version: nothing is assigned under it. A newer
+    /// sheet may have arrived while the commit was in flight.
+    void markOutdated(std::uint64_t rowVersion);
 
     [[nodiscard]] bool mayAssign() const;
     [[nodiscard]] SheetVersion version() const;
--- a/packages/core/src/carobflow/core/shardstate.cpp
+++ b/packages/core/src/carobflow/core/shardstate.cpp
@@ -185,6 +185,7 @@
     job.result = record.result;
     job.failures = 0;
     job.failedHosts.clear();
+    job.soundFailedHosts.clear();
     if (job.spec.kind == JobKind::Batch) {
         job.reason.clear();
         job.progressPermille = 1000;
@@ -200,14 +201,16 @@
 void ShardState::fail(JobRecord &job, const TaskEnded &record)
 {
     ++job.failures;
+    job.failedHosts.insert(job.host);
     if (!isOnTrial(job.host)) {
-        job.failedHosts.insert(job.host);
+        job.soundFailedHosts.insert(job.host);
         m_content.hostFaults[job.host].insert(job.spec.id);
     }
     if (!job.cancelRequested) {
         job.reason = record.reason;
     }
-    if (job.cancelRequested || (job.failedHosts.size() < JobFaultHosts && job.failures < MaxFailures)) {
+    const std::size_t hosts = job.failures < MaxFailures ? job.soundFailedHosts.size() : job.failedHosts.size();
+    if (job.cancelRequested || hosts < JobFaultHosts) {
         returnToPending(job);
         return;
     }
@@ -224,6 +227,13 @@
     setState(job, JobState::Failed);
 }
 
+void ShardState::applyRecord(const CapacitySeen &record)
+{
+    std::erase_if(m_content.capacities,
+                  [&record](const Resources &capacity) { return capacity.fitsIn(record.capacity); });
+    m_content.capacities.push_back(record.capacity);
+}
+
 void ShardState::applyRecord(const SheetApplied &record)
 {
     requireInvariant(record.version > m_content.sheetVersion, "sheet-version-grows");
@@ -299,6 +309,11 @@
     return found != m_content.hostFaults.end() && found->second.size() >= HostFaultJobs;
 }
 
+const std::vector<Resources> &ShardState::capacities() const
+{
+    return m_content.capacities;
+}
+
 const ClassRunTime *ShardState::runTime(std::string_view jobClass) const
 {
     const auto found = m_content.runTimes.find(jobClass);
--- a/packages/core/src/carobflow/core/shardstate.h
+++ b/packages/core/src/carobflow/core/shardstate.h
@@ -34,8 +34,9 @@
     bool cancelledBySheet = false;
     /// Position in the order of submission.
     std::uint64_t order = 0;
-    /// Hosts that failed the job and were not on trial at that time.
+    /// Hosts that failed the job since it last finished, and those of them that were not on trial at that time.
     std::set<std::string> failedHosts;
+    std::set<std::string> soundFailedHosts;
     std::uint32_t failures = 0;
 
     bool operator==(const JobRecord &) const = default;
@@ -57,6 +58,7 @@
                        cancelledBySheet,
                        order,
                        failedHosts,
+                       soundFailedHosts,
                        failures))
 
 /// Measured run time of a job class as a moving average.
@@ -77,8 +79,10 @@
     /// Per host the jobs that failed there since the last job that finished there.
     std::map<std::string, std::set<std::string>, std::less<>> hostFaults;
     std::map<std::string, ClassRunTime, std::less<>> runTimes;
+    /// Capacities of hosts seen at any time, without those that fit into another.
+    std::vector<Resources> capacities;
 };
-BOOST_DESCRIBE_STRUCT(ShardContent, (), (lastFence, nextOrder, sheetVersion, jobs, hostFaults, runTimes))
+BOOST_DESCRIBE_STRUCT(ShardContent, (), (lastFence, nextOrder, sheetVersion, jobs, hostFaults, runTimes, capacities))
 
 /// The jobs of one shard as the ledger describes them. The same records in the same order give the same state in every
 /// process.
@@ -89,7 +93,8 @@
     static constexpr std::size_t JobFaultHosts = 3;
     /// Different jobs that must fail on a host before it is put on trial.
     static constexpr std::size_t HostFaultJobs = 3;
-    /// Failures on hosts on trial do not count for a job; this bound ends a job that fails everywhere all the same.
+    /// Failures on hosts on trial do not count at first, because the fault may lie with the host. With this many
+    /// failures they do: otherwise a few bad jobs could put every host on trial and go on for ever.
     static constexpr std::uint32_t MaxFailures = 10;
 
     /// Applies one record. A record that contradicts the state violates an invariant.
@@ -120,6 +125,10 @@
     [[nodiscard]] SheetVersion sheetVersion() const;
     [[nodiscard]] bool isOnTrial(std::string_view host) const;
 
+    /// The largest capacities of hosts seen at any time: a job that fits into none of them can run nowhere, and one
+    /// that fits may only wait for a host that is silent now.
+    [[nodiscard]] const std::vector<Resources> &capacities() const;
+
     /// The measured run time of a class, or null.
     [[nodiscard]] const ClassRunTime *runTime(std::string_view jobClass) const;
 
@@ -133,6 +142,7 @@
     void applyRecord(const TaskStopRequested &record);
     void applyRecord(const CheckpointRecorded &record);
     void applyRecord(const TaskEnded &record);
+    void applyRecord(const CapacitySeen &record);
     void applyRecord(const SheetApplied &record);
 
     JobRecord &existing(const std::string &job);
--- /dev/null
+++ b/packages/core/tests/shardsimulation.h
@@ -0,0 +1,244 @@
+#pragma once
+
+#include "carobflow/core/internal/shardrow.h"
+#include "carobflow/core/shardleader.h"
+#include "carobflow/core/shardstate.h"
+#include "randomised.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Carobflow::Testing
+{
+
+/// Milliseconds of true time, which no process can see.
+using TrueTime = std::int64_t;
+
+/// A monotonic clock with an offset and a rate error.
+struct DriftingClock {
+    std::int64_t offset = 0;
+    std::int64_t ratePerMillion = 0;
+
+    [[nodiscard]] TimePoint at(TrueTime now) const
+    {
+        return TimePoint(std::chrono::microseconds(offset + now * 1000 + now * ratePerMillion / 1000));
+    }
+};
+
+/// The events of a simulation in order of time.
+class EventQueue
+{
+public:
+    void at(TrueTime time, std::function<void()> action)
+    {
+        m_events.push({time, m_added++, std::move(action)});
+    }
+
+    void runUntil(TrueTime end)
+    {
+        while (!m_events.empty() && m_events.top().time <= end) {
+            Event event = m_events.top();
+            m_events.pop();
+            m_now = std::max(m_now, event.time);
+            event.action();
+        }
+        m_now = end;
+    }
+
+    [[nodiscard]] TrueTime now() const
+    {
+        return m_now;
+    }
+
+private:
+    struct Event {
+        TrueTime time = 0;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const
+        {
+            return std::pair(time, order) > std::pair(other.time, other.order);
+        }
+    };
+
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_added = 0;
+    TrueTime m_now = 0;
+};
+
+/// The table and object store, with a replica of the shard's state that follows each ledger row as it is committed.
+class FakeStore
+{
+public:
+    TransactOutcome transact(const Transaction &transaction);
+    std::vector<Row> range(const ReadRangeOperation &read) const;
+    std::vector<Row> row(const std::string &key) const;
+    /// Checks that a leader's snapshot equals the replay of the ledger, and keeps it.
+    void writeObject(const std::string &key, const std::string &bytes);
+
+    std::map<std::string, std::string> objects;
+    ShardState replica;
+    /// For each committed assignment, the checkpoint that was recorded last at that time.
+    std::map<Fence, std::string> assignments;
+    /// Tells whether a host's data centre is in service by the newest sheet.
+    std::function<bool(const std::string &host)> isInService;
+    int snapshots = 0;
+
+private:
+    void follow(const std::string &key, const std::string &value);
+
+    std::map<std::string, Row> m_rows;
+    std::vector<std::string> m_ledger;
+    /// Followed apart from the replica, so that a fault in the product's state does not hide itself.
+    std::map<std::string, std::string> m_lastCheckpoint;
+    std::uint64_t m_version = 0;
+};
+
+/// A worker that runs tasks under leases and keeps running when its agent dies.
+class FakeWorker
+{
+public:
+    struct Task {
+        ReportedState state = ReportedState::Running;
+        TrueTime startedAt = 0;
+        TrueTime leaseEnd = 0;
+        TrueTime stopAt = 0;
+        /// Work done before this start and the whole of it, in milliseconds.
+        std::int64_t doneBefore = 0;
+        std::int64_t whole = 0;
+        bool fails = false;
+        bool checkpointAtStop = false;
+        std::string checkpoint;
+        TrueTime checkpointAt = 0;
+    };
+
+    /// Brings the tasks up to date: ends, lapsed leases, checkpoints.
+    void update(TrueTime now, std::map<std::string, std::int64_t> &checkpoints);
+    [[nodiscard]] bool runs(const std::string &job) const;
+
+    std::map<TaskRef, Task> tasks;
+    std::map<std::string, Fence> newestFence;
+    std::int64_t ratePerMillion = 0;
+};
+
+inline constexpr int HostCount = 6;
+inline constexpr int CandidateCount = 3;
+/// The leader learns once in the life of a shard which capacities there are. A job for a kind of host that has never
+/// reported is unrunnable by design, so the first seconds are free of faults.
+inline constexpr TrueTime FaultsBegin = 5'000;
+inline constexpr TrueTime FaultsEnd = 240'000;
+inline constexpr Milliseconds MaxStartAge{2000};
+inline constexpr Milliseconds MaxSheetAge{2000};
+
+/// A few seconds after a data centre went out: the bounds on the age of the sheet and of the order, and delays.
+inline constexpr TrueTime NoStartAfter = 4000;
+
+inline std::string hostName(int index)
+{
+    return "host-" + std::to_string(index);
+}
+
+inline std::string dataCentreOf(int index)
+{
+    return "dc-" + std::to_string(index % 3);
+}
+
+/// An agent's memory; it is gone when the process is killed.
+struct FakeAgent {
+    std::uint64_t bootId = 0;
+    std::uint64_t sequence = 0;
+    Epoch epoch = 0;
+    bool epochKnown = false;
+    SheetVersion sheetVersion = 0;
+    TimePoint sheetConfirmedAt;
+    TimePoint grantEnd;
+    TimePoint lastOrdersSentAt;
+    TimePoint syncSentAt;
+    bool syncInFlight = false;
+    bool full = true;
+    int target = 0;
+    /// Tasks that ended without the worker knowing of them, or that were handed back.
+    std::map<TaskRef, ReportedState> handedBack;
+};
+
+struct Process {
+    bool alive = true;
+    TrueTime pausedUntil = 0;
+    /// Until then the process reaches no table, or its agent no leader.
+    TrueTime cutFromStoreUntil = 0;
+    TrueTime cutFromLeadersUntil = 0;
+    std::uint64_t generation = 0;
+    DriftingClock clock;
+    std::unique_ptr<ShardLeader> leader;
+    FakeAgent agent;
+    std::map<std::uint64_t, std::string> submissions;
+    std::map<std::uint64_t, std::string> cancellations;
+};
+
+/// A shard with candidates for its leadership, agents and workers, under faults. It checks the invariants as it runs.
+class Simulation
+{
+public:
+    explicit Simulation(std::uint64_t seed);
+    void run();
+
+private:
+    using Reply = std::function<void(Process &)>;
+
+    // Processes and messages.
+    void startProcess(int index);
+    void deliver(int index, std::uint64_t generation, TrueTime delay, Reply reply);
+    TrueTime delay();
+    bool faulty(int percent);
+    void tick(int index);
+    void pump(int index);
+    void execute(int index, const StoreOperation &operation);
+    void perform(int index, std::uint64_t generation, const StoreOperation &operation, bool replies);
+    void takeReplies(Process &process);
+    void pollSheet(int index);
+
+    // Agents and workers.
+    HostReport makeReport(int index);
+    void sync(int index);
+    void onOrders(int index, TimePoint sentAt, const HostOrders &orders);
+    void startTask(int index, TimePoint sentAt, const HostOrders &orders, const StartOrder &order);
+    void checkStart(int index, const StartOrder &order);
+    void renew(int index);
+
+    // What happens to the system.
+    void submitSome();
+    void changeSheet();
+    void injectFaults();
+    void checkEnd();
+
+    [[nodiscard]] TrueTime now() const
+    {
+        return m_events.now();
+    }
+
+    Random m_random;
+    EventQueue m_events;
+    FakeStore m_store;
+    TrueTime m_downUntil = 0;
+    Milliseconds m_outageGrace{0};
+    std::vector<Process> m_processes{HostCount};
+    std::vector<FakeWorker> m_workers{HostCount};
+    std::map<std::string, std::int64_t> m_checkpoints;
+    std::vector<std::shared_ptr<const Sheet>> m_sheets{nullptr};
+    std::map<std::string, TrueTime> m_outSince;
+    std::set<Fence> m_started;
+    std::set<std::string> m_submitted;
+    std::set<std::string> m_accepted;
+    std::set<std::string> m_cancelled;
+    int m_badHost = 0;
+    /// Seeds differ in how often faults come: with many at once, the waits for a silent host are rarely reached.
+    std::int64_t m_faultPercent = 0;
+};
+
+} // namespace Carobflow::Testing
