--- a/packages/core/tests/shardleader_test.cpp
+++ b/packages/core/tests/shardleader_test.cpp
@@ -179,6 +179,15 @@
         CHECK(leader.find("j1")->state == JobState::Running);
         CHECK(answer.acknowledged.size() == 1);
     }
+    SECTION("a job whose start was handed back is accepted again, and that host is not chosen at once")
+    {
+        report(leader, "h1", {makeTask(orders.starts.front(), ReportedState::Refused)});
+        pass(leader, Milliseconds(2000));
+        report(leader, "h1", {});
+        CHECK(leader.find("j1")->state == JobState::Accepted);
+        report(leader, "h2", {});
+        CHECK(leader.find("j1")->host == "h2");
+    }
     SECTION("a job of a silent host is assigned again only after grant, lease and margin")
     {
         pass(leader, Milliseconds(16500));
