--- a/packages/core/src/carobflow/core/hostmessages.h
+++ b/packages/core/src/carobflow/core/hostmessages.h
@@ -87,7 +87,10 @@
     std::string job;
     Fence fence = 0;
 
-    auto operator<=>(const TaskRef &) const = default;
+    bool operator==(const TaskRef &) const = default;
+
+    /// By job, then by fence.
+    bool operator<(const TaskRef &other) const;
 };
 
 /// What a leader answers to a report.
--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -29,14 +29,17 @@
 namespace
 {
 
+template<typename Function>
+asio::awaitable<std::invoke_result_t<Function>> invokeAsCoroutine(Function function)
+{
+    co_return function();
+}
+
 /// Runs a function on another strand and returns its result on the caller's.
 template<typename Function>
 asio::awaitable<std::invoke_result_t<Function>> runOn(asio::any_io_executor strand, Function function)
 {
-    co_return co_await asio::co_spawn(
-        strand,
-        [function = std::move(function)]() -> asio::awaitable<std::invoke_result_t<Function>> { co_return function(); },
-        asio::use_awaitable);
+    co_return co_await asio::co_spawn(strand, invokeAsCoroutine(std::move(function)), asio::use_awaitable);
 }
 
 } // namespace
@@ -92,9 +95,9 @@
         if (Status status = m_listener->start({&*m_agentService, &*m_shardService}); !isOk(status)) {
             return status;
         }
-        asio::co_spawn(m_announcer->strand(), m_announcer->run(), asio::detached);
-        asio::co_spawn(m_shardRunner->strand(), m_shardRunner->run(), asio::detached);
-        asio::co_spawn(m_requests.strand(), tickRequests(), asio::detached);
+        spawnLoop(m_announcer->strand(), m_announcer->run());
+        spawnLoop(m_shardRunner->strand(), m_shardRunner->run());
+        spawnLoop(m_requests.strand(), tickRequests());
         m_tasks->start();
         m_started = true;
         logInfo("ready").with("role", "agent").with("http", m_http.port()).with("grpc", valueOf(port));
@@ -152,28 +155,28 @@
         // Candidates wait for different times, so that they do not all try to take over at once.
         const Milliseconds delay(stableHash(m_settings.name + "/" + std::to_string(m_shard))
                                  % static_cast<std::uint64_t>(m_settings.leaderLease.count()));
-        m_shardRunner.emplace(m_executor,
-                              ShardRunner::Options{.leader = {.shard = m_shard,
-                                                              .host = m_settings.name,
-                                                              .address = m_address,
-                                                              .lease = m_settings.leaderLease,
-                                                              .leaseMargin = m_settings.leaderLease / 4,
-                                                              .candidacyDelay = delay,
-                                                              .renewInterval = m_settings.leaderLease / 4,
-                                                              .hostGrant = m_settings.hostGrant,
-                                                              .workerLease = m_settings.workerLease,
-                                                              .reassignMargin = m_settings.reassignMargin,
-                                                              .outageGrace = m_settings.outageGrace,
-                                                              .adaptivePolicy = m_settings.adaptivePolicy,
-                                                              .seed = m_bootId},
-                                                   .hasLeaderContact =
-                                                       [this](TimePoint now) {
-                                                           return m_tasks->hasLeaderContact(now,
-                                                                                            m_settings.leaderLease);
-                                                       }},
-                              m_table,
-                              m_objects,
-                              m_metrics);
+        m_shardRunner.emplace(
+            m_executor,
+            ShardRunner::Options{
+                .leader = {.shard = m_shard,
+                           .shardCount = static_cast<std::uint32_t>(m_settings.shards),
+                           .host = m_settings.name,
+                           .address = m_address,
+                           .lease = m_settings.leaderLease,
+                           .leaseMargin = m_settings.leaderLease / 4,
+                           .candidacyDelay = delay,
+                           .renewInterval = m_settings.leaderLease / 4,
+                           .hostGrant = m_settings.hostGrant,
+                           .workerLease = m_settings.workerLease,
+                           .reassignMargin = m_settings.reassignMargin,
+                           .outageGrace = m_settings.outageGrace,
+                           .adaptivePolicy = m_settings.adaptivePolicy,
+                           .seed = m_bootId},
+                .hasLeaderContact =
+                    [this](TimePoint now) { return m_tasks->hasLeaderContact(now, m_settings.leaderLease); }},
+            m_table,
+            m_objects,
+            m_metrics);
         m_tasks.emplace(
             m_executor,
             TaskRunner::Options{.supervisor = {.host = {.name = m_settings.name,
@@ -244,7 +247,7 @@
     {
         for (;;) {
             m_requests.tick();
-            co_await sleepFor(Milliseconds(50));
+            co_await sleepFor(Milliseconds(5));
         }
     }
 
--- a/packages/daemon/src/carobflow/daemon/chargeservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.cpp
@@ -91,8 +91,7 @@
             .service = request.service, .key = std::move(key), .requestDigest = digest, .token = randomToken()},
         std::move(request));
     // The flow and the wait for its reply share a strand, so that the deadline sees the flow between two steps.
-    co_return co_await boost::asio::co_spawn(
-        call->strand, runUntilReply(call, deadline), boost::asio::use_awaitable);
+    co_return co_await boost::asio::co_spawn(call->strand, runUntilReply(call, deadline), boost::asio::use_awaitable);
 }
 
 boost::asio::awaitable<ChargeReply> ChargeService::runUntilReply(std::shared_ptr<Call> call, TimePoint deadline)
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -98,10 +98,10 @@
         if (Status status = m_listener->start({&*m_service}); !isOk(status)) {
             return status;
         }
-        asio::co_spawn(asio::make_strand(m_executor), m_sheets.poll(), asio::detached);
-        asio::co_spawn(asio::make_strand(m_executor), m_cluster->run(), asio::detached);
-        asio::co_spawn(asio::make_strand(m_executor), m_burn.run(), asio::detached);
-        asio::co_spawn(asio::make_strand(m_executor), expireUpstreams(), asio::detached);
+        spawnLoop(asio::make_strand(m_executor), m_sheets.poll());
+        spawnLoop(asio::make_strand(m_executor), m_cluster->run());
+        spawnLoop(asio::make_strand(m_executor), m_burn.run());
+        spawnLoop(asio::make_strand(m_executor), expireUpstreams());
         m_started = true;
         logInfo("ready").with("role", "entry").with("http", m_http.port()).with("grpc", valueOf(port));
         return std::monostate{};
--- a/packages/daemon/src/carobflow/daemon/internal/asyncwait.h
+++ b/packages/daemon/src/carobflow/daemon/internal/asyncwait.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,6 +14,10 @@
 namespace Carobflow
 {
 
+/// Starts a coroutine that runs until the process ends. An exception that leaves it ends the process: a loop that is
+/// gone without a trace would be worse than a restart.
+void spawnLoop(const boost::asio::any_io_executor &executor, boost::asio::awaitable<void> loop);
+
 /// Waits on the caller's executor.
 inline boost::asio::awaitable<void> sleepFor(Duration duration)
 {
--- a/packages/daemon/src/carobflow/daemon/taskrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.cpp
@@ -60,9 +60,9 @@
 
 void TaskRunner::start()
 {
-    boost::asio::co_spawn(m_strand, listLoop(), boost::asio::detached);
-    boost::asio::co_spawn(m_strand, actionLoop(), boost::asio::detached);
-    boost::asio::co_spawn(m_strand, syncLoop(), boost::asio::detached);
+    spawnLoop(m_strand, listLoop());
+    spawnLoop(m_strand, actionLoop());
+    spawnLoop(m_strand, syncLoop());
 }
 
 void TaskRunner::onSheet(TimePoint confirmedAt, SheetVersion version, bool dataCentreIn)
@@ -93,6 +93,7 @@
         const auto tasks = co_await m_worker.list();
         if (isOk(tasks)) {
             m_supervisor.onWorkerList(requestedAt, std::chrono::steady_clock::now(), valueOf(tasks));
+            m_listed = true;
         }
         m_changed->notify();
         co_await sleepFor(m_options.listInterval);
@@ -113,6 +114,12 @@
 boost::asio::awaitable<void> TaskRunner::carryOut(WorkerAction action)
 {
     const TimePoint sentAt = std::chrono::steady_clock::now();
+    if (sentAt > action.sendBefore) {
+        // The process was paused between the decision and the call.
+        m_supervisor.onActionResult(
+            sentAt, sentAt, action.id, Error{ErrorKind::Unavailable, "not sent: it was too late"});
+        co_return;
+    }
     Status status;
     switch (action.kind) {
     case WorkerAction::Kind::Start:
@@ -162,8 +169,12 @@
 
 boost::asio::awaitable<void> TaskRunner::syncLoop()
 {
-    // Before the first report: a grant of an epoch that is older than the one in the table must not be taken.
+    // Before the first report: a grant of an epoch that is older than the one in the table must not be taken, and the
+    // tasks that a previous process left must be known.
     co_await readMinimumEpoch();
+    while (!m_listed) {
+        co_await sleepFor(RetryInterval / 4);
+    }
     m_windowStart = std::chrono::steady_clock::now();
     for (;;) {
         const auto leader = co_await m_callbacks.leader();
--- a/packages/daemon/src/carobflow/daemon/taskrunner.h
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.h
@@ -86,6 +86,7 @@
     Metrics &m_metrics;
     TaskSupervisor m_supervisor;
     std::unique_ptr<Notifier> m_changed;
+    bool m_listed = false;
     TimePoint m_windowStart;
     std::atomic<TimePoint::rep> m_lastContact{0};
 };
