--- a/packages/platform/src/carobflow/platform/httpclient.h
+++ b/packages/platform/src/carobflow/platform/httpclient.h
@@ -88,7 +88,8 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     /// Sends a request and waits for the whole answer. The call ends by its timeout at the latest; cancelling the
-    /// awaiting coroutine does not end it earlier.
+    /// awaiting coroutine does not end it earlier. In a coroutine, pass named variables: GCC 12 destroys braced
+    /// aggregate temporaries of a co_await expression twice.
     boost::asio::awaitable<HttpOutcome> call(HttpEndpoint endpoint, HttpRequest request);
 
 private:
