Test that only open and quiet idle connections are reused

Cause: two trial changes of the client passed all tests: one that skipped the check of an idle connection before reuse, and one that kept a connection with left-over bytes.

Change: the raw test server can keep its connections open, and the test closes one, sends a second answer, or sends part of one before the next call.

Ruled out: nothing else was considered.

--- a/packages/platform/tests/httpclient_test.cpp
+++ b/packages/platform/tests/httpclient_test.cpp
@@ -26,16 +26,40 @@
                                        + " " + request.body()};
 }
 
-/// Answers each connection with fixed bytes after its first request and then closes it.
-asio::awaitable<void> answerRaw(tcp::acceptor &acceptor, std::string bytes)
-{
-    for (;;) {
-        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-        std::array<char, 4096> request{};
-        co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
-        co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+/// Answers the first request of each connection with fixed bytes.
+struct RawServer {
+    RawServer(asio::io_context &io, std::string answer)
+        : acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , bytes(std::move(answer))
+    {
+        asio::co_spawn(io, serve(), asio::detached);
+    }
+
+    asio::awaitable<void> serve()
+    {
+        for (;;) {
+            sockets.push_back(co_await acceptor.async_accept(asio::use_awaitable));
+            std::array<char, 4096> request{};
+            co_await sockets.back().async_read_some(asio::buffer(request), asio::use_awaitable);
+            co_await asio::async_write(sockets.back(), asio::buffer(bytes), asio::use_awaitable);
+            if (closes) {
+                sockets.back().close();
+            }
+            ++answered;
+        }
     }
-}
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return acceptor.local_endpoint().port();
+    }
+
+    tcp::acceptor acceptor;
+    std::string bytes;
+    std::vector<tcp::socket> sockets;
+    bool closes = true;
+    int answered = 0;
+};
 
 std::string bodyOf(const HttpOutcome &outcome)
 {
@@ -165,10 +189,9 @@
         Case{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc", false},
         Case{"HTTP/1.1 200 OK\r\nContent-Le", false},
         Case{"nonsense\r\n\r\n", false});
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    asio::co_spawn(io, answerRaw(acceptor, bytes), asio::detached);
+    const RawServer server(io, bytes);
 
-    const auto outcome = call(acceptor.local_endpoint().port(), {});
+    const auto outcome = call(server.port(), {});
     CAPTURE(bytes);
     CHECK(std::holds_alternative<HttpAnswer>(outcome) == whole);
     CHECK(std::holds_alternative<HttpUnanswered>(outcome) != whole);
@@ -177,16 +200,34 @@
     }
 }
 
-// Guards against an answer to an earlier request that is taken for the answer to the next one.
-TEST_CASE_METHOD(PlatformFixture, "a connection with bytes that no request asked for is not reused", "[httpclient]")
+// Guards against an answer to an earlier request that is taken for the answer to the next one, and against a request
+// that is lost on a connection that the server has closed.
+TEST_CASE_METHOD(PlatformFixture, "an idle connection is reused only when it is open and quiet", "[httpclient]")
 {
     const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    const auto port = acceptor.local_endpoint().port();
-    asio::co_spawn(io, answerRaw(acceptor, answer + "a" + answer + "b"), asio::detached);
+    RawServer server(io, answer + "a");
+    server.closes = false;
+    const auto callTwice = [&](const std::function<void()> &between) {
+        CHECK(bodyOf(call(server.port(), {})) == "a");
+        runUntil([&] { return server.answered == 1; });
+        between();
+        CHECK(bodyOf(call(server.port(), {})) == "a");
+        CHECK(server.sockets.size() == 2);
+    };
 
-    CHECK(bodyOf(call(port, {})) == "a");
-    CHECK(bodyOf(call(port, {})) == "a");
+    SECTION("the server closed it in between")
+    {
+        callTwice([&] { server.sockets.front().close(); });
+    }
+    SECTION("another answer arrived in between")
+    {
+        callTwice([&] { asio::write(server.sockets.front(), asio::buffer(answer + "b")); });
+    }
+    SECTION("a part of another answer arrived together with the first")
+    {
+        server.bytes += answer;
+        callTwice([] {});
+    }
 }
 
 TEST_CASE_METHOD(PlatformFixture, "faults between client and server", "[httpclient][proxy]")
