Refuse requests at agents of a data centre that is out of service

Cause: only entries left out upstreams of a data centre that is out. An entry that was cut off from the table, or frozen over the change, went on sending.

Ruled out: expiring the entry's own routing when its sheet is old; a store outage would then stop all requests, which must go on from memory.

Change: the agent refuses with not-run as soon as it has the sheet; the row of an entry that is leaving is written without a data race.

--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -231,6 +231,8 @@
 
     void setSheet(const FollowedSheet &sheet)
     {
+        const bool inService = sheet.sheet->isInService(m_settings.dataCentre);
+        asio::post(m_requests.strand(), [this, inService] { m_requests.setDataCentreInService(inService); });
         asio::post(m_shardRunner->strand(),
                    [this, sheet] { m_shardRunner->setSheet(sheet.version, sheet.rowVersion, sheet.sheet); });
     }
--- a/packages/daemon/src/carobflow/daemon/clusterview.cpp
+++ b/packages/daemon/src/carobflow/daemon/clusterview.cpp
@@ -72,8 +72,10 @@
 boost::asio::awaitable<void> ClusterView::writeOwnRow()
 {
     // Only this process writes the row, so it needs no condition, and a write that is repeated does no harm.
-    const boost::json::object row{
-        {"address", m_options.address}, {"counter", ++m_counter}, {"leaving", m_leaving}, {"token", randomToken()}};
+    const boost::json::object row{{"address", m_options.address},
+                                  {"counter", ++m_counter},
+                                  {"leaving", m_leaving.load()},
+                                  {"token", randomToken()}};
     const Transaction transaction{
         .conditions = {}, .mutations = {{std::string(EntryPrefix) + m_options.name, boost::json::serialize(row)}}};
     co_await m_table.transact(transaction);
--- a/packages/daemon/src/carobflow/daemon/clusterview.h
+++ b/packages/daemon/src/carobflow/daemon/clusterview.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/core/types.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -79,8 +80,8 @@
     Options m_options;
     TableService &m_table;
     DrainListener m_drainListener;
-    std::uint64_t m_counter = 0;
-    bool m_leaving = false;
+    std::atomic<std::uint64_t> m_counter{0};
+    std::atomic<bool> m_leaving{false};
     std::map<std::string, Seen> m_seen;
     mutable std::mutex m_mutex;
     std::vector<EntryMember> m_entries;
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -112,6 +112,11 @@
     }
 }
 
+void RequestExecutor::setDataCentreInService(bool inService)
+{
+    m_dataCentreInService = inService;
+}
+
 boost::asio::awaitable<void> RequestExecutor::execute(const carobflow::ForwardRequest &request,
                                                       carobflow::ForwardReply &reply)
 {
@@ -119,11 +124,8 @@
     reply.set_request_id(request.request_id());
     reply.set_attempt(request.attempt());
     const auto found = m_services.find(request.service());
-    if (m_closed || found == m_services.end() || found->second->leaving) {
-        setOutcome(reply,
-                   NotRunOutcome{.reason = m_closed ? "the agent is stopping"
-                                                    : "the upstream is not announced here or is leaving",
-                                 .retryAfter = Milliseconds(0)});
+    if (const std::string_view reason = refusalReason(found); !reason.empty()) {
+        setOutcome(reply, NotRunOutcome{.reason = std::string(reason), .retryAfter = Milliseconds(0)});
         co_return;
     }
     const std::shared_ptr<Service> service = found->second;
@@ -159,6 +161,20 @@
     --m_inProgress;
 }
 
+std::string_view RequestExecutor::refusalReason(Services::const_iterator service) const
+{
+    if (m_closed) {
+        return "the agent is stopping";
+    }
+    if (!m_dataCentreInService) {
+        return "the data centre is out of service";
+    }
+    if (service == m_services.end() || service->second->leaving) {
+        return "the upstream is not announced here or is leaving";
+    }
+    return {};
+}
+
 boost::asio::awaitable<void> RequestExecutor::waitForSlot(Service &service, const std::shared_ptr<Request> &request)
 {
     while (request->state == Request::State::Waiting && std::chrono::steady_clock::now() < request->deadline) {
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -60,6 +61,10 @@
     /// Refuses everything from now on.
     void close();
 
+    /// Whether the sheet has this host's data centre in service; while it does not, new requests are refused. An entry
+    /// that does not have that sheet yet would still send them.
+    void setDataCentreInService(bool inService);
+
     /// Runs one attempt; ends by the deadline of the request at the latest.
     boost::asio::awaitable<void> execute(const carobflow::ForwardRequest &request, carobflow::ForwardReply &reply);
 
@@ -77,6 +82,10 @@
 private:
     struct Request;
     struct Service;
+    using Services = std::unordered_map<std::string, std::shared_ptr<Service>>;
+
+    /// Why a new request is refused before it reaches admission; empty when it is not.
+    [[nodiscard]] std::string_view refusalReason(Services::const_iterator service) const;
 
     boost::asio::awaitable<void> waitForSlot(Service &service, const std::shared_ptr<Request> &request);
     boost::asio::awaitable<void> call(std::shared_ptr<Service> service, std::shared_ptr<Request> request);
@@ -88,8 +97,9 @@
     std::shared_ptr<HttpClient> m_client;
     Metrics &m_metrics;
     bool m_closed = false;
+    bool m_dataCentreInService = true;
     std::uint64_t m_nextId = 1;
-    std::unordered_map<std::string, std::shared_ptr<Service>> m_services;
+    Services m_services;
     std::atomic<std::uint32_t> m_inProgress{0};
 };
 
