Answer drains of upstreams without ending the entry

Cause: POST /v1/upstreams/<host>/drain ended the entry with SIGILL in OperatorApi::drainUpstream. GCC 12 compiled the awaited condition together with a braced Error argument of a later co_return into a trap.

Ruled out: the table transaction and Routing::setDrainedHosts, by a backtrace of the signal: the coroutine itself raised it before the first await.

Change: the awaited result and the error are named variables.

--- a/packages/daemon/src/carobflow/daemon/operatorapi.cpp
+++ b/packages/daemon/src/carobflow/daemon/operatorapi.cpp
@@ -210,8 +210,11 @@
 
 boost::asio::awaitable<HttpServerResponse> OperatorApi::drainUpstream(const Call &call)
 {
-    if (!co_await m_cluster.setDrained(std::string(call.segments.at(1)), call.request.method == "POST")) {
-        co_return errorResponse({ErrorKind::Unknown, "the table did not confirm the change; repeat the call"});
+    const bool confirmed = co_await m_cluster.setDrained(std::string(call.segments.at(1)),
+                                                         call.request.method == "POST");
+    if (!confirmed) {
+        const Error error{ErrorKind::Unknown, "the table did not confirm the change; repeat the call"};
+        co_return errorResponse(error);
     }
     co_return jsonResponse(200, {});
 }
@@ -256,7 +259,8 @@
         co_return jsonResponse(200, {{"id", id}, {"state", "cancelled"}});
     }
     if (reply.outcome == "not-found") {
-        co_return errorResponse({ErrorKind::NotFound, reply.message});
+        const Error error{ErrorKind::NotFound, reply.message};
+        co_return errorResponse(error);
     }
     if (reply.outcome == "ended") {
         co_return jsonResponse(409, {{"error", "conflict"}, {"message", reply.message}});
