Bring the daemon to the linter's rules

Cause: the linter had not run over the daemon since it was written.

Change: local constants are named as other variables, executors are passed by reference, the callback interface of a stub is named in a way that clang 14 accepts too, and no structured binding is captured by a closure.

--- a/packages/daemon/src/carobflow/daemon/announcer.cpp
+++ b/packages/daemon/src/carobflow/daemon/announcer.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-Announcer::Announcer(boost::asio::any_io_executor executor,
+Announcer::Announcer(const boost::asio::any_io_executor &executor,
                      Options options,
                      Callbacks callbacks,
                      TableService &table,
@@ -166,8 +166,8 @@
 
 boost::asio::awaitable<void> Announcer::searchEntries()
 {
-    constexpr std::size_t MaxEntries = 1000;
-    const auto rows = co_await m_table.readRange(EntryPrefix, "", MaxEntries);
+    constexpr std::size_t maxEntries = 1000;
+    const auto rows = co_await m_table.readRange(EntryPrefix, "", maxEntries);
     if (!isOk(rows)) {
         co_return;
     }
--- a/packages/daemon/src/carobflow/daemon/announcer.h
+++ b/packages/daemon/src/carobflow/daemon/announcer.h
@@ -53,7 +53,7 @@
         std::function<void(TimePoint confirmedAt, const FollowedSheet &)> onConfirmed;
     };
 
-    Announcer(boost::asio::any_io_executor executor,
+    Announcer(const boost::asio::any_io_executor &executor,
               Options options,
               Callbacks callbacks,
               TableService &table,
--- a/packages/daemon/src/carobflow/daemon/clusterview.cpp
+++ b/packages/daemon/src/carobflow/daemon/clusterview.cpp
@@ -154,8 +154,8 @@
     const std::string value = boost::json::serialize(boost::json::object{{"token", randomToken()}});
     const Transaction transaction{.conditions = {},
                                   .mutations = {{key, drained ? std::optional(value) : std::nullopt}}};
-    constexpr int Tries = 3;
-    for (int attempt = 0; attempt < Tries; ++attempt) {
+    constexpr int tries = 3;
+    for (int attempt = 0; attempt < tries; ++attempt) {
         const auto outcome = co_await m_table.transact(transaction);
         if (std::holds_alternative<Committed>(outcome)) {
             co_await readDrains();
--- a/packages/daemon/src/carobflow/daemon/entryservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryservice.cpp
@@ -27,10 +27,10 @@
         reply->set_sheet_version(sheet->version);
         reply->set_sheet_row_version(sheet->rowVersion);
     }
-    constexpr std::uint64_t NeverConfirmed = std::uint64_t{1} << 40U;
+    constexpr std::uint64_t neverConfirmed = std::uint64_t{1} << 40U;
     reply->set_sheet_confirmed_age_ms(
         confirmedAt ? static_cast<std::uint64_t>(std::chrono::ceil<Milliseconds>(now - *confirmedAt).count())
-                    : NeverConfirmed);
+                    : neverConfirmed);
     for (const EntryMember &member : m_cluster.entries()) {
         auto *entry = reply->add_entries();
         entry->set_name(member.name);
--- a/packages/daemon/src/carobflow/daemon/httpserver.cpp
+++ b/packages/daemon/src/carobflow/daemon/httpserver.cpp
@@ -71,7 +71,7 @@
 class HttpServer::Private : public std::enable_shared_from_this<HttpServer::Private>
 {
 public:
-    Private(asio::any_io_executor executor, Options options, Handler handler)
+    Private(const asio::any_io_executor &executor, Options options, Handler handler)
         : m_executor(executor)
         , m_options(std::move(options))
         , m_handler(std::move(handler))
@@ -282,8 +282,8 @@
     std::set<std::shared_ptr<Connection>> m_open;
 };
 
-HttpServer::HttpServer(asio::any_io_executor executor, Options options, Handler handler)
-    : d(std::make_shared<Private>(std::move(executor), std::move(options), std::move(handler)))
+HttpServer::HttpServer(const asio::any_io_executor &executor, Options options, Handler handler)
+    : d(std::make_shared<Private>(executor, std::move(options), std::move(handler)))
 {
 }
 
--- a/packages/daemon/src/carobflow/daemon/httpserver.h
+++ b/packages/daemon/src/carobflow/daemon/httpserver.h
@@ -53,7 +53,7 @@
         Milliseconds idleTimeout{60000};
     };
 
-    HttpServer(boost::asio::any_io_executor executor, Options options, Handler handler);
+    HttpServer(const boost::asio::any_io_executor &executor, Options options, Handler handler);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/packages/daemon/src/carobflow/daemon/internal/apijson.cpp
+++ b/packages/daemon/src/carobflow/daemon/internal/apijson.cpp
@@ -47,13 +47,13 @@
 
     std::int64_t number(std::string_view key, std::int64_t least, bool required)
     {
-        constexpr std::int64_t Most = 1'000'000'000'000;
+        constexpr std::int64_t most = 1'000'000'000'000;
         const auto *value = m_object.if_contains(key);
         if (value == nullptr && !required) {
             return 0;
         }
         const bool whole = value != nullptr && value->is_int64();
-        if (!whole || value->as_int64() < least || value->as_int64() > Most) {
+        if (!whole || value->as_int64() < least || value->as_int64() > most) {
             fault(key, "a whole number of at least " + std::to_string(least));
             return 0;
         }
@@ -168,8 +168,8 @@
 std::vector<std::string_view> splitPath(std::string_view target)
 {
     target = target.substr(0, target.find('?'));
-    constexpr std::string_view Prefix = "/v1/";
-    target.remove_prefix(std::min(target.size(), Prefix.size()));
+    constexpr std::string_view prefix = "/v1/";
+    target.remove_prefix(std::min(target.size(), prefix.size()));
     std::vector<std::string_view> segments;
     while (!target.empty()) {
         const auto slash = target.find('/');
--- a/packages/daemon/src/carobflow/daemon/internal/apijson.h
+++ b/packages/daemon/src/carobflow/daemon/internal/apijson.h
@@ -10,7 +10,8 @@
 
 #include <boost/json/object.hpp>
 
-namespace carobflow
+// The namespace of the generated code is named by the protocol.
+namespace carobflow // NOLINT(readability-identifier-naming)
 {
 class JobStatus;
 }
--- a/packages/daemon/src/carobflow/daemon/internal/asyncwait.cpp
+++ b/packages/daemon/src/carobflow/daemon/internal/asyncwait.cpp
@@ -12,7 +12,7 @@
 
 void spawnLoop(const boost::asio::any_io_executor &executor, boost::asio::awaitable<void> loop)
 {
-    boost::asio::co_spawn(executor, std::move(loop), [](std::exception_ptr failure) {
+    boost::asio::co_spawn(executor, std::move(loop), [](const std::exception_ptr &failure) {
         if (!failure) {
             return;
         }
--- a/packages/daemon/src/carobflow/daemon/operatorapi.cpp
+++ b/packages/daemon/src/carobflow/daemon/operatorapi.cpp
@@ -286,8 +286,8 @@
 
 boost::asio::awaitable<HttpServerResponse> OperatorApi::reportBurn(const Call & /*call*/)
 {
-    constexpr std::int64_t SecondsPerMinute = 60;
-    const std::int64_t lastMinute = unixSeconds() / SecondsPerMinute;
+    constexpr std::int64_t secondsPerMinute = 60;
+    const std::int64_t lastMinute = unixSeconds() / secondsPerMinute;
     const auto counts = co_await m_burn.load(lastMinute - burnWindows().back());
     if (!isOk(counts)) {
         co_return errorResponse(errorOf(counts));
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -53,7 +53,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Request>> requests;
 };
 
-RequestExecutor::RequestExecutor(boost::asio::any_io_executor executor,
+RequestExecutor::RequestExecutor(const boost::asio::any_io_executor &executor,
                                  Options options,
                                  std::shared_ptr<HttpClient> client,
                                  Metrics &metrics)
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -45,7 +45,7 @@
         Milliseconds abandonedHold{10000};
     };
 
-    RequestExecutor(boost::asio::any_io_executor executor,
+    RequestExecutor(const boost::asio::any_io_executor &executor,
                     Options options,
                     std::shared_ptr<HttpClient> client,
                     Metrics &metrics);
--- a/packages/daemon/src/carobflow/daemon/rpc.cpp
+++ b/packages/daemon/src/carobflow/daemon/rpc.cpp
@@ -37,17 +37,17 @@
 
 boost::asio::awaitable<bool> ChannelPool::waitReady(const std::string &address, Milliseconds limit)
 {
-    constexpr Milliseconds Step{10};
+    constexpr Milliseconds step{10};
     const auto connection = channel(address);
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-    for (Milliseconds waited{0};; waited += Step) {
+    for (Milliseconds waited{0};; waited += step) {
         if (connection->GetState(true) == GRPC_CHANNEL_READY) {
             co_return true;
         }
         if (waited >= limit) {
             co_return false;
         }
-        timer.expires_after(Step);
+        timer.expires_after(step);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 }
--- a/packages/daemon/src/carobflow/daemon/rpc.h
+++ b/packages/daemon/src/carobflow/daemon/rpc.h
@@ -2,9 +2,11 @@
 
 #include "carobflow/core/types.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <type_traits>
 #include <unordered_map>
 #include <utility>
 
@@ -41,13 +43,19 @@
 /// Arguments for servers that match the keepalive pings of the channels.
 void configureServer(grpc::ServerBuilder &builder);
 
+/// The callback interface of a stub. Its class has the same name as the function that returns it, so it is named by
+/// what the function returns.
+template<typename Stub>
+using AsyncInterface = std::remove_pointer_t<decltype(std::declval<Stub &>().async())>;
+
 /// Calls a unary method through the callback interface of a stub and completes on the caller's executor.
 template<typename Stub, typename Request, typename Reply>
-boost::asio::awaitable<std::pair<grpc::Status, Reply>> callUnary(
-    std::shared_ptr<Stub> stub,
-    void (Stub::async::*method)(grpc::ClientContext *, const Request *, Reply *, std::function<void(grpc::Status)>),
-    Request request,
-    Milliseconds timeout)
+boost::asio::awaitable<std::pair<grpc::Status, Reply>>
+callUnary(std::shared_ptr<Stub> stub,
+          void (AsyncInterface<Stub>::*method)(
+              grpc::ClientContext *, const Request *, Reply *, std::function<void(grpc::Status)>),
+          Request request,
+          Milliseconds timeout)
 {
     struct Call {
         std::shared_ptr<Stub> stub;
--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -219,8 +219,9 @@
 
     void reportUnknownKeys()
     {
-        for (const auto &[place, value] : m_values) {
-            const auto &[section, name] = place;
+        for (const auto &entry : m_values) {
+            const std::string &section = entry.first.first;
+            const std::string &name = entry.first.second;
             const bool known = std::ranges::any_of(
                 Keys, [&](const Key &key) { return key.section == section && key.name == name; });
             if (!known) {
--- a/packages/daemon/src/carobflow/daemon/shardrunner.h
+++ b/packages/daemon/src/carobflow/daemon/shardrunner.h
@@ -32,7 +32,7 @@
         std::function<bool(TimePoint)> hasLeaderContact;
     };
 
-    ShardRunner(boost::asio::any_io_executor executor,
+    ShardRunner(const boost::asio::any_io_executor &executor,
                 Options options,
                 TableService &table,
                 ObjectStore &objects,
--- a/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
+++ b/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
@@ -124,7 +124,7 @@
             sentAt);
 }
 
-void SheetRepository::publish(std::shared_ptr<const AcceptedSheet> sheet, TimePoint confirmedAt)
+void SheetRepository::publish(const std::shared_ptr<const AcceptedSheet> &sheet, TimePoint confirmedAt)
 {
     bool changed = false;
     {
@@ -185,8 +185,9 @@
     if (current.version != replaces) {
         co_return SheetConflict{current.version};
     }
+    std::string digest = sheetDigest(text);
     Change change{.row = {.version = replaces + 1,
-                          .digest = sheetDigest(text),
+                          .digest = std::move(digest),
                           .author = std::move(author),
                           .token = randomToken(),
                           .referenceUnixSeconds = now,
@@ -213,8 +214,9 @@
     if (!isOk(text)) {
         co_return errorOf(text);
     }
+    std::string digest = sheetDigest(valueOf(text));
     Change change{.row = {.version = sheet->version + 1,
-                          .digest = sheetDigest(valueOf(text)),
+                          .digest = std::move(digest),
                           .author = std::move(author),
                           .token = randomToken(),
                           .referenceUnixSeconds = sheet->referenceUnixSeconds,
@@ -288,11 +290,11 @@
 
 boost::asio::awaitable<Result<std::vector<SheetHistoryEntry>>> SheetRepository::history()
 {
-    constexpr std::size_t PageSize = 500;
+    constexpr std::size_t pageSize = 500;
     std::vector<SheetHistoryEntry> entries;
     std::string after;
     for (;;) {
-        const auto rows = co_await m_table.readRange("sheet/history/", after, PageSize);
+        const auto rows = co_await m_table.readRange("sheet/history/", after, pageSize);
         if (!isOk(rows)) {
             co_return errorOf(rows);
         }
@@ -305,7 +307,7 @@
             }
             after = row.key;
         }
-        if (valueOf(rows).size() < PageSize) {
+        if (valueOf(rows).size() < pageSize) {
             co_return entries;
         }
     }
--- a/packages/daemon/src/carobflow/daemon/sheetrepository.h
+++ b/packages/daemon/src/carobflow/daemon/sheetrepository.h
@@ -98,7 +98,7 @@
     boost::asio::awaitable<void> refresh();
     boost::asio::awaitable<ApplyOutcome> commit(Change change);
     boost::asio::awaitable<std::optional<ApplyOutcome>> resolveLostReply(const Change &change);
-    void publish(std::shared_ptr<const AcceptedSheet> sheet, TimePoint confirmedAt);
+    void publish(const std::shared_ptr<const AcceptedSheet> &sheet, TimePoint confirmedAt);
 
     Options m_options;
     TableService &m_table;
--- a/packages/daemon/src/carobflow/daemon/taskrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-TaskRunner::TaskRunner(boost::asio::any_io_executor executor,
+TaskRunner::TaskRunner(const boost::asio::any_io_executor &executor,
                        Options options,
                        Callbacks callbacks,
                        WorkerRuntime &worker,
--- a/packages/daemon/src/carobflow/daemon/taskrunner.h
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.h
@@ -44,7 +44,7 @@
         std::function<void(SheetVersion)> noteVersion;
     };
 
-    TaskRunner(boost::asio::any_io_executor executor,
+    TaskRunner(const boost::asio::any_io_executor &executor,
                Options options,
                Callbacks callbacks,
                WorkerRuntime &worker,
