daemon: bound the charge flows of an entry

Cause: a flow whose create or result could not be written goes on in the background until the table is back. Nothing bounded how many did, and each held its whole request, so an outage of the table grew the memory of an entry with every charge.

Change: [entry] max_charge_flows (default 1000) bounds all flows, with and without a waiting caller; above it a charge is refused as not-run before its first step. The request is handed over to its only attempt, so that a flow in the background holds no request.

Ruled out: a bound on background flows alone. Flows with a waiting caller turn into background flows at their deadline, so such a bound could be passed by all requests in progress.

--- a/packages/daemon/src/carobflow/daemon/chargeservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.cpp
@@ -68,11 +68,10 @@
     Backoff backoff;
 };
 
-ChargeService::ChargeService(boost::asio::any_io_executor executor,
-                             TableService &table,
-                             Forwarder &forwarder,
-                             Metrics &metrics)
+ChargeService::ChargeService(
+    boost::asio::any_io_executor executor, Options options, TableService &table, Forwarder &forwarder, Metrics &metrics)
     : m_executor(std::move(executor))
+    , m_options(options)
     , m_table(table)
     , m_forwarder(forwarder)
     , m_metrics(metrics)
@@ -81,6 +80,14 @@
 
 boost::asio::awaitable<ChargeReply> ChargeService::charge(std::string key, ServiceRequest request)
 {
+    if (m_flows.fetch_add(1) >= m_options.maxFlows) {
+        --m_flows;
+        ChargeReply refusal = NotRunOutcome{
+            .reason = "too many charges wait for the table service; repeat the call later",
+            .retryAfter = Milliseconds(1000)};
+        m_metrics.countCharge(replyName(refusal));
+        co_return refusal;
+    }
     // A charge is never tried elsewhere after `unknown`, whatever the service says of its other requests.
     request.idempotent = false;
     const TimePoint deadline = request.deadline;
@@ -112,7 +119,6 @@
 
 boost::asio::awaitable<void> ChargeService::run(std::shared_ptr<Call> call)
 {
-    ++m_inBackground;
     ChargeFlow::Step step = call->flow.next();
     while (!std::holds_alternative<ChargeFlow::DoneStep>(step)) {
         if (auto *reply = std::get_if<ChargeFlow::ReplyStep>(&step)) {
@@ -134,7 +140,7 @@
         }
         step = co_await carryOut(*call, std::move(step));
     }
-    --m_inBackground;
+    --m_flows;
 }
 
 boost::asio::awaitable<ChargeFlow::Step> ChargeService::carryOut(Call &call, ChargeFlow::Step step)
@@ -148,13 +154,14 @@
         const auto outcome = co_await m_table.transact(transact->transaction);
         co_return call.flow.onTransact(outcome);
     }
-    const auto outcome = co_await m_forwarder.forward(call.request);
+    // The only attempt. The request is given away, so that a flow that goes on in the background does not hold it.
+    const auto outcome = co_await m_forwarder.forward(std::move(call.request));
     co_return call.flow.onAttempt(outcome);
 }
 
-std::uint32_t ChargeService::inBackground() const
+std::uint32_t ChargeService::flows() const
 {
-    return m_inBackground;
+    return m_flows;
 }
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -60,7 +60,11 @@
                       m_budget,
                       m_channels,
                       m_metrics)
-        , m_charges(m_executor, m_table, m_forwarder, m_metrics)
+        , m_charges(m_executor,
+                    {.maxFlows = static_cast<std::uint32_t>(m_settings.maxChargeFlows)},
+                    m_table,
+                    m_forwarder,
+                    m_metrics)
         , m_burn({.writer = m_settings.name + "-" + randomToken()}, m_table)
         , m_pipeline({.defaultTimeout = m_settings.defaultTimeout, .maxTimeout = m_settings.maxTimeout},
                      m_routing,
@@ -116,7 +120,7 @@
         co_await sleepFor(m_settings.drainDelay);
         m_pipeline.close();
         co_await m_http.drain();
-        while (m_charges.inBackground() > 0) {
+        while (m_charges.flows() > 0) {
             co_await sleepFor(Milliseconds(20));
         }
         co_await m_burn.flush();
--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -60,6 +60,7 @@
     Key{"entry", "default_timeout_ms", &Settings::defaultTimeout, Need::Optional, 10, 25000, "2000"},
     Key{"entry", "max_timeout_ms", &Settings::maxTimeout, Need::Optional, 10, 25000, "25000"},
     Key{"entry", "retry_ratio", &Settings::retryRatio, Need::Optional, 0, 1, "0.2"},
+    Key{"entry", "max_charge_flows", &Settings::maxChargeFlows, Need::Optional, 1, 100000, "1000"},
     Key{"agent", "cpu_millis", &Settings::cpuMillis, Need::AgentOnly, 1, 1e9, "32000"},
     Key{"agent", "memory_mib", &Settings::memoryMiB, Need::AgentOnly, 1, 1e9, "128000"},
     Key{"agent", "accelerators", &Settings::accelerators, Need::Optional, 0, 1000, "0"},
--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -52,6 +52,7 @@
     Milliseconds defaultTimeout{2000};
     Milliseconds maxTimeout{25000};
     double retryRatio = 0.2;
+    std::int64_t maxChargeFlows = 1000;
 
     // [agent]
     std::int64_t cpuMillis = 0;
