daemon: do not count an unsent retry against the upstream

Cause: when the retry budget was used up, the upstream that had been chosen already was settled as not-run. A refusal raises its cost in the next choices, and a probe that was never sent was counted as failed and prolonged the ejection. Found by reading the path; no measured effect is claimed.

Change: the choice is settled as cancelled, which changes no estimate and frees the probe.

--- a/packages/daemon/src/carobflow/daemon/forwarder.cpp
+++ b/packages/daemon/src/carobflow/daemon/forwarder.cpp
@@ -65,7 +65,8 @@
             break;
         }
         if (number > 1 && !m_budget.tryTake(request.service)) {
-            m_routing.settle(startedAt, *upstream, AttemptResult::NotRun, Duration::zero(), 0);
+            // Nothing was sent, so this says nothing about the upstream.
+            m_routing.settle(startedAt, *upstream, AttemptResult::Cancelled, Duration::zero(), 0);
             break;
         }
         if (number > 1) {
