daemon: treat POST /charges with a query as a charge

Cause: the target was compared as a whole with /charges, so a query turned a charge into a plain request. It went to the upstream without a row, a repeat with the same key ran again, and a service marked as idempotent could see it twice.

Change: only the path is compared.

--- a/packages/daemon/src/carobflow/daemon/servicepipeline.cpp
+++ b/packages/daemon/src/carobflow/daemon/servicepipeline.cpp
@@ -150,7 +150,10 @@
     }
     context.forwarded.method = context.request.method;
     context.forwarded.target = rest.empty() ? "/" : rest.front() == '?' ? "/" + std::string(rest) : std::string(rest);
-    if (context.forwarded.target == "/charges" && context.request.method == "POST") {
+    // A query does not make the call another one: it must not get past the check for an earlier run.
+    const std::string_view path = std::string_view(context.forwarded.target)
+                                      .substr(0, context.forwarded.target.find('?'));
+    if (path == "/charges" && context.request.method == "POST") {
         context.chargeKey = std::string(findHeader(context.request.headers, "Idempotency-Key"));
         const bool printable = std::ranges::all_of(
             *context.chargeKey, [](unsigned char character) { return character > ' ' && character < 0x7f; });
