daemon: do not wait for an attempt that has ended already

Cause: an attempt that ends before its first suspension, such as one with a request that cannot be sent, notified before anybody waited, and the caller's answer came at the deadline instead of at once. Found by reading.

Change: the state is read before the wait. Notifier takes its executor by reference, as the linter asks.

--- a/packages/daemon/src/carobflow/daemon/internal/asyncwait.h
+++ b/packages/daemon/src/carobflow/daemon/internal/asyncwait.h
@@ -29,8 +29,8 @@
 class Notifier
 {
 public:
-    explicit Notifier(boost::asio::any_io_executor executor)
-        : m_timer(std::move(executor))
+    explicit Notifier(const boost::asio::any_io_executor &executor)
+        : m_timer(executor)
     {
     }
 
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -146,7 +146,10 @@
     if (state->state == Request::State::Running) {
         service->window.setInUse(std::chrono::steady_clock::now(), service->admission.taken(), service->slots);
         boost::asio::co_spawn(m_strand, call(service, state), boost::asio::detached);
-        co_await state->changed.waitUntil(state->deadline);
+        // The call may have ended already, and a notification before the wait would be lost.
+        if (state->state != Request::State::Done) {
+            co_await state->changed.waitUntil(state->deadline);
+        }
         if (state->state != Request::State::Done) {
             state->abandoned = true;
             state->outcome = UnknownOutcome{.reason = "the upstream did not answer before the deadline"};
