--- a/packages/bench/src/carobflow/bench/load.cpp
+++ b/packages/bench/src/carobflow/bench/load.cpp
@@ -43,6 +43,9 @@
 void count(Run &run, const HttpOutcome &outcome, const std::string &marker, double milliseconds)
 {
     const std::lock_guard lock(run.mutex);
+    if (run.options.observer) {
+        run.options.observer(marker, outcome);
+    }
     if (const auto *answer = std::get_if<HttpAnswer>(&outcome)) {
         if (outcomeOf(*answer) == "not-run") {
             ++run.summary.notRun;
--- a/packages/bench/src/carobflow/bench/load.h
+++ b/packages/bench/src/carobflow/bench/load.h
@@ -45,6 +45,8 @@
         bool charges = false;
         /// One-way distance to the client, added before each request and after each answer.
         double clientMilliseconds = 0;
+        /// Called with the body and the outcome of each request, one call at a time.
+        std::function<void(const std::string &, const HttpOutcome &)> observer = {};
     };
 
     /// Sends to the entries in turn and checks that each answer holds the body of its own request.
--- a/tests/standins/platformstandin.cpp
+++ b/tests/standins/platformstandin.cpp
@@ -176,6 +176,13 @@
     if (request.target() == "/control/stats") {
         co_return jsonReply(200, stats());
     }
+    if (request.target() == "/control/rows") {
+        json::object rows;
+        for (const auto &[key, row] : m_rows) {
+            rows[key] = row.value;
+        }
+        co_return jsonReply(200, rows);
+    }
     const auto body = objectOf(request);
     const auto mode = textOr(body, "mode", m_mode);
     if (mode != "up" && mode != "down" && mode != "slow") {
--- a/tests/standins/platformstandin.h
+++ b/tests/standins/platformstandin.h
@@ -10,7 +10,8 @@
 namespace Carobflow::StandIn
 {
 
-/// The platform's table service and object store in memory, with control calls for outages, delays and lost replies.
+/// The platform's table service and object store in memory, with control calls for outages, delays and lost
+/// replies, and for a look at the rows that no fault affects.
 class PlatformStandIn
 {
 public:
--- a/tests/standins/upstreamstandin.cpp
+++ b/tests/standins/upstreamstandin.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr std::chrono::milliseconds StallPoll{10};
+/// Bodies up to this size are logged; tests use them to tell requests apart.
+constexpr std::size_t LongestLoggedBody = 64;
 /// Share of the slowdown that a task causes on an upstream without load.
 constexpr double SlowdownWithoutLoad = 0.3;
 
@@ -64,6 +66,9 @@
     if (!idempotencyKey.empty()) {
         ++m_idempotencyKeys[idempotencyKey];
     }
+    if (request.body().size() <= LongestLoggedBody) {
+        ++m_bodies[request.body()];
+    }
     m_maxConcurrent = std::max(m_maxConcurrent, ++m_concurrent);
     const auto time = std::chrono::duration<double, std::milli>(m_distribution(m_random) * slowdown());
     co_await sleepFor(std::chrono::duration_cast<std::chrono::steady_clock::duration>(time));
@@ -93,6 +98,7 @@
     log["executed"] = m_executed;
     log["requestIds"] = json::value_from(m_requestIds);
     log["idempotencyKeys"] = json::value_from(m_idempotencyKeys);
+    log["bodies"] = json::value_from(m_bodies);
     log["concurrent"] = m_concurrent;
     log["maxConcurrent"] = m_maxConcurrent;
 }
--- a/tests/standins/upstreamstandin.h
+++ b/tests/standins/upstreamstandin.h
@@ -36,7 +36,7 @@
     /// Sets the mode of answers: "normal", "stall" (none until the mode changes), "truncate" or "late" (by a delay).
     void setMode(const std::string &mode, std::chrono::milliseconds lateBy);
 
-    /// Adds the executed requests and keys with their counts and the highest concurrency to the log.
+    /// Adds the executed requests, keys and short bodies with their counts and the highest concurrency to the log.
     void addToLog(boost::json::object &log) const;
 
 private:
@@ -54,6 +54,7 @@
     std::uint64_t m_executed = 0;
     std::map<std::string, std::uint64_t> m_requestIds;
     std::map<std::string, std::uint64_t> m_idempotencyKeys;
+    std::map<std::string, std::uint64_t> m_bodies;
 };
 
 } // namespace Carobflow::StandIn
