Remove ended tasks with a call of their own

Cause: stop removed an ended task, so a task that finished between the agent's list and its stop call lost its result. The randomised test of the task supervisor had an exception for this window.

Ruled out: stopping only after a fresh list. The task can still end between that list and the arrival of the call.

Change: WorkerRuntime::remove, WorkerAction::Kind::Remove and the verb "remove" of the worker's interface. The supervisor removes a task only once the leader has acknowledged its end. Stop on an ended task changes nothing, and remove on a running task answers 404. The randomised test no longer has the exception: a task is removed only after its acknowledgement.

Figures: before, the test allowed removals by stop calls made before the list that showed the end.

Conclusion: no result leaves the worker before its commit.

--- a/packages/core/src/carobflow/core/internal/supervisedtask.cpp
+++ b/packages/core/src/carobflow/core/internal/supervisedtask.cpp
@@ -161,7 +161,8 @@
                                       &SupervisedTask::isRenewDue,
                                       &SupervisedTask::isCheckpointDue,
                                       &SupervisedTask::isThrottleDue,
-                                      &SupervisedTask::isStopDue};
+                                      &SupervisedTask::isStopDue,
+                                      &SupervisedTask::isRemoveDue};
     const Call &previous = call(kind);
     const bool isIdle = previous.inFlight == 0
         && (!wasMade(kind) || context.now - previous.lastMade >= context.retryInterval);
@@ -191,15 +192,17 @@
 
 bool SupervisedTask::isStopDue(const Context & /*context*/) const
 {
-    if (m_presence == Presence::Ended) {
-        return m_acknowledged;
-    }
-    // A stop of an ended task removes it together with its result, so the stop is repeated only when a list that was
-    // requested after the previous one shows that the task still runs.
+    // Repeated only when a list that was requested after the previous stop shows that the task still runs.
     return m_presence == Presence::Running && !m_workerStopping && m_goal == Goal::Stop
         && (!wasMade(Kind::Stop) || m_seenRunningAt > call(Kind::Stop).lastResult);
 }
 
+bool SupervisedTask::isRemoveDue(const Context & /*context*/) const
+{
+    // The worker keeps the result until then; the leader has committed it.
+    return m_presence == Presence::Ended && m_acknowledged;
+}
+
 void SupervisedTask::updateGoal(const Context &context)
 {
     if (m_goal != Goal::CheckpointThenStop || m_presence != Presence::Running) {
--- a/packages/core/src/carobflow/core/internal/supervisedtask.h
+++ b/packages/core/src/carobflow/core/internal/supervisedtask.h
@@ -97,6 +97,7 @@
     [[nodiscard]] bool isCheckpointDue(const Context &context) const;
     [[nodiscard]] bool isThrottleDue(const Context &context) const;
     [[nodiscard]] bool isStopDue(const Context &context) const;
+    [[nodiscard]] bool isRemoveDue(const Context &context) const;
 
     TaskRef m_ref;
     TaskStart m_start;
@@ -108,7 +109,7 @@
     TimePoint m_settledBy = TimePoint::min();
     /// Request time of the last list that showed the task as running.
     TimePoint m_seenRunningAt = TimePoint::min();
-    std::array<Call, 5> m_calls;
+    std::array<Call, 6> m_calls;
     std::optional<TimePoint> m_checkpointAskedAt;
     std::string m_checkpointBefore;
     std::uint32_t m_percent = 100;
--- a/packages/core/src/carobflow/core/tasksupervisor.cpp
+++ b/packages/core/src/carobflow/core/tasksupervisor.cpp
@@ -246,7 +246,7 @@
     std::vector<WorkerAction> actions;
     for (auto &[ref, task] : d->tasks) {
         task.updateGoal(context);
-        for (const Kind kind : {Kind::Start, Kind::Renew, Kind::Checkpoint, Kind::Throttle, Kind::Stop}) {
+        for (const Kind kind : {Kind::Start, Kind::Renew, Kind::Checkpoint, Kind::Throttle, Kind::Stop, Kind::Remove}) {
             if (task.isDue(kind, context)) {
                 if (std::optional<WorkerAction> action = d->makeAction(now, task, kind)) {
                     actions.push_back(std::move(*action));
@@ -279,6 +279,7 @@
         break;
     case WorkerAction::Kind::Checkpoint:
     case WorkerAction::Kind::Stop:
+    case WorkerAction::Kind::Remove:
         break;
     }
     action.id = ++lastCall;
--- a/packages/core/src/carobflow/core/tasksupervisor.h
+++ b/packages/core/src/carobflow/core/tasksupervisor.h
@@ -17,7 +17,7 @@
 
 /// A call to the worker that the owner of a TaskSupervisor carries out.
 struct WorkerAction {
-    enum class Kind { Start, Renew, Checkpoint, Throttle, Stop };
+    enum class Kind { Start, Renew, Checkpoint, Throttle, Stop, Remove };
 
     std::uint64_t id = 0;
     Kind kind = Kind::Renew;
--- a/packages/core/tests/tasksupervisor_random_test.cpp
+++ b/packages/core/tests/tasksupervisor_random_test.cpp
@@ -36,7 +36,6 @@
         TaskInfo info;
         TimePoint leaseUntil;
         TimePoint stopsAt = TimePoint::max();
-        TimePoint endedAt = TimePoint::max();
         Resources usage;
     };
 
@@ -76,13 +75,11 @@
                 } else if (m_random.chance(1)) {
                     task.info.state = m_random.chance(70) ? TaskState::Finished : TaskState::Failed;
                     task.info.result = "result of " + ref.job;
-                    task.endedAt = now;
                 } else if (m_random.chance(1)) {
                     checkpoint(task);
                 }
             } else if (task.info.state == TaskState::Stopping && now >= task.stopsAt) {
                 task.info.state = TaskState::Stopped;
-                task.endedAt = now;
             }
         }
     }
@@ -200,7 +197,6 @@
         m_confirmedAt = TimePoint::min();
         m_sheet = 0;
         m_listInFlight = m_syncInFlight = false;
-        m_listDelivered = TimePoint::min();
         m_seenEpoch = m_epoch;
         m_supervisor = std::make_unique<TaskSupervisor>(TaskSupervisor::Options{
             .host = {.name = "h", .dataCentre = "d", .rack = "r", .capacity = Capacity}, .bootId = ++m_boots});
@@ -248,7 +244,6 @@
             {m_now + Milliseconds(m_random.between(0, 800)), [this, lost, requestedAt, tasks = m_worker.list()] {
                  m_listInFlight = false;
                  if (!lost) {
-                     m_listDelivered = requestedAt;
                      m_supervisor->onWorkerList(requestedAt, m_now, tasks);
                  }
              }});
@@ -274,11 +269,10 @@
             reply(Error{.kind = ErrorKind::Unavailable, .message = "down"}, delay);
         } else if (fault(10)) {
             // The reply is given up before the call takes effect.
-            m_atWorker.push_back(
-                {m_now + delay + 800ms, [this, action, known = m_listDelivered] { atWorker(action, known); }});
+            m_atWorker.push_back({m_now + delay + 800ms, [this, action] { atWorker(action); }});
             reply(Error{.kind = ErrorKind::Unknown, .message = "late"}, delay);
         } else {
-            Status status = atWorker(action, m_listDelivered);
+            Status status = atWorker(action);
             reply(fault(10) ? Status(Error{.kind = ErrorKind::Timeout, .message = "lost"}) : status, delay);
         }
     }
@@ -296,8 +290,7 @@
         CHECK(action.sendBefore >= m_now);
     }
 
-    /// `known` is the request time of the last list that the supervisor had when it made the call.
-    Status atWorker(const WorkerAction &action, TimePoint known)
+    Status atWorker(const WorkerAction &action)
     {
         if (action.kind == WorkerAction::Kind::Start) {
             const Status status = m_worker.start(m_now, action.start);
@@ -318,12 +311,12 @@
             m_worker.checkpoint(task);
         } else if (action.kind == WorkerAction::Kind::Stop && runs) {
             m_worker.stop(m_now, task);
-        } else if (action.kind == WorkerAction::Kind::Stop && !isActive(task.info.state)) {
-            // The worker's call removes an ended task with its result. A task that ends while a stop is on its way
-            // is removed unseen; nothing else may be.
-            CHECK((m_acknowledged.contains(action.task) || known < task.endedAt));
+        } else if (action.kind == WorkerAction::Kind::Remove) {
+            // The result goes with the task.
+            CHECK(m_acknowledged.contains(action.task));
+            CHECK_FALSE(isActive(task.info.state));
             m_worker.tasks.erase(found);
-        } else if (!runs) {
+        } else if (!runs && action.kind != WorkerAction::Kind::Stop) {
             return Error{.kind = ErrorKind::NotFound, .message = "ended"};
         }
         return std::monostate{};
@@ -465,7 +458,6 @@
     SheetVersion m_latestVersion = 0;
     std::uint64_t m_latestBoot = 0;
     TimePoint m_grantUntil = TimePoint::min();
-    TimePoint m_listDelivered = TimePoint::min();
     std::map<std::string, Fence> m_fences;
     std::map<TaskRef, StartOrder> m_open;
     std::map<TaskRef, TimePoint> m_decided;
--- a/packages/core/tests/tasksupervisor_test.cpp
+++ b/packages/core/tests/tasksupervisor_test.cpp
@@ -365,10 +365,10 @@
     CHECK(act().empty());
     acknowledge("a");
     CHECK_FALSE(reported("a"));
-    CHECK(act(failure(ErrorKind::Timeout)) == std::vector{Kind::Stop});
+    CHECK(act(failure(ErrorKind::Timeout)) == std::vector{Kind::Remove});
     now += 1s;
     list({info("a", TaskState::Finished)});
-    CHECK(act() == std::vector{Kind::Stop});
+    CHECK(act() == std::vector{Kind::Remove});
     list({});
     now += 1s;
     CHECK(act().empty());
@@ -440,7 +440,7 @@
         const std::vector<WorkerAction> actions = supervisor.takeActions(now);
         REQUIRE(actions.size() == 2);
         CHECK(actions[0].kind == Kind::Stop);
-        CHECK(actions[1].kind == Kind::Stop);
+        CHECK(actions[1].kind == Kind::Remove);
     }
     SECTION("a stop order for a task that the worker does not list reports it as lost")
     {
--- a/packages/daemon/src/carobflow/daemon/taskrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.cpp
@@ -23,7 +23,7 @@
 
 constexpr Milliseconds ActionInterval{50};
 constexpr Milliseconds RetryInterval{200};
-constexpr std::array<std::string_view, 5> ActionNames{"start", "renew", "checkpoint", "throttle", "stop"};
+constexpr std::array<std::string_view, 6> ActionNames{"start", "renew", "checkpoint", "throttle", "stop", "remove"};
 
 std::string_view actionName(WorkerAction::Kind kind)
 {
@@ -137,6 +137,9 @@
     case WorkerAction::Kind::Stop:
         status = co_await m_worker.stop(action.task.job, action.task.fence);
         break;
+    case WorkerAction::Kind::Remove:
+        status = co_await m_worker.remove(action.task.job, action.task.fence);
+        break;
     }
     m_metrics.countTaskEvent(actionName(action.kind));
     if (action.kind != WorkerAction::Kind::Renew) {
--- a/packages/platform/src/carobflow/platform/httpworkerruntime.cpp
+++ b/packages/platform/src/carobflow/platform/httpworkerruntime.cpp
@@ -175,6 +175,12 @@
     co_return co_await command(job, fence, "stop", body);
 }
 
+boost::asio::awaitable<Status> HttpWorkerRuntime::remove(std::string_view job, Fence fence)
+{
+    const std::string body = "{}";
+    co_return co_await command(job, fence, "remove", body);
+}
+
 boost::asio::awaitable<Result<std::vector<TaskInfo>>> HttpWorkerRuntime::list()
 {
     HttpRequest request{.target = "/tasks", .timeout = m_options.timeout};
--- a/packages/platform/src/carobflow/platform/httpworkerruntime.h
+++ b/packages/platform/src/carobflow/platform/httpworkerruntime.h
@@ -26,6 +26,7 @@
     boost::asio::awaitable<Status> checkpoint(std::string_view job, Fence fence) override;
     boost::asio::awaitable<Status> throttle(std::string_view job, Fence fence, std::uint32_t percent) override;
     boost::asio::awaitable<Status> stop(std::string_view job, Fence fence) override;
+    boost::asio::awaitable<Status> remove(std::string_view job, Fence fence) override;
     boost::asio::awaitable<Result<std::vector<TaskInfo>>> list() override;
 
 private:
--- a/packages/platform/src/carobflow/platform/workerruntime.h
+++ b/packages/platform/src/carobflow/platform/workerruntime.h
@@ -35,9 +35,14 @@
     /// Limits a task to a share of its processor time in percent. Errors: NotFound, Unavailable, Timeout.
     virtual boost::asio::awaitable<Status> throttle(std::string_view job, Fence fence, std::uint32_t percent) = 0;
 
-    /// Stops a running task, or removes an ended one from the list. Errors: NotFound, Unavailable, Timeout.
+    /// Stops a running task; does nothing to an ended one, which keeps its result. Errors: NotFound when the worker
+    /// does not list the task, Unavailable, Timeout.
     virtual boost::asio::awaitable<Status> stop(std::string_view job, Fence fence) = 0;
 
+    /// Removes an ended task and its result from the list. Errors: NotFound when the worker lists no such ended task,
+    /// Unavailable, Timeout.
+    virtual boost::asio::awaitable<Status> remove(std::string_view job, Fence fence) = 0;
+
     /// Lists all tasks of the host. Errors: Unavailable, Timeout.
     virtual boost::asio::awaitable<Result<std::vector<TaskInfo>>> list() = 0;
 };
--- a/packages/platform/tests/httpworkerruntime_test.cpp
+++ b/packages/platform/tests/httpworkerruntime_test.cpp
@@ -71,14 +71,18 @@
         CHECK(task(job).progress == 1);
         CHECK_FALSE(task(job).result.empty());
         CHECK(isOk(run(worker.stop(job, 1))));
+        CHECK(task(job).state == TaskState::Finished);
+        CHECK_FALSE(task(job).result.empty());
+        CHECK(isOk(run(worker.remove(job, 1))));
         CHECK(valueOf(run(worker.list())).empty());
+        CHECK(errorOf(run(worker.remove(job, 1))).kind == ErrorKind::NotFound);
         CHECK(errorOf(run(worker.stop(job, 1))).kind == ErrorKind::NotFound);
     }
     SECTION("a start whose fence is not newer is a conflict, also after the task was removed")
     {
         REQUIRE(isOk(run(worker.start(startOf(job, 2, 0)))));
         waitFor(job, TaskState::Finished);
-        REQUIRE(isOk(run(worker.stop(job, 2))));
+        REQUIRE(isOk(run(worker.remove(job, 2))));
         CHECK(errorOf(run(worker.start(startOf(job, 2, 1)))).kind == ErrorKind::Conflict);
         CHECK(errorOf(run(worker.start(startOf(job, 1, 1)))).kind == ErrorKind::Conflict);
         CHECK(isOk(run(worker.start(startOf(job, 3, 1)))));
@@ -92,6 +96,12 @@
         CHECK(task(job).runTime >= Milliseconds(150));
         CHECK(errorOf(run(worker.renew(job, 1, LongLease))).kind == ErrorKind::NotFound);
     }
+    SECTION("a running task is not removed")
+    {
+        REQUIRE(isOk(run(worker.start(startOf(job, 1, 1000)))));
+        CHECK(errorOf(run(worker.remove(job, 1))).kind == ErrorKind::NotFound);
+        CHECK(task(job).state == TaskState::Running);
+    }
     SECTION("it resumes from its checkpoint")
     {
         REQUIRE(isOk(run(worker.start(startOf(job, 1, 1000)))));
@@ -103,7 +113,7 @@
         waitFor(job, TaskState::Stopped);
         auto again = startOf(job, 2, 1000);
         again.checkpoint = before.checkpoint;
-        REQUIRE(isOk(run(worker.stop(job, 1))));
+        REQUIRE(isOk(run(worker.remove(job, 1))));
         REQUIRE(isOk(run(worker.start(again))));
         CHECK(task(job).progress > 0.001);
     }
--- a/tests/standins/workerstandin.cpp
+++ b/tests/standins/workerstandin.cpp
@@ -188,11 +188,10 @@
     }
     auto &task = found->second;
     if (!task.isActive()) {
-        if (verb != "stop") {
-            return {.status = 404};
+        if (verb == "remove") {
+            m_tasks.erase(found);
         }
-        m_tasks.erase(found);
-        return jsonReply(200, json::object());
+        return verb == "remove" || verb == "stop" ? jsonReply(200, json::object()) : ServerReply{.status = 404};
     }
     const auto now = clockMilliseconds();
     if (verb == "renew") {
