Measure service windows with enough requests and whole tasks

Cause: agents ended a window each second. The classes were those that ran at the end of the window, each once, so a second task of a class was not counted and a task that had just started was blamed. A restarted agent took a task that it found as not throttled, so an order of 100 percent changed nothing.

Ruled out: lowering the bound of 20, because the 99th percentile of a few requests is their maximum.

A task found at the worker has an unknown throttle until an order gives one.

--- a/packages/core/src/carobflow/core/hostmessages.h
+++ b/packages/core/src/carobflow/core/hostmessages.h
@@ -37,7 +37,7 @@
     /// Requests in progress as a share of the slots, averaged over the window.
     double load = 0;
     Milliseconds length{0};
-    /// The classes of the jobs that ran on the host throughout the window.
+    /// The classes of the tasks that ran on the host throughout the window, one entry for each task.
     std::vector<std::string> jobClasses;
 };
 
--- a/packages/core/src/carobflow/core/internal/supervisedtask.cpp
+++ b/packages/core/src/carobflow/core/internal/supervisedtask.cpp
@@ -25,6 +25,7 @@
     : m_ref(std::move(ref))
     , m_presence(Presence::Unresolved)
     , m_settledBy(settledBy)
+    , m_appliedPercent(std::nullopt)
 {
 }
 
@@ -186,7 +187,8 @@
 
 bool SupervisedTask::isThrottleDue(const Context & /*context*/) const
 {
-    return m_presence == Presence::Running && !m_workerStopping && m_goal == Goal::Run && m_percent != m_appliedPercent;
+    return m_presence == Presence::Running && !m_workerStopping && m_goal == Goal::Run && m_percent
+        && m_percent != m_appliedPercent;
 }
 
 bool SupervisedTask::isStopDue(const Context & /*context*/) const
@@ -330,7 +332,7 @@
 
 std::uint32_t SupervisedTask::percent() const
 {
-    return m_percent;
+    return m_percent.value_or(100);
 }
 
 } // namespace Carobflow
--- a/packages/core/src/carobflow/core/internal/supervisedtask.h
+++ b/packages/core/src/carobflow/core/internal/supervisedtask.h
@@ -111,8 +111,10 @@
     std::array<Call, 5> m_calls;
     std::optional<TimePoint> m_checkpointAskedAt;
     std::string m_checkpointBefore;
-    std::uint32_t m_percent = 100;
-    std::uint32_t m_appliedPercent = 100;
+    /// Unset until the leader gives one.
+    std::optional<std::uint32_t> m_percent;
+    /// Unset for a task that an earlier agent process started and may have throttled.
+    std::optional<std::uint32_t> m_appliedPercent = 100;
     Resources m_usage;
     std::optional<ReportedState> m_outcome;
     bool m_acknowledged = false;
--- a/packages/core/src/carobflow/core/tasksupervisor.cpp
+++ b/packages/core/src/carobflow/core/tasksupervisor.cpp
@@ -363,15 +363,15 @@
     return d->reserved();
 }
 
-std::vector<std::string> TaskSupervisor::runningClasses() const
+std::map<TaskRef, std::string> TaskSupervisor::runningTasks() const
 {
-    std::set<std::string> classes;
+    std::map<TaskRef, std::string> running;
     for (const auto &[ref, task] : d->tasks) {
         if (task.presence() == SupervisedTask::Presence::Running) {
-            classes.insert(task.start().jobClass);
+            running.emplace(ref, task.start().jobClass);
         }
     }
-    return {classes.begin(), classes.end()};
+    return running;
 }
 
 } // namespace Carobflow
--- a/packages/core/src/carobflow/core/tasksupervisor.h
+++ b/packages/core/src/carobflow/core/tasksupervisor.h
@@ -6,6 +6,7 @@
 #include "carobflow/core/worker.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -92,7 +93,8 @@
 
     /// Reserved resources, stopping tasks included.
     [[nodiscard]] Resources reserved() const;
-    [[nodiscard]] std::vector<std::string> runningClasses() const;
+    /// The tasks that run now, with their classes.
+    [[nodiscard]] std::map<TaskRef, std::string> runningTasks() const;
 
 private:
     class Private;
--- a/packages/daemon/src/carobflow/daemon/internal/windowrecorder.h
+++ b/packages/daemon/src/carobflow/daemon/internal/windowrecorder.h
@@ -3,6 +3,7 @@
 #include "carobflow/core/hostmessages.h"
 #include "carobflow/core/types.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,8 +19,9 @@
     void setInUse(TimePoint now, std::uint32_t taken, std::uint32_t slots);
     void onCompleted(Duration serviceTime);
 
-    /// Ends the window and begins the next one.
-    ServiceWindow take(TimePoint now);
+    /// Ends the window and begins the next one, unless the window has too few requests and is not yet long. `classes`
+    /// are those of the tasks that ran throughout the time since the previous call.
+    std::optional<ServiceWindow> take(TimePoint now, std::vector<std::string> classes);
 
 private:
     void accumulate(TimePoint now);
@@ -30,6 +32,8 @@
     double m_share = 0;
     double m_shareSeconds = 0;
     std::vector<double> m_milliseconds;
+    /// Classes since the window began, sorted; unset at its first call of take.
+    std::optional<std::vector<std::string>> m_classes;
 };
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -267,8 +267,9 @@
 {
     std::vector<ServiceWindow> windows;
     for (const auto &[name, service] : m_services) {
-        windows.push_back(service->window.take(std::chrono::steady_clock::now()));
-        windows.back().jobClasses = jobClasses;
+        if (auto window = service->window.take(std::chrono::steady_clock::now(), jobClasses)) {
+            windows.push_back(std::move(*window));
+        }
     }
     return windows;
 }
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -68,7 +68,8 @@
 
     [[nodiscard]] std::vector<carobflow::UpstreamInfo> upstreams() const;
 
-    /// Ends the current measurement window of each service and returns it.
+    /// Ends the measurement windows that hold enough requests or are long, and returns them. `jobClasses` are those of
+    /// the tasks that ran throughout the time since the previous call.
     std::vector<ServiceWindow> takeWindows(const std::vector<std::string> &jobClasses);
 
     /// Requests that run or wait.
--- a/packages/daemon/src/carobflow/daemon/taskrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.cpp
@@ -176,6 +176,7 @@
         co_await sleepFor(RetryInterval / 4);
     }
     m_windowStart = std::chrono::steady_clock::now();
+    m_windowTasks = m_supervisor.runningTasks();
     for (;;) {
         const auto leader = co_await m_callbacks.leader();
         if (!leader || !co_await syncOnce(*leader)) {
@@ -193,7 +194,8 @@
     HostReport report = m_supervisor.makeReport(sentAt);
     if (sentAt - m_windowStart >= m_options.windowLength) {
         m_windowStart = sentAt;
-        report.windows = co_await m_callbacks.windows(m_supervisor.runningClasses());
+        std::vector<std::string> jobClasses = takeClassesSinceWindowStart();
+        report.windows = co_await m_callbacks.windows(std::move(jobClasses));
     }
     std::shared_ptr<carobflow::ShardService::Stub> stub = carobflow::ShardService::NewStub(
         m_channels.channel(leader.address));
@@ -212,4 +214,17 @@
     co_return true;
 }
 
+std::vector<std::string> TaskRunner::takeClassesSinceWindowStart()
+{
+    std::map<TaskRef, std::string> running = m_supervisor.runningTasks();
+    std::vector<std::string> jobClasses;
+    for (const auto &[ref, jobClass] : running) {
+        if (m_windowTasks.contains(ref)) {
+            jobClasses.push_back(jobClass);
+        }
+    }
+    m_windowTasks = std::move(running);
+    return jobClasses;
+}
+
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/taskrunner.h
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.h
@@ -76,6 +76,7 @@
     boost::asio::awaitable<void> readMinimumEpoch();
     boost::asio::awaitable<bool> syncOnce(const ShardLeaderRow &leader);
     boost::asio::awaitable<void> carryOut(WorkerAction action);
+    std::vector<std::string> takeClassesSinceWindowStart();
 
     boost::asio::any_io_executor m_strand;
     Options m_options;
@@ -88,6 +89,8 @@
     std::unique_ptr<Notifier> m_changed;
     bool m_listed = false;
     TimePoint m_windowStart;
+    /// The tasks that ran when the current window began.
+    std::map<TaskRef, std::string> m_windowTasks;
     std::atomic<TimePoint::rep> m_lastContact{0};
 };
 
