core: wire the colocation policy into the shard's leader

Cause: the interference model and the colocation controller were not called, so no task was throttled or evicted for a service, urgent jobs waited for room, and a wave of requests could fill whole commits.

Change: ColocationPolicy passes the service windows of reports to the controller and turns its decisions into throttle orders and evictions. A throttle order is given once, and again after a full report, because an agent sends one when it got no reply; a new leader or a restarted agent makes every percent unknown, so each is sent once. InterferenceGuide limits and ranks the hosts of a job: with the objective latency a job keeps away from a host whose service it would bring above 0.9 of its deadline, for 60 s at most; with throughput the guide only ranks. UrgentRoom evicts normal jobs with the most slack, within the same cap of evictions, and keeps the freed room. Each step of a decision has a part of the commit of its own, and urgent submissions come before other requests. After a commit the leader decides again at the light interval and does not wait for up to 250 ms. A call that a newer one of the same host replaced takes no orders, which would be lost. The throttle order does not need the report to carry the percent, so the protocol stays as it is.

Ruled out: freed room for whoever comes first, because smaller normal jobs, even the evicted one, would take it before the last task has stopped.

Hosts report tails that are high at random.

--- a/packages/core/src/carobflow/core/batchscheduler.cpp
+++ b/packages/core/src/carobflow/core/batchscheduler.cpp
@@ -81,11 +81,15 @@
     }
 }
 
-SchedulableHost *BatchScheduler::chooseHost(const WaitingJob &waiting, std::vector<SchedulableHost> &hosts) const
+SchedulableHost *BatchScheduler::chooseHost(const WaitingJob &waiting,
+                                            std::vector<SchedulableHost> &hosts,
+                                            PlacementGuide *guide,
+                                            bool insists) const
 {
-    const Resources &amount = waiting.job->spec.declared;
+    const JobSpec &spec = waiting.job->spec;
+    const Resources &amount = spec.declared;
     SchedulableHost *best = nullptr;
-    std::pair<bool, std::int64_t> bestCost;
+    std::tuple<bool, int, std::int64_t> bestCost;
     for (SchedulableHost &host : hosts) {
         if (!canHold(host, amount)
             || std::ranges::find(waiting.avoidedHosts, host.info.name) != waiting.avoidedHosts.end()) {
@@ -95,7 +99,12 @@
             return &host;
         }
         const bool wastesAccelerators = amount.accelerators == 0 && host.info.capacity.accelerators > 0;
-        const std::pair cost(wastesAccelerators, dominantShare(host.reserved + amount, host.info.capacity));
+        if (guide != nullptr && !insists && !guide->mayPlace(host.info.name, spec)) {
+            continue;
+        }
+        const std::tuple cost(wastesAccelerators,
+                              guide == nullptr ? 0 : guide->cost(host.info.name, spec),
+                              dominantShare(host.reserved + amount, host.info.capacity));
         if (best == nullptr || cost < bestCost) {
             best = &host;
             bestCost = cost;
@@ -117,7 +126,8 @@
                                              std::vector<SchedulableHost> hosts,
                                              const Sheet *sheet,
                                              std::int64_t unixSeconds,
-                                             std::size_t limit) const
+                                             std::size_t limit,
+                                             PlacementGuide *guide) const
 {
     std::map<std::string, Resources, std::less<>> used;
     for (const std::string &id : state.active()) {
@@ -133,14 +143,22 @@
         const JobSpec &spec = entry.job->spec;
         const TeamEntry *team = sheet == nullptr ? nullptr : sheet->findTeam(spec.team);
         Resources &teamUse = used[spec.team];
-        // A job larger than the shard's part of the quota runs when its team runs nothing else in the shard.
-        if (team != nullptr && teamUse != Resources{} && !(teamUse + spec.declared).fitsIn(quotaShare(*team))) {
+        if (!isWithinQuota(team, teamUse, spec)) {
             continue;
         }
-        SchedulableHost *host = chooseHost(entry, hosts);
+        SchedulableHost *host = chooseHost(entry, hosts, guide, false);
+        if (host == nullptr && guide != nullptr) {
+            SchedulableHost *disturbed = chooseHost(entry, hosts, guide, true);
+            if (disturbed != nullptr && guide->mayInsist(spec, slackSeconds(state, *entry.job, unixSeconds))) {
+                host = disturbed;
+            }
+        }
         if (host == nullptr) {
             continue;
         }
+        if (guide != nullptr) {
+            guide->placed(host->info.name, spec);
+        }
         host->reserved += spec.declared;
         ++host->tasks;
         teamUse += spec.declared;
@@ -149,6 +167,22 @@
     return placements;
 }
 
+bool BatchScheduler::isWithinQuota(const TeamEntry *team, const Resources &used, const JobSpec &spec) const
+{
+    // A job larger than the shard's part of the quota runs when its team runs nothing else in the shard.
+    return team == nullptr || used == Resources{} || (used + spec.declared).fitsIn(quotaShare(*team));
+}
+
+bool BatchScheduler::isWithinQuota(const ShardState &state, const JobSpec &spec, const Sheet *sheet) const
+{
+    Resources used;
+    for (const std::string &id : state.active()) {
+        const JobSpec &other = state.find(id)->spec;
+        used += other.team == spec.team ? other.declared : Resources{};
+    }
+    return isWithinQuota(sheet == nullptr ? nullptr : sheet->findTeam(spec.team), used, spec);
+}
+
 std::string
 BatchScheduler::whyUnrunnable(const JobSpec &spec, std::span<const Resources> capacities, const Sheet *sheet)
 {
--- a/packages/core/src/carobflow/core/batchscheduler.h
+++ b/packages/core/src/carobflow/core/batchscheduler.h
@@ -33,6 +33,24 @@
     std::string host;
 };
 
+/// Rules that limit and rank the hosts of a job beyond their free resources, for the placements of one batch.
+class PlacementGuide
+{
+public:
+    virtual ~PlacementGuide() = default;
+
+    /// False when the job is to be kept away from the host for now.
+    virtual bool mayPlace(const std::string &host, const JobSpec &job) = 0;
+
+    /// Hosts with a lower cost come first.
+    virtual int cost(const std::string &host, const JobSpec &job) = 0;
+
+    /// Asked when mayPlace left no host with room: true when the job is placed in spite of it.
+    virtual bool mayInsist(const JobSpec &job, std::int64_t slackSeconds) = 0;
+
+    virtual void placed(const std::string &host, const JobSpec &job) = 0;
+};
+
 /// Decides on the order of waiting jobs and on the host of each. It keeps no state between calls.
 class BatchScheduler
 {
@@ -51,20 +69,28 @@
     static std::int64_t slackSeconds(const ShardState &state, const JobRecord &job, std::int64_t unixSeconds);
 
     /// The placements to make now, at most `limit`. No host gets more than it can hold, and no team more than its
-    /// quota.
+    /// quota. `guide` may be null.
     std::vector<Placement> place(const ShardState &state,
                                  std::vector<WaitingJob> waiting,
                                  std::vector<SchedulableHost> hosts,
                                  const Sheet *sheet,
                                  std::int64_t unixSeconds,
-                                 std::size_t limit) const;
+                                 std::size_t limit,
+                                 PlacementGuide *guide = nullptr) const;
+
+    /// True when the job would not exceed its team's quota with the assignments of the state.
+    bool isWithinQuota(const ShardState &state, const JobSpec &spec, const Sheet *sheet) const;
 
     /// Why the job can run on no host of these capacities even when it is idle; empty when it can.
     static std::string whyUnrunnable(const JobSpec &spec, std::span<const Resources> capacities, const Sheet *sheet);
 
 private:
     void sortByPriority(const ShardState &state, std::vector<WaitingJob> &waiting, std::int64_t unixSeconds) const;
-    [[nodiscard]] SchedulableHost *chooseHost(const WaitingJob &waiting, std::vector<SchedulableHost> &hosts) const;
+    [[nodiscard]] SchedulableHost *chooseHost(const WaitingJob &waiting,
+                                              std::vector<SchedulableHost> &hosts,
+                                              PlacementGuide *guide,
+                                              bool insists) const;
+    [[nodiscard]] bool isWithinQuota(const TeamEntry *team, const Resources &used, const JobSpec &spec) const;
     [[nodiscard]] Resources quotaShare(const TeamEntry &team) const;
 
     Options m_options;
--- a/packages/core/src/carobflow/core/colocation.cpp
+++ b/packages/core/src/carobflow/core/colocation.cpp
@@ -312,12 +312,17 @@
     });
 }
 
-bool ColocationController::takeEviction(TimePoint now)
+std::uint32_t ColocationController::evictionsLeft(TimePoint now)
 {
     while (!m_evictions.empty() && now - m_evictions.front() >= std::chrono::minutes(1)) {
         m_evictions.pop_front();
     }
-    if (m_evictions.size() >= m_options.evictionsPerMinute) {
+    return m_options.evictionsPerMinute - static_cast<std::uint32_t>(m_evictions.size());
+}
+
+bool ColocationController::takeEviction(TimePoint now)
+{
+    if (evictionsLeft(now) == 0) {
         return false;
     }
     m_evictions.push_back(now);
--- a/packages/core/src/carobflow/core/colocation.h
+++ b/packages/core/src/carobflow/core/colocation.h
@@ -81,6 +81,13 @@
     [[nodiscard]] bool
     admitTrial(std::string_view service, std::string_view jobClass, double load, std::uint32_t running) const;
 
+    /// Counts an eviction against the cap, which evictions for other reasons share. Returns false, and counts nothing,
+    /// when the cap is reached.
+    bool takeEviction(TimePoint now);
+
+    /// How many evictions the cap leaves now.
+    [[nodiscard]] std::uint32_t evictionsLeft(TimePoint now);
+
     /// Forgets a host that is gone.
     void forgetHost(std::string_view host);
 
@@ -135,7 +142,6 @@
     Decisions reduce(TimePoint now, Host &host, const ServiceWindow &window, std::span<const ColocatedTask> tasks);
     Decisions raise(TimePoint now, Host &host, std::span<const ColocatedTask> tasks);
     [[nodiscard]] bool hasRoomFor(TimePoint now, const Host &host, const ColocatedTask &task, double addedShare) const;
-    bool takeEviction(TimePoint now);
 
     Options m_options;
     InterferenceModel &m_model;
--- a/packages/core/src/carobflow/core/internal/decisionmaker.cpp
+++ b/packages/core/src/carobflow/core/internal/decisionmaker.cpp
@@ -36,7 +36,7 @@
 
 bool DecisionMaker::Batch::isFull() const
 {
-    return records.size() >= MaxRecords;
+    return records.size() >= limit;
 }
 
 bool DecisionMaker::Batch::canTouch(std::string_view job) const
@@ -52,6 +52,7 @@
 
 DecisionMaker::DecisionMaker(BatchScheduler::Options options, const SheetView &sheet, RequestQueue &requests)
     : m_scheduler(options)
+    , m_policy(options.adaptivePolicy)
     , m_sheet(sheet)
     , m_requests(requests)
 {
@@ -59,14 +60,23 @@
 
 void DecisionMaker::reset()
 {
+    m_policy.reset();
+    m_urgentRoom.reset();
     m_carriedOver.clear();
+    m_decidedLately = false;
     m_ended.clear();
     m_avoidUntil.clear();
     m_notBefore.clear();
 }
 
-void DecisionMaker::onReport(const ShardState &state, const HostReport &report)
+ColocationPolicy &DecisionMaker::policy()
 {
+    return m_policy;
+}
+
+void DecisionMaker::onReport(TimePoint now, const ShardState &state, const HostEntry &host, const HostReport &report)
+{
+    m_policy.onReport(now, state, m_sheet, host, report);
     for (const TaskReport &task : report.tasks) {
         const JobRecord *job = state.findActive(task.job, task.fence);
         if (job != nullptr && job->host == report.host.name && isEndedReport(task.state)) {
@@ -86,33 +96,44 @@
 
 bool DecisionMaker::hasInput() const
 {
-    return !m_carriedOver.empty() || !m_ended.empty() || !m_requests.waiting().empty();
+    return m_decidedLately || !m_carriedOver.empty() || !m_ended.empty() || !m_requests.waiting().empty()
+        || !m_policy.evictions().empty();
 }
 
 std::vector<LedgerRecord>
 DecisionMaker::decide(TimePoint now, std::int64_t unixSeconds, const ShardState &state, HostRegistry &hosts)
 {
-    // Ends come first because they free resources, new work comes last.
-    static constexpr Step Steps[] = {&DecisionMaker::addEndedTasks,
-                                     &DecisionMaker::addLostTasks,
-                                     &DecisionMaker::addRequests,
-                                     &DecisionMaker::addSheetChanges,
-                                     &DecisionMaker::addEvictions,
-                                     &DecisionMaker::addCheckpoints,
-                                     &DecisionMaker::addForgotten,
-                                     &DecisionMaker::addCapacities,
-                                     &DecisionMaker::addUnrunnable,
-                                     &DecisionMaker::addAssignments};
-    Batch batch{.now = now, .unixSeconds = unixSeconds, .state = state, .hosts = hosts, .records = {}, .touched = {}};
+    // Ends come first because they free resources, new work comes last. Each step has a part of the batch of its own,
+    // so that a wave of cancellations or ends does not keep the others from their decisions.
+    static constexpr Step Steps[] = {{&DecisionMaker::addEndedTasks, 200},
+                                     {&DecisionMaker::addLostTasks, 230},
+                                     {&DecisionMaker::addRequests, 300},
+                                     {&DecisionMaker::addSheetChanges, 350},
+                                     {&DecisionMaker::addEvictions, 375},
+                                     {&DecisionMaker::addPolicyEvictions, 380},
+                                     {&DecisionMaker::addCheckpoints, 400},
+                                     {&DecisionMaker::addForgotten, 410},
+                                     {&DecisionMaker::addCapacities, 415},
+                                     {&DecisionMaker::addUnrunnable, 420},
+                                     {&DecisionMaker::addAssignments, MaxRecords}};
+    Batch batch{.now = now,
+                .unixSeconds = unixSeconds,
+                .state = state,
+                .hosts = hosts,
+                .records = {},
+                .touched = {},
+                .limit = MaxRecords};
     for (LedgerRecord &record : m_carriedOver) {
         batch.add(std::move(record));
     }
     m_carriedOver.clear();
-    for (const Step step : Steps) {
+    for (const Step &step : Steps) {
+        batch.limit = step.limit;
         if (!batch.isFull()) {
-            (this->*step)(batch);
+            (this->*step.run)(batch);
         }
     }
+    m_decidedLately = !batch.records.empty();
     return std::move(batch.records);
 }
 
@@ -173,9 +194,20 @@
 }
 
 void DecisionMaker::addRequests(Batch &batch)
+{
+    addRequestsOf(batch, true);
+    addRequestsOf(batch, false);
+}
+
+void DecisionMaker::addRequestsOf(Batch &batch, bool urgent)
 {
     std::deque<JobRequest> &waiting = m_requests.waiting();
     for (auto request = waiting.begin(); request != waiting.end() && !batch.isFull();) {
+        const bool isUrgent = request->cancelledJob.empty() && request->spec.urgency == Urgency::Urgent;
+        if (urgent && !isUrgent) {
+            ++request;
+            continue;
+        }
         const std::string &job = request->cancelledJob.empty() ? request->spec.id : request->cancelledJob;
         if (batch.touched.contains(job) || !settleRequest(batch, *request)) {
             ++request;
@@ -272,6 +304,21 @@
     }
 }
 
+void DecisionMaker::addPolicyEvictions(Batch &batch)
+{
+    std::erase_if(m_policy.evictions(), [&batch](const ColocationPolicy::Eviction &eviction) {
+        const JobRecord *job = batch.state.findActive(eviction.task.job, eviction.task.fence);
+        if (job == nullptr || job->state == JobState::Evicting) {
+            return true;
+        }
+        if (!batch.canTouch(eviction.task.job)) {
+            return false;
+        }
+        batch.add(TaskStopRequested{.job = eviction.task.job, .fence = eviction.task.fence, .reason = eviction.reason});
+        return true;
+    });
+}
+
 void DecisionMaker::addCheckpoints(Batch &batch)
 {
     for (const std::string &id : batch.state.active()) {
@@ -343,79 +390,4 @@
     }
 }
 
-std::vector<SchedulableHost> DecisionMaker::assignableHosts(const Batch &batch) const
-{
-    std::map<std::string_view, SchedulableHost> byName;
-    for (const auto &[name, entry] : batch.hosts.hosts()) {
-        if (batch.hosts.isAssignable(batch.now, entry) && m_sheet.isInService(entry.info.dataCentre)) {
-            byName.emplace(name,
-                           SchedulableHost{
-                               .info = entry.info, .reserved = {}, .tasks = 0, .onTrial = batch.state.isOnTrial(name)});
-        }
-    }
-    for (const std::string &id : batch.state.active()) {
-        const JobRecord &job = *batch.state.find(id);
-        const auto host = byName.find(job.host);
-        if (host == byName.end()) {
-            continue;
-        }
-        const HostEntry &entry = *batch.hosts.find(job.host);
-        const auto task = entry.tasks.find(TaskRef{.job = id, .fence = job.fence});
-        host->second.reserved += task == entry.tasks.end() ? job.spec.declared
-                                                           : maxOf(job.spec.declared, task->second.usage);
-        ++host->second.tasks;
-    }
-    std::vector<SchedulableHost> hosts;
-    hosts.reserve(byName.size());
-    for (auto &[name, host] : byName) {
-        hosts.push_back(std::move(host));
-    }
-    return hosts;
-}
-
-std::vector<std::string>
-DecisionMaker::avoidedHosts(const Batch &batch, const JobRecord &job, const std::vector<SchedulableHost> &hosts) const
-{
-    std::vector<std::string> avoided;
-    const bool hasOther = std::ranges::any_of(hosts, [&job](const SchedulableHost &host) {
-        return job.spec.declared.fitsIn(host.info.capacity) && !job.failedHosts.contains(host.info.name);
-    });
-    if (hasOther) {
-        avoided.assign(job.failedHosts.begin(), job.failedHosts.end());
-    }
-    if (const auto pauses = m_avoidUntil.find(job.spec.id); pauses != m_avoidUntil.end()) {
-        for (const auto &[host, until] : pauses->second) {
-            if (batch.now < until) {
-                avoided.push_back(host);
-            }
-        }
-    }
-    return avoided;
-}
-
-void DecisionMaker::addAssignments(Batch &batch)
-{
-    if (!m_sheet.mayAssign() || m_sheet.version() < batch.state.sheetVersion()) {
-        return;
-    }
-    std::vector<SchedulableHost> hosts = assignableHosts(batch);
-    std::vector<WaitingJob> waiting;
-    for (const std::string &id : batch.state.pending()) {
-        const auto pause = m_notBefore.find(id);
-        if (batch.canTouch(id) && (pause == m_notBefore.end() || batch.now >= pause->second)) {
-            const JobRecord &job = *batch.state.find(id);
-            waiting.push_back({.job = &job, .avoidedHosts = avoidedHosts(batch, job, hosts)});
-        }
-    }
-    Fence fence = batch.state.lastFence();
-    for (Placement &placement : m_scheduler.place(batch.state,
-                                                  std::move(waiting),
-                                                  std::move(hosts),
-                                                  m_sheet.sheet(),
-                                                  batch.unixSeconds,
-                                                  MaxRecords - batch.records.size())) {
-        batch.add(TaskAssigned{.job = std::move(placement.job), .host = std::move(placement.host), .fence = ++fence});
-    }
-}
-
 } // namespace Carobflow
--- a/packages/core/src/carobflow/core/internal/decisionmaker.h
+++ b/packages/core/src/carobflow/core/internal/decisionmaker.h
@@ -2,10 +2,12 @@
 
 #include "carobflow/core/batchscheduler.h"
 #include "carobflow/core/hostmessages.h"
+#include "carobflow/core/internal/colocationpolicy.h"
 #include "carobflow/core/internal/hostregistry.h"
 #include "carobflow/core/internal/ledgerrecord.h"
 #include "carobflow/core/internal/requestqueue.h"
 #include "carobflow/core/internal/sheetview.h"
+#include "carobflow/core/internal/urgentroom.h"
 #include "carobflow/core/shardstate.h"
 
 #include <map>
@@ -27,8 +29,10 @@
     /// Forgets what it learned under an earlier leadership.
     void reset();
 
-    /// Takes the ended tasks of a report into account.
-    void onReport(const ShardState &state, const HostReport &report);
+    /// Takes the ended tasks and the service windows of a report into account.
+    void onReport(TimePoint now, const ShardState &state, const HostEntry &host, const HostReport &report);
+
+    ColocationPolicy &policy();
 
     /// Puts the records of a commit that was not applied back, but for its assignments; they come first in the next
     /// batch.
@@ -56,24 +60,35 @@
         std::vector<LedgerRecord> records;
         std::set<std::string, std::less<>> touched;
 
+        /// The number of records up to which the current step may fill the batch.
+        std::size_t limit = 0;
+
         [[nodiscard]] bool isFull() const;
         [[nodiscard]] bool canTouch(std::string_view job) const;
         void add(LedgerRecord record);
     };
 
-    using Step = void (DecisionMaker::*)(Batch &batch);
+    /// A step and the number of records up to which it may fill the batch.
+    struct Step {
+        void (DecisionMaker::*run)(Batch &batch);
+        std::size_t limit = 0;
+    };
 
     void addEndedTasks(Batch &batch);
     void addLostTasks(Batch &batch);
     void addRequests(Batch &batch);
+    void addRequestsOf(Batch &batch, bool urgent);
     bool settleRequest(Batch &batch, const JobRequest &request);
     void addSheetChanges(Batch &batch);
     void addEvictions(Batch &batch);
+    void addPolicyEvictions(Batch &batch);
     void addCheckpoints(Batch &batch);
     void addForgotten(Batch &batch);
     void addCapacities(Batch &batch);
     void addUnrunnable(Batch &batch);
     void addAssignments(Batch &batch);
+    std::vector<WaitingJob> waitingJobs(const Batch &batch, const std::vector<SchedulableHost> &hosts) const;
+    void addUrgentRoom(Batch &batch, const std::vector<WaitingJob> &urgent, const std::vector<SchedulableHost> &hosts);
 
     void noteFailedStart(Batch &batch, const EndedTask &ended);
     std::vector<SchedulableHost> assignableHosts(const Batch &batch) const;
@@ -81,9 +96,13 @@
     avoidedHosts(const Batch &batch, const JobRecord &job, const std::vector<SchedulableHost> &hosts) const;
 
     BatchScheduler m_scheduler;
+    ColocationPolicy m_policy;
+    UrgentRoom m_urgentRoom;
     const SheetView &m_sheet;
     RequestQueue &m_requests;
     std::vector<LedgerRecord> m_carriedOver;
+    /// True when the latest batch held records: they may allow further decisions, such as the start of a new job.
+    bool m_decidedLately = false;
     std::map<std::string, EndedTask, std::less<>> m_ended;
     /// Hosts that are not chosen again for a job before a time.
     std::map<std::string, std::map<std::string, TimePoint>, std::less<>> m_avoidUntil;
--- a/packages/core/src/carobflow/core/internal/hostregistry.cpp
+++ b/packages/core/src/carobflow/core/internal/hostregistry.cpp
@@ -44,6 +44,15 @@
     }
     if (!sameBoot) {
         entry.stopsSent.clear();
+        entry.percentsSent.clear();
+        for (const TaskReport &task : report.tasks) {
+            entry.percentsSent.emplace(TaskRef{.job = task.job, .fence = task.fence}, 0);
+        }
+    } else if (report.full) {
+        // The agent sends everything when it did not get a reply.
+        for (auto &[ref, percent] : entry.percentsSent) {
+            percent = 0;
+        }
     }
     if (!sameBoot || report.full) {
         entry.complete = report.full;
--- a/packages/core/src/carobflow/core/internal/hostregistry.h
+++ b/packages/core/src/carobflow/core/internal/hostregistry.h
@@ -26,6 +26,9 @@
     std::set<TaskRef> ended;
     /// When stop orders were last given to this boot.
     std::map<TaskRef, TimePoint> stopsSent;
+    /// The throttle that each task was ordered last, in percent; a task without an entry has none. 0 stands for an
+    /// unknown one: the order may be lost, or an earlier leader or agent process may have left a throttle.
+    std::map<TaskRef, std::uint32_t> percentsSent;
     bool leaving = false;
     TimePoint heardAt;
     /// The last report by an agent that had seen this leader's epoch, and thus accepts no grant of an older one.
--- a/packages/core/src/carobflow/core/internal/shardleaderstore.cpp
+++ b/packages/core/src/carobflow/core/internal/shardleaderstore.cpp
@@ -102,8 +102,8 @@
     const std::uint64_t named = std::max(m_row.snapshotSequence, m_writtenSnapshot);
     if (m_row.sequence - named >= m_options.snapshotEvery) {
         m_snapshotInFlight = m_row.sequence;
-        return beginOperation(
-            WriteObjectOperation{.key = snapshotKey(m_options.shard, m_row.sequence), .bytes = m_state.snapshot()});
+        return beginOperation(WriteObjectOperation{.key = snapshotKey(m_options.shard, m_row.sequence),
+                                                   .bytes = m_decisions.policy().withModel(m_state.snapshot())});
     }
     return std::nullopt;
 }
@@ -359,7 +359,7 @@
         onStoreFailure(now);
         return;
     }
-    Result<ShardState> state = ShardState::restore(valueOf(bytes));
+    Result<ShardState> state = ShardState::restore(m_decisions.policy().restoreModel(valueOf(bytes)));
     if (!isOk(state)) {
         onStoreFailure(now);
         return;
--- a/packages/core/src/carobflow/core/shardleader.cpp
+++ b/packages/core/src/carobflow/core/shardleader.cpp
@@ -54,8 +54,11 @@
         stepDown(now);
         return;
     }
-    if (m_phase == Phase::Leading && m_hosts.onReport(now, report) != nullptr) {
-        m_decisions.onReport(m_state, report);
+    if (m_phase != Phase::Leading) {
+        return;
+    }
+    if (const HostEntry *host = m_hosts.onReport(now, report)) {
+        m_decisions.onReport(now, m_state, *host, report);
     }
 }
 
@@ -77,6 +80,7 @@
     orders.grant = m_options.hostGrant;
     entry->grantedAt = now;
     m_orders.addOrders(now, m_state, m_sheet, *entry, orders);
+    m_decisions.policy().addThrottles(m_state, *entry, orders);
     return orders;
 }
 
--- a/packages/core/tests/shardsimulation.h
+++ b/packages/core/tests/shardsimulation.h
@@ -89,6 +89,8 @@
     /// Tells whether a host's data centre is in service by the newest sheet.
     std::function<bool(const std::string &host)> isInService;
     int snapshots = 0;
+    /// By the first words of their reason.
+    std::map<std::string, int> evictions;
 
 private:
     void follow(const std::string &key, const std::string &value);
@@ -188,6 +190,11 @@
     explicit Simulation(std::uint64_t seed);
     void run();
 
+    [[nodiscard]] const FakeStore &store() const
+    {
+        return m_store;
+    }
+
 private:
     using Reply = std::function<void(Process &)>;
 
--- a/packages/core/tests/shardsimulation_agents.cpp
+++ b/packages/core/tests/shardsimulation_agents.cpp
@@ -31,6 +31,19 @@
         entry.runTime = Milliseconds(task.whole);
         report.tasks.push_back(entry);
     }
+    // The tails are high at random, whatever runs, so that many tasks are throttled and evicted.
+    ServiceWindow window{.service = "desk",
+                         .completed = 100,
+                         .p99Milliseconds = static_cast<double>(faulty(40) ? m_random.between(80, 400) : 20),
+                         .load = 0.5,
+                         .length = Milliseconds(150),
+                         .jobClasses = {}};
+    for (const auto &[ref, task] : worker.tasks) {
+        if (task.state == ReportedState::Running) {
+            window.jobClasses.push_back(m_store.replica.find(ref.job)->spec.jobClass);
+        }
+    }
+    report.windows.push_back(std::move(window));
     for (const auto &[ref, state] : agent.handedBack) {
         TaskReport entry;
         entry.job = ref.job;
@@ -97,6 +110,10 @@
     for (const StartOrder &order : orders.starts) {
         startTask(index, sentAt, orders, order);
     }
+    for (const ThrottleOrder &throttle : orders.throttles) {
+        REQUIRE(throttle.percent >= 25);
+        REQUIRE(throttle.percent <= 100);
+    }
     for (const StopOrder &stop : orders.stops) {
         const auto task = worker.tasks.find(TaskRef{.job = stop.job, .fence = stop.fence});
         if (task != worker.tasks.end() && task->second.state == ReportedState::Running) {
--- a/packages/daemon/src/carobflow/daemon/shardrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/shardrunner.cpp
@@ -143,10 +143,13 @@
     }
     HostOrders orders;
     for (;;) {
+        // Orders that a replaced call took would be lost, because the agent no longer waits for its reply.
+        if (m_syncs[host] != notifier) {
+            break;
+        }
         const TimePoint now = std::chrono::steady_clock::now();
         orders = m_leader.ordersFor(now, host);
-        const bool replaced = m_syncs[host] != notifier;
-        if (!orders.leading || !orders.isIdle() || replaced || now - arrivedAt >= m_options.syncHold) {
+        if (!orders.leading || !orders.isIdle() || now - arrivedAt >= m_options.syncHold) {
             break;
         }
         co_await notifier->waitUntil(arrivedAt + m_options.syncHold);
