Measure the request path, policies, overload, slopes and earlier versions

There was no way to tell what a change does to latency, throughput or cost: the demonstration only shows that everything is served.

tools/measure builds and calls new subcommands of carobflow-benchmark: path (entry and agent against direct calls, interleaved), policy (a morning of 40 s with noisy tasks and a data centre that leaves and returns), overload (1, 2 and 3 times the capacity, both policies) and slopes (agents, jobs held, sheet lines, submissions).

The proxy stand-in counts bytes by route and takes delays in microseconds (the distances are 0.5 and 1 ms). A host stand-in can announce to several agents, so that 200 agents do not need 200 more processes. A shared stand-in must run no tasks, because each agent stops tasks that it does not know.

Conclusion: the figures for docs/CAPACITY.md can be taken with these commands.

--- a/packages/bench/src/carobflow/bench/cluster.cpp
+++ b/packages/bench/src/carobflow/bench/cluster.cpp
@@ -20,6 +20,9 @@
 namespace json = boost::json;
 
 constexpr std::string_view Loopback = "127.0.0.1";
+/// Hundreds of daemons that start at once take turns on the processors.
+constexpr Milliseconds StartLimit{60000};
+constexpr std::string_view DaemonName = "carobflowd";
 constexpr std::string_view Token = "measurement-token";
 
 HttpEndpoint local(std::uint16_t port)
@@ -92,11 +95,11 @@
     std::unique_ptr<ChildProcess>
     spawn(const std::string &name, const std::string &program, std::vector<std::string> arguments)
     {
-        return std::make_unique<ChildProcess>(
-            ChildProcess::Options{.name = name,
-                                  .program = binaries / program,
-                                  .arguments = std::move(arguments),
-                                  .output = directory / (name + "-" + std::to_string(++starts) + ".log")});
+        return std::make_unique<ChildProcess>(ChildProcess::Options{
+            .name = name,
+            .program = program == DaemonName && !options.daemon.empty() ? options.daemon : binaries / program,
+            .arguments = std::move(arguments),
+            .output = directory / (name + "-" + std::to_string(++starts) + ".log")});
     }
 
     void startStandIns()
@@ -107,7 +110,7 @@
         platformControlPort = portIn(line, "control");
         const Deployment &sizes = options.deployment;
         hosts.resize(sizes.hosts);
-        for (std::uint32_t index = 0; index < sizes.hosts; ++index) {
+        for (std::uint32_t index = 0; index < sizes.hosts; index += options.agentsPerStandIn) {
             std::vector<std::string> arguments{"host",
                                                "--name",
                                                hostName(index),
@@ -134,8 +137,10 @@
             }
             hosts[index].standIn = spawn(hostName(index) + "-standin", "carobflow-standin", std::move(arguments));
         }
-        for (Host &host : hosts) {
-            const std::string ready = host.standIn->waitForLine("ready ");
+        for (std::uint32_t index = 0; index < sizes.hosts; ++index) {
+            Host &host = hosts[index];
+            const Host &owner = hosts[index - index % options.agentsPerStandIn];
+            const std::string ready = owner.standIn->waitForLine("ready ");
             host.workerPort = portIn(ready, "port");
             host.controlPort = portIn(ready, "control");
             host.upstreamPort = portIn(ready, "upstream");
@@ -234,7 +239,7 @@
         }
         const fs::path path = directory / (name + ".ini");
         writeSettings(path, settings);
-        process = spawn(name, "carobflowd", {"--settings", path.string()});
+        process = spawn(name, std::string(DaemonName), {"--settings", path.string()});
     }
 
     [[nodiscard]] std::string hostName(std::uint32_t index) const
@@ -295,9 +300,14 @@
     for (auto &entry : d->entries) {
         entry.process->waitForLine("event=ready");
     }
+    std::map<std::uint16_t, std::string> agentsByControlPort;
     for (auto &host : d->hosts) {
-        host.agent->waitForLine("event=ready");
-        d->caller.postJson(local(host.controlPort), "/control", {{"agent", addressOf(host.agentHttpPort)}});
+        host.agent->waitForLine("event=ready", StartLimit);
+        std::string &agents = agentsByControlPort[host.controlPort];
+        agents += (agents.empty() ? "" : ",") + addressOf(host.agentHttpPort);
+    }
+    for (const auto &[port, agents] : agentsByControlPort) {
+        d->caller.postJson(local(port), "/control", {{"agent", agents}});
     }
     applySheet(sheet);
     waitUntil("all entries know all upstreams", [&] {
@@ -357,6 +367,20 @@
     return local(d->platformControlPort);
 }
 
+HttpEndpoint Cluster::platform() const
+{
+    return local(d->platformPort);
+}
+
+std::vector<HttpEndpoint> Cluster::entries() const
+{
+    std::vector<HttpEndpoint> endpoints;
+    for (const Private::Entry &entry : d->entries) {
+        endpoints.push_back(local(entry.httpPort));
+    }
+    return endpoints;
+}
+
 HttpEndpoint Cluster::hostControl(std::uint32_t index) const
 {
     return local(d->hosts.at(index).controlPort);
@@ -405,6 +429,27 @@
         local(d->proxyControlPort), "/control", {{"route", route}, {"mode", mode}, {"delayMs", delayMilliseconds}});
 }
 
+void Cluster::setDistances()
+{
+    const auto microseconds = static_cast<std::int64_t>(d->options.deployment.dataCentreMilliseconds * 1000);
+    for (std::size_t index = 0; index < d->hosts.size(); ++index) {
+        d->caller.postJson(local(d->proxyControlPort),
+                           "/control",
+                           {{"route", "agent-" + std::to_string(index)}, {"mode", "delay"}, {"delayUs", microseconds}});
+    }
+}
+
+std::map<std::string, std::uint64_t> Cluster::routeBytes()
+{
+    std::map<std::string, std::uint64_t> bytes;
+    const auto routes = d->caller.postJson(local(d->proxyControlPort), "/control", json::object());
+    for (const auto &route : routes.as_object()) {
+        bytes[route.key()] = route.value().at("bytesToTarget").to_number<std::uint64_t>()
+            + route.value().at("bytesFromTarget").to_number<std::uint64_t>();
+    }
+    return bytes;
+}
+
 void Cluster::setPlatform(std::string_view mode, std::uint32_t delayMilliseconds, std::uint32_t dropReplies)
 {
     d->caller.postJson(
--- a/packages/bench/src/carobflow/bench/cluster.h
+++ b/packages/bench/src/carobflow/bench/cluster.h
@@ -31,6 +31,11 @@
         /// True puts the fault-injecting proxy between all processes. Its routes are named table, worker-<i>,
         /// agent-<i> and entry-<j>.
         bool proxied = false;
+        /// Agents that share one host stand-in, for large clusters without tasks. Each must own its tasks, so that a
+        /// cluster that runs tasks needs 1.
+        std::uint32_t agentsPerStandIn = 1;
+        /// The daemon to run; empty for the one beside this program.
+        std::filesystem::path daemon;
         std::uint64_t seed = 1;
     };
 
@@ -49,6 +54,9 @@
     [[nodiscard]] HttpEndpoint entry(std::uint32_t index) const;
     [[nodiscard]] HttpEndpoint agentHttp(std::uint32_t index) const;
     [[nodiscard]] HttpEndpoint platformControl() const;
+    [[nodiscard]] HttpEndpoint platform() const;
+    /// All entries, in the order of their indexes.
+    [[nodiscard]] std::vector<HttpEndpoint> entries() const;
     [[nodiscard]] HttpEndpoint hostControl(std::uint32_t index) const;
     [[nodiscard]] HttpEndpoint upstream(std::uint32_t index) const;
     [[nodiscard]] std::string hostName(std::uint32_t index) const;
@@ -64,6 +72,12 @@
     /// Sets the mode of a proxy route; "*" means all.
     void setRoute(std::string_view route, std::string_view mode, std::uint32_t delayMilliseconds = 0);
 
+    /// Delays each chunk on the routes to the agents by the one-way distance between data centres.
+    void setDistances();
+
+    /// Bytes that passed the proxy in both directions, by route.
+    std::map<std::string, std::uint64_t> routeBytes();
+
     /// Sets the mode of the platform stand-in.
     void setPlatform(std::string_view mode, std::uint32_t delayMilliseconds = 0, std::uint32_t dropReplies = 0);
 
--- a/packages/bench/src/carobflow/bench/deployment.cpp
+++ b/packages/bench/src/carobflow/bench/deployment.cpp
@@ -1,7 +1,17 @@
 #include "carobflow/bench/deployment.h"
 
+#include <cmath>
+#include <stdexcept>
+
 namespace Carobflow::Bench
 {
+namespace
+{
+
+/// The shape of the upstream stand-in's service times, a log-normal distribution around the median.
+constexpr double ServiceTimeSigma = 0.4;
+
+} // namespace
 
 Deployment coopDeployment()
 {
@@ -29,6 +39,23 @@
             .clientMilliseconds = 1};
 }
 
+Deployment deploymentByName(std::string_view name)
+{
+    for (auto &deployment : {coopDeployment(), cartaAndinaDeployment()}) {
+        if (deployment.name == name) {
+            return deployment;
+        }
+    }
+    throw std::invalid_argument("there is no deployment '" + std::string(name) + "', write coop or carta-andina");
+}
+
+double serviceCapacity(const Deployment &deployment)
+{
+    const double meanSeconds = deployment.serviceMilliseconds * std::exp(ServiceTimeSigma * ServiceTimeSigma / 2)
+        / 1000;
+    return deployment.hosts * deployment.slots / meanSeconds;
+}
+
 std::string baseSheet(const Deployment &deployment)
 {
     std::string sheet;
--- a/packages/bench/src/carobflow/bench/deployment.h
+++ b/packages/bench/src/carobflow/bench/deployment.h
@@ -36,6 +36,12 @@
 /// The menu printers Carta Andina.
 Deployment cartaAndinaDeployment();
 
+/// The deployment of that name; throws std::invalid_argument when there is none.
+Deployment deploymentByName(std::string_view name);
+
+/// Requests a second that the upstreams can serve without slowdown, by their mean service time.
+double serviceCapacity(const Deployment &deployment);
+
 /// The morning sheet of a deployment without jobs: its data centres, its service, and a team that jobs can use.
 std::string baseSheet(const Deployment &deployment);
 
--- /dev/null
+++ b/packages/bench/src/carobflow/bench/internal/slopes.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "carobflow/bench/measurementoptions.h"
+#include "carobflow/bench/report.h"
+
+#include <cstdint>
+
+namespace Carobflow::Bench
+{
+
+/// Bytes, processor time and memory of entries, agents and the leader with this many agents, and the time until a sheet
+/// is in force in all of them.
+void measureAgents(Report &report, const MeasurementOptions &options, std::uint32_t agents);
+
+/// Snapshot size, submission latency, processor time and memory of a leader with 100, 1,000 and 10,000 waiting jobs.
+void measureJobsHeld(Report &report, const MeasurementOptions &options);
+
+/// Time until sheets of 10, 100 and 1,000 lines are in force everywhere.
+void measureSheetSizes(Report &report, const MeasurementOptions &options);
+
+/// Group commits a second against submissions a second.
+void measureGroupCommits(Report &report, const MeasurementOptions &options);
+
+} // namespace Carobflow::Bench
--- /dev/null
+++ b/packages/bench/src/carobflow/bench/slopescommand.cpp
@@ -0,0 +1,47 @@
+#include "carobflow/bench/slopescommand.h"
+
+#include "carobflow/bench/internal/slopes.h"
+
+#include <array>
+#include <string_view>
+
+namespace Carobflow::Bench
+{
+
+namespace
+{
+
+struct Part {
+    std::string_view name;
+    void (*measure)(Report &report, const MeasurementOptions &options);
+};
+
+void measureAllAgentCounts(Report &report, const MeasurementOptions &options)
+{
+    for (const std::uint32_t agents : {11U, 50U, 100U, 200U}) {
+        measureAgents(report, options, agents);
+    }
+}
+
+constexpr std::array Parts{
+    Part{"sheets", measureSheetSizes},
+    Part{"commits", measureGroupCommits},
+    Part{"jobs", measureJobsHeld},
+    Part{"agents", measureAllAgentCounts},
+};
+
+} // namespace
+
+int runSlopes(const MeasurementOptions &options)
+{
+    Report report("slopes: growth of costs with agents, jobs, sheet lines and submissions");
+    for (const Part &part : Parts) {
+        if (options.part.empty() || options.part == part.name) {
+            part.measure(report, options);
+        }
+    }
+    report.print(options.json);
+    return 0;
+}
+
+} // namespace Carobflow::Bench
--- a/tests/standins/hoststandin.cpp
+++ b/tests/standins/hoststandin.cpp
@@ -1,5 +1,9 @@
 #include "standins/hoststandin.h"
 
+#include <vector>
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json/serialize.hpp>
@@ -37,18 +41,26 @@
 {
     for (;;) {
         if (m_announces) {
-            co_await sendAnnouncement("POST");
+            co_await sendAnnouncements("POST");
         }
         co_await sleepFor(AnnounceInterval);
     }
 }
 
-asio::awaitable<void> HostStandIn::sendAnnouncement(std::string method)
+asio::awaitable<void> HostStandIn::sendAnnouncements(std::string method)
 {
-    if (m_options.agent.empty()) {
-        co_return;
+    std::vector<std::string> agents;
+    boost::split(agents, m_options.agent, boost::is_any_of(","));
+    for (const std::string &agent : agents) {
+        if (!agent.empty()) {
+            co_await sendAnnouncement(agent, method);
+        }
     }
-    const auto agent = parseEndpoint(m_options.agent);
+}
+
+asio::awaitable<void> HostStandIn::sendAnnouncement(std::string agentAddress, std::string method)
+{
+    const auto agent = parseEndpoint(agentAddress);
     const json::object body{{"service", m_options.upstream.service},
                             {"address", m_options.address + ":" + std::to_string(m_upstreamPort)},
                             {"slots", m_options.upstream.slots},
@@ -87,7 +99,7 @@
     m_options.agent = textOr(body, "agent", m_options.agent);
     if (const auto *announces = body.if_contains("announce")) {
         m_announces = announces->as_bool();
-        co_await sendAnnouncement(m_announces ? "POST" : "DELETE");
+        co_await sendAnnouncements(m_announces ? "POST" : "DELETE");
     }
     co_return jsonReply(200, json::object());
 }
--- a/tests/standins/hoststandin.h
+++ b/tests/standins/hoststandin.h
@@ -20,7 +20,8 @@
         std::uint16_t port = 0;
         std::uint16_t upstreamPort = 0;
         std::uint16_t controlPort = 0;
-        /// Address and port of the agent; empty until a control call sets it.
+        /// Address and port of the agent; empty until a control call sets it. Several, with commas between them, share
+        /// the host: the upstream announces itself to each.
         std::string agent = {};
         /// Connections that the upstream announces.
         std::uint32_t connections = 64;
@@ -48,7 +49,8 @@
 private:
     boost::asio::awaitable<void> announce();
     boost::asio::awaitable<ServerReply> control(const ServerRequest &request);
-    boost::asio::awaitable<void> sendAnnouncement(std::string method);
+    boost::asio::awaitable<void> sendAnnouncements(std::string method);
+    boost::asio::awaitable<void> sendAnnouncement(std::string agentAddress, std::string method);
     [[nodiscard]] boost::json::object log() const;
 
     Options m_options;
--- a/tests/standins/proxystandin.cpp
+++ b/tests/standins/proxystandin.cpp
@@ -55,9 +55,16 @@
     tcp::endpoint listen;
     tcp::endpoint target;
     std::string mode = "pass";
-    std::chrono::milliseconds delay{0};
+    std::chrono::microseconds delay{0};
+    std::uint64_t bytesToTarget = 0;
+    std::uint64_t bytesFromTarget = 0;
     std::set<std::shared_ptr<Link>> links;
 
+    void count(bool towardsTarget, std::size_t bytes)
+    {
+        (towardsTarget ? bytesToTarget : bytesFromTarget) += bytes;
+    }
+
     /// Binds the port. A bound socket that does not listen refuses connections and keeps the port for later.
     void bind()
     {
@@ -96,7 +103,7 @@
     return route->listen.port();
 }
 
-void ProxyStandIn::setMode(const std::string &name, const std::string &mode, std::chrono::milliseconds delay)
+void ProxyStandIn::setMode(const std::string &name, const std::string &mode, std::chrono::microseconds delay)
 {
     if (!Modes.contains(mode)) {
         throw std::invalid_argument("mode is not pass, delay, cut, freeze, silent or drop-replies");
@@ -159,6 +166,7 @@
     std::array<char, 16384> bytes{};
     for (;;) {
         const auto [readError, count] = co_await from.async_read_some(asio::buffer(bytes), Tuple);
+        route->count(towardsTarget, count);
         if (route->mode == "delay") {
             co_await sleepFor(route->delay);
         }
@@ -206,10 +214,14 @@
         throw std::invalid_argument("there is no route '" + name + "', give it a target to add it");
     }
     if (body.contains("mode")) {
-        setMode(name, textOr(body, "mode", ""), std::chrono::milliseconds(numberOr(body, "delayMs", 0)));
+        const std::chrono::milliseconds delay(numberOr(body, "delayMs", 0));
+        setMode(name, textOr(body, "mode", ""), delay + std::chrono::microseconds(numberOr(body, "delayUs", 0)));
     }
     for (const auto &[routeName, route] : m_routes) {
-        reply[routeName] = json::object{{"port", route->listen.port()}, {"links", route->links.size()}};
+        reply[routeName] = json::object{{"port", route->listen.port()},
+                                        {"links", route->links.size()},
+                                        {"bytesToTarget", route->bytesToTarget},
+                                        {"bytesFromTarget", route->bytesFromTarget}};
     }
     co_return jsonReply(200, reply);
 }
--- a/tests/standins/proxystandin.h
+++ b/tests/standins/proxystandin.h
@@ -27,7 +27,7 @@
     /// Sets the mode of a route, or of all for the name "*": pass, delay (each chunk), cut (reset and refuse), freeze
     /// (hold until pass), silent (open connections go silent for good, new ones pass) or drop-replies (close at the
     /// first reply).
-    void setMode(const std::string &name, const std::string &mode, std::chrono::milliseconds delay);
+    void setMode(const std::string &name, const std::string &mode, std::chrono::microseconds delay);
 
     [[nodiscard]] std::uint16_t controlPort() const
     {
