--- a/packages/daemon/src/carobflow/daemon/shardrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/shardrunner.cpp
@@ -31,8 +31,11 @@
     std::optional<JobReply> reply;
 };
 
-ShardRunner::ShardRunner(
-    boost::asio::any_io_executor executor, Options options, TableService &table, ObjectStore &objects, Metrics &metrics)
+ShardRunner::ShardRunner(const boost::asio::any_io_executor &executor,
+                         Options options,
+                         TableService &table,
+                         ObjectStore &objects,
+                         Metrics &metrics)
     : m_strand(boost::asio::make_strand(executor))
     , m_options(std::move(options))
     , m_table(table)
