--- /dev/null
+++ b/packages/daemon/tests/settings_test.cpp
@@ -0,0 +1,89 @@
+#include "carobflow/daemon/settings.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+namespace Carobflow
+{
+namespace
+{
+
+const std::string EntryText = "[process]\nrole = entry\nname = entry-1\ndata_centre = hanoi\n"
+                              "[listen]\nhttp = 127.0.0.1:8080\ngrpc = [::1]:9090\n"
+                              "[platform]\ntable = 127.0.0.1:7000\nobjects = 127.0.0.1:7001\n"
+                              "[entry]\noperator_token = secret\n";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::string faultsOf(const std::string &text)
+{
+    const auto settings = parseSettings(text, "test.ini");
+    return isOk(settings) ? std::string() : errorOf(settings).message;
+}
+
+} // namespace
+
+TEST_CASE("Settings are read with their defaults", "[settings]")
+{
+    const auto parsed = parseSettings(EntryText, "test.ini");
+    REQUIRE(isOk(parsed));
+    const Settings &settings = valueOf(parsed);
+    CHECK(settings.role == Role::Entry);
+    CHECK(settings.name == "entry-1");
+    CHECK(settings.grpc.toString() == "[::1]:9090");
+    CHECK(settings.objects.port == 7001);
+    CHECK(settings.maxSheetAge == Milliseconds(2000));
+    CHECK(settings.adaptivePolicy);
+
+    const auto changed = parseSettings(EntryText + "retry_ratio = 0.5\n[timing]\nmax_sheet_age_ms = 3000\n", "t.ini");
+    REQUIRE(isOk(changed));
+    CHECK(valueOf(changed).retryRatio == 0.5);
+    CHECK(valueOf(changed).maxSheetAge == Milliseconds(3000));
+}
+
+TEST_CASE("Each fault of the settings names file, section, key, expectation and remedy", "[settings]")
+{
+    struct Case {
+        std::string from;
+        std::string to;
+        std::string fault;
+    };
+    // Guards against a daemon that starts with a value that it ignored or misread.
+    const Case cases[] = {
+        {"role = entry", "role = leader", "[process] role: 'leader' is not valid; expected entry or agent; write for"},
+        {"name = entry-1\n", "", "[process] name: missing; write for example 'name = entry-1'"},
+        {"name = entry-1", "name =", "[process] name: '' is not valid; expected a text that is not empty"},
+        {"name =", "nam =", "[process] nam: unknown key; expected a key of docs/operations.md"},
+        {"http = 127.0.0.1:8080", "http = localhost:8080", "expected an IP address and a port; write for example"},
+        {"http = 127.0.0.1:8080", "http = 127.0.0.1:80800", "[listen] http: '127.0.0.1:80800' is not valid"},
+        {"[entry]", "[process]\nthreads = 0\n[entry]", "[process] threads: '0' is not valid; expected a number from 1"},
+        {"[entry]", "[process]\nthreads = 2x\n[entry]", "[process] threads: '2x' is not valid"},
+        {"[entry]",
+         "[process]\npolicy = random\n[entry]",
+         "[process] policy: 'random' is not valid; expected adaptive"},
+        {"[entry]",
+         "[process]\nlog_level = loud\n[entry]",
+         "expected debug, info, warning or error; write for example"},
+        {"[entry]", "[entry]\nretry_ratio = 2", "[entry] retry_ratio: '2' is not valid; expected a number from 0 to 1"},
+        {"[entry]", "[timing]\nstop_timeout_ms = 1\n[entry]", "expected a number of milliseconds from 100 to 120000"},
+        {"[entry]", "[timing]\nannounce_timeout_ms = 600\n[entry]", "[timing] announce_timeout_ms: expected at least"},
+        {"operator_token = secret\n", "", "[entry] operator_token: missing"},
+        {"role = entry", "role = agent", "[platform] worker: missing; write for example 'worker = 127.0.0.1:7100'"},
+        {"[entry]", "nonsense\n[entry]", "test.ini:11: expected '[section]' or 'key = value'; correct this line"},
+    };
+    for (const Case &test : cases) {
+        const std::string faults = faultsOf(replaced(EntryText, test.from, test.to));
+        INFO(faults);
+        CHECK(faults.starts_with("test.ini"));
+        CHECK(faults.find(test.fault) != std::string::npos);
+    }
+    const std::string two = faultsOf(replaced(replaced(EntryText, "[entry]", "[enty]"), "role = entry", "role = x"));
+    CHECK(std::count(two.begin(), two.end(), '\n') >= 2);
+    CHECK(errorOf(loadSettings("/nonexistent/x.ini")).kind == ErrorKind::NotFound);
+}
+
+} // namespace Carobflow
