Keep the drain call from ending the entry

Cause: GCC 12 emits a trap for 'if (!co_await f(temporary))' in drainUpstream. Every 'upstream drain' ended the entry with SIGILL; a debugger shows the trap at the first line of the coroutine. The client reported 'unknown' and the upstream stayed in use.

Ruled out: the conditional temporary in ClusterView::setDrained; rewriting it changed nothing.

Change: named variables, and the awaited result is tested in a statement of its own.

Conclusion: covered by the integration test of leaving upstreams.

--- a/packages/daemon/src/carobflow/daemon/operatorapi.cpp
+++ b/packages/daemon/src/carobflow/daemon/operatorapi.cpp
@@ -210,7 +210,11 @@
 
 boost::asio::awaitable<HttpServerResponse> OperatorApi::drainUpstream(const Call &call)
 {
-    if (!co_await m_cluster.setDrained(std::string(call.segments.at(1)), call.request.method == "POST")) {
+    // GCC 12 emits a trap for an awaited call with temporaries inside a condition.
+    const std::string host(call.segments.at(1));
+    const bool drained = call.request.method == "POST";
+    const bool confirmed = co_await m_cluster.setDrained(host, drained);
+    if (!confirmed) {
         co_return errorResponse({ErrorKind::Unknown, "the table did not confirm the change; repeat the call"});
     }
     co_return jsonResponse(200, {});
