--- a/packages/core/src/carobflow/core/tasksupervisor.cpp
+++ b/packages/core/src/carobflow/core/tasksupervisor.cpp
@@ -73,6 +73,12 @@
     d->reportSoon = true;
 }
 
+bool TaskSupervisor::isSettled() const
+{
+    return std::ranges::all_of(
+        d->tasks, [](const auto &entry) { return !entry.second.isReserved() && entry.second.isAcknowledged(); });
+}
+
 Resources TaskSupervisor::Private::reserved() const
 {
     Resources sum;
--- a/packages/core/src/carobflow/core/tasksupervisor.h
+++ b/packages/core/src/carobflow/core/tasksupervisor.h
@@ -90,6 +90,9 @@
     /// Refuses further starts; running tasks go on.
     void setLeaving();
 
+    /// True when no task holds resources and the leader has acknowledged the end of each.
+    [[nodiscard]] bool isSettled() const;
+
     /// Reserved resources, stopping tasks included.
     [[nodiscard]] Resources reserved() const;
     [[nodiscard]] std::vector<std::string> runningClasses() const;
--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -125,9 +125,10 @@
             co_await sleepFor(Milliseconds(10));
         }
         const TimePoint limit = std::chrono::steady_clock::now() + m_settings.stopTimeout / 2;
-        while (!co_await runOn(m_tasks->strand(), [this] { return m_tasks->isIdle(); })
-               && std::chrono::steady_clock::now() < limit) {
+        bool settled = false;
+        while (!settled && std::chrono::steady_clock::now() < limit) {
             co_await sleepFor(Milliseconds(50));
+            settled = co_await runOn(m_tasks->strand(), [this] { return m_tasks->isSettled(); });
         }
         co_await asio::co_spawn(
             m_shardRunner->strand(), m_shardRunner->release(m_settings.leaderLease), asio::use_awaitable);
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -31,6 +31,15 @@
 
 class EntryProcess::Private
 {
+namespace
+{
+
+/// A new entry that no agent announces to reports itself ready after this time, so that a system without upstreams can
+/// still be operated. Agents hear of a new entry within two seconds.
+constexpr Milliseconds UpstreamWait{10000};
+
+} // namespace
+
 public:
     Private(asio::io_context &context, Settings settings)
         : m_settings(std::move(settings))
@@ -133,7 +142,7 @@
             co_return co_await m_operators->serve(std::move(request));
         }
         updateGauges();
-        const bool ready = m_started && !m_stopping && m_sheets.current() != nullptr;
+        const bool ready = m_started && !m_stopping && m_knowsUpstreams && m_sheets.current() != nullptr;
         co_return statusPage(request.target, m_metrics, ready);
     }
 
@@ -155,7 +164,8 @@
             const TimePoint now = std::chrono::steady_clock::now();
             m_routing.expire(now);
             // Connections are opened before the first request needs them.
-            for (const Routing::View &view : m_routing.list(now)) {
+            const auto upstreams = m_routing.list(now);
+            for (const Routing::View &view : upstreams) {
                 m_channels.channel(view.upstream.agentAddress);
             }
             co_await sleepFor(m_settings.announceTimeout / 8);
@@ -188,6 +198,8 @@
 
 EntryProcess::EntryProcess(asio::io_context &context, Settings settings)
     : d(std::make_unique<Private>(context, std::move(settings)))
+        const TimePoint startedAt = std::chrono::steady_clock::now();
+        std::optional<TimePoint> firstKnownAt;
 {
 }
 
@@ -195,6 +207,11 @@
 
 Status EntryProcess::start()
 {
+            if (!upstreams.empty() && !firstKnownAt) {
+                firstKnownAt = now;
+            }
+            m_knowsUpstreams = m_knowsUpstreams || now - startedAt > UpstreamWait
+                || (firstKnownAt && now - *firstKnownAt > 2 * m_settings.announceInterval);
     return d->start();
 }
 
@@ -204,3 +221,5 @@
 }
 
 } // namespace Carobflow
+    /// True from the time at which agents have had time to announce to this entry.
+    std::atomic<bool> m_knowsUpstreams{false};
--- a/packages/daemon/src/carobflow/daemon/process.cpp
+++ b/packages/daemon/src/carobflow/daemon/process.cpp
@@ -2,6 +2,7 @@
 
 #include "carobflow/logging/log.h"
 
+#include <atomic>
 #include <csignal>
 #include <thread>
 #include <vector>
@@ -26,15 +27,17 @@
     auto guard = asio::make_work_guard(context);
     asio::signal_set signals(context, SIGTERM, SIGINT);
     asio::steady_timer limit(context);
+    std::atomic<int> code{0};
     signals.async_wait([&](boost::system::error_code error, int signal) {
         if (error) {
             return;
         }
         logInfo("stopping").with("signal", signal);
         limit.expires_after(settings.stopTimeout);
-        limit.async_wait([&context](boost::system::error_code cancelled) {
+        limit.async_wait([&context, &code](boost::system::error_code cancelled) {
             if (!cancelled) {
                 logWarning("stop-timed-out").with("remedy", "raise [timing] stop_timeout_ms if requests run longer");
+                code = 1;
                 context.stop();
             }
         });
@@ -56,7 +59,7 @@
     for (std::thread &thread : threads) {
         thread.join();
     }
-    return 0;
+    return code;
 }
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/shardrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/shardrunner.cpp
@@ -64,7 +64,8 @@
         }
         // A process that hears from the leader of another process leaves the store alone, so that reads of the store
         // grow with shards and not with hosts.
-        if (!leading && m_options.hasLeaderContact(now)) {
+        // The leader that releases the shard is in contact with itself and has the release to commit.
+        if (!leading && !m_releasing && m_options.hasLeaderContact(now)) {
             co_await m_loop->waitUntil(now + IdleCheck);
             continue;
         }
@@ -192,6 +193,7 @@
 
 boost::asio::awaitable<void> ShardRunner::release(Milliseconds limit)
 {
+    m_releasing = true;
     m_leader.release(std::chrono::steady_clock::now());
     m_loop->notify();
     for (Milliseconds waited{0}; !m_leader.isReleased() && waited < limit; waited += Milliseconds(20)) {
--- a/packages/daemon/src/carobflow/daemon/shardrunner.h
+++ b/packages/daemon/src/carobflow/daemon/shardrunner.h
@@ -72,6 +72,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiting>> m_waiting;
     std::map<std::string, std::shared_ptr<Notifier>> m_syncs;
     bool m_wasLeading = false;
+    bool m_releasing = false;
 };
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/taskrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.cpp
@@ -75,9 +75,9 @@
     m_supervisor.setLeaving();
 }
 
-bool TaskRunner::isIdle() const
+bool TaskRunner::isSettled() const
 {
-    return m_supervisor.reserved() == Resources{};
+    return m_supervisor.isSettled();
 }
 
 bool TaskRunner::hasLeaderContact(TimePoint now, Milliseconds within) const
@@ -201,6 +201,10 @@
         = co_await callUnary<carobflow::ShardService::Stub, carobflow::SyncRequest, carobflow::SyncReply>(
             std::move(stub), &carobflow::ShardService::Stub::async::Sync, toMessage(report), m_options.syncTimeout);
     if (!status.ok() || !reply.leading()) {
+        if (status.ok()) {
+            // The leader has stepped down: a candidate looks at the row now and not only when the contact is old.
+            m_lastContact = 0;
+        }
         m_supervisor.onReportLost();
         co_return false;
     }
--- a/packages/daemon/src/carobflow/daemon/taskrunner.h
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.h
@@ -63,8 +63,8 @@
     /// Takes no new tasks; the leader moves the ones that run elsewhere.
     void setLeaving();
 
-    /// True when no task runs on this host.
-    [[nodiscard]] bool isIdle() const;
+    /// True when no task runs on this host and the leader has acknowledged the end of each.
+    [[nodiscard]] bool isSettled() const;
 
     /// True when the leader has answered within the given time. Safe to call from any thread.
     [[nodiscard]] bool hasLeaderContact(TimePoint now, Milliseconds within) const;
