Keep requests out of a data centre through entries that cannot reach the table

Cause: an entry ignored the sheet version in announcements. An entry that was cut off from the table went on under its old sheet and sent requests to a data centre that was out, for as long as it was cut off, although every agent told it of the newer version.

Ruled out: waiting for the table; the design says that no process acts on an older version than it has seen.

Change: an entry that hears of a newer version than the store gives it fetches that version from another entry, without counting it as confirmed. An agent refuses as not-run what an entry sends under an older version while the agent's sheet has the data centre out; a request under the agent's version or a newer one is taken, so that a data centre that comes back serves at once. The harness can cut single entries off from the store.

--- a/packages/bench/src/carobflow/bench/cluster.cpp
+++ b/packages/bench/src/carobflow/bench/cluster.cpp
@@ -170,6 +170,9 @@
         }
         for (std::size_t index = 0; index < entries.size(); ++index) {
             add("entry-" + std::to_string(index), entries[index].grpcPort);
+            if (options.separateEntryTables) {
+                add("entry-table-" + std::to_string(index), platformPort);
+            }
         }
         proxy = spawn("proxy", "carobflow-standin", std::move(arguments));
         proxyReady = proxy->waitForLine("ready ");
@@ -200,6 +203,10 @@
         Entry &entry = entries[index];
         const std::string name = "entry-" + std::to_string(index);
         auto settings = commonSettings(name);
+        if (options.separateEntryTables) {
+            settings["platform.table"] = through("entry-table-" + std::to_string(index), platformPort);
+            settings["platform.objects"] = settings["platform.table"];
+        }
         settings["process.role"] = "entry";
         settings["process.data_centre"] = options.deployment.dataCentres[index % options.deployment.dataCentres.size()];
         settings["listen.http"] = addressOf(entry.httpPort);
--- a/packages/bench/src/carobflow/bench/cluster.h
+++ b/packages/bench/src/carobflow/bench/cluster.h
@@ -31,6 +31,9 @@
         /// True puts the fault-injecting proxy between all processes. Its routes are named table, worker-<i>,
         /// agent-<i> and entry-<j>.
         bool proxied = false;
+        /// True gives each entry a route of its own to the store, named entry-table-<j>, so that single entries can be
+        /// cut off from it. The route table is then that of the agents only.
+        bool separateEntryTables = false;
         std::uint64_t seed = 1;
     };
 
--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -234,6 +234,8 @@
     {
         asio::post(m_shardRunner->strand(),
                    [this, sheet] { m_shardRunner->setSheet(sheet.version, sheet.rowVersion, sheet.sheet); });
+        const bool in = sheet.sheet->isInService(m_settings.dataCentre);
+        asio::post(m_requests.strand(), [this, version = sheet.version, in] { m_requests.setSheet(version, in); });
     }
 
     void confirmSheet(TimePoint confirmedAt, const FollowedSheet &sheet)
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -24,13 +24,13 @@
 
 #include <boost/asio/strand.hpp>
 
+#include <carobflow.grpc.pb.h>
+
 namespace Carobflow
 {
 
 namespace asio = boost::asio;
 
-class EntryProcess::Private
-{
 namespace
 {
 
@@ -40,6 +40,8 @@
 
 } // namespace
 
+class EntryProcess::Private
+{
 public:
     Private(asio::io_context &context, Settings settings)
         : m_settings(std::move(settings))
@@ -56,10 +58,12 @@
                      .adaptivePolicy = m_settings.adaptivePolicy,
                      .seed = m_settings.seed != 0 ? static_cast<std::uint64_t>(m_settings.seed) : randomNumber()})
         , m_budget({.ratio = m_settings.retryRatio})
-        , m_sheets({.pollInterval = m_settings.sheetPollInterval},
-                   m_table,
-                   m_objects,
-                   [this](const auto &sheet) { m_routing.setSheet(sheet->sheet); })
+        , m_sheets(
+              {.pollInterval = m_settings.sheetPollInterval},
+              m_table,
+              m_objects,
+              [this](const auto &sheet) { m_routing.setSheet(sheet->sheet); },
+              [this](SheetVersion version) { return fetchSheet(version); })
         , m_forwarder({.sheetVersion =
                            [this] {
                                const auto sheet = m_sheets.current();
@@ -158,8 +162,43 @@
         m_metrics.setUpstreams(static_cast<double>(m_routing.list(now).size()));
     }
 
+    /// Asks the other entries in turn for a sheet of at least this version.
+    asio::awaitable<std::shared_ptr<const AcceptedSheet>> fetchSheet(SheetVersion version)
+    {
+        using Stub = carobflow::EntryService::Stub;
+        constexpr Milliseconds CallTimeout{500};
+        for (const EntryMember &entry : m_cluster->entries()) {
+            if (entry.name == m_settings.name) {
+                continue;
+            }
+            carobflow::GetSheetRequest request;
+            request.set_version(version);
+            std::shared_ptr<Stub> stub = carobflow::EntryService::NewStub(m_channels.channel(entry.address));
+            const auto [status, reply] = co_await callUnary<Stub, carobflow::GetSheetRequest, carobflow::GetSheetReply>(
+                std::move(stub), &Stub::async::GetSheet, std::move(request), CallTimeout);
+            if (!status.ok() || reply.version() < version) {
+                continue;
+            }
+            auto parsed = parseSheet(reply.text(), reply.reference_unix_seconds());
+            if (auto *sheet = std::get_if<Sheet>(&parsed)) {
+                logInfo("sheet-fetched").with("version", reply.version()).with("entry", entry.name);
+                co_return std::make_shared<const AcceptedSheet>(
+                    AcceptedSheet{.version = reply.version(),
+                                  .rowVersion = reply.row_version(),
+                                  .digest = sheetDigest(reply.text()),
+                                  .author = "unknown",
+                                  .referenceUnixSeconds = reply.reference_unix_seconds(),
+                                  .text = reply.text(),
+                                  .sheet = std::make_shared<const Sheet>(std::move(*sheet))});
+            }
+        }
+        co_return nullptr;
+    }
+
     asio::awaitable<void> expireUpstreams()
     {
+        const TimePoint startedAt = std::chrono::steady_clock::now();
+        std::optional<TimePoint> firstKnownAt;
         for (;;) {
             const TimePoint now = std::chrono::steady_clock::now();
             m_routing.expire(now);
@@ -168,6 +207,11 @@
             for (const Routing::View &view : upstreams) {
                 m_channels.channel(view.upstream.agentAddress);
             }
+            if (!upstreams.empty() && !firstKnownAt) {
+                firstKnownAt = now;
+            }
+            m_knowsUpstreams = m_knowsUpstreams || now - startedAt > UpstreamWait
+                || (firstKnownAt && now - *firstKnownAt > 2 * m_settings.announceInterval);
             co_await sleepFor(m_settings.announceTimeout / 8);
         }
     }
@@ -193,13 +237,13 @@
     std::optional<EntryService> m_service;
     std::optional<GrpcListener> m_listener;
     std::atomic<bool> m_started{false};
+    /// True from the time at which agents have had time to announce to this entry.
+    std::atomic<bool> m_knowsUpstreams{false};
     std::atomic<bool> m_stopping{false};
 };
 
 EntryProcess::EntryProcess(asio::io_context &context, Settings settings)
     : d(std::make_unique<Private>(context, std::move(settings)))
-        const TimePoint startedAt = std::chrono::steady_clock::now();
-        std::optional<TimePoint> firstKnownAt;
 {
 }
 
@@ -207,11 +251,6 @@
 
 Status EntryProcess::start()
 {
-            if (!upstreams.empty() && !firstKnownAt) {
-                firstKnownAt = now;
-            }
-            m_knowsUpstreams = m_knowsUpstreams || now - startedAt > UpstreamWait
-                || (firstKnownAt && now - *firstKnownAt > 2 * m_settings.announceInterval);
     return d->start();
 }
 
@@ -221,5 +260,3 @@
 }
 
 } // namespace Carobflow
-    /// True from the time at which agents have had time to announce to this entry.
-    std::atomic<bool> m_knowsUpstreams{false};
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -104,6 +104,12 @@
     found->second->leaving = true;
 }
 
+void RequestExecutor::setSheet(SheetVersion version, bool dataCentreIn)
+{
+    m_sheetVersion = version;
+    m_dataCentreIn = dataCentreIn;
+}
+
 void RequestExecutor::close()
 {
     m_closed = true;
@@ -126,6 +132,13 @@
                                  .retryAfter = Milliseconds(0)});
         co_return;
     }
+    if (!m_dataCentreIn && request.sheet_version() < m_sheetVersion) {
+        setOutcome(reply,
+                   NotRunOutcome{.reason = "the data centre is out of service since sheet version "
+                                     + std::to_string(m_sheetVersion),
+                                 .retryAfter = Milliseconds(0)});
+        co_return;
+    }
     const std::shared_ptr<Service> service = found->second;
     auto state = std::make_shared<Request>(m_strand, m_nextId++, toHttpRequest(request));
     state->deadline = arrivedAt + Milliseconds(request.timeout_ms());
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -57,6 +57,10 @@
     /// The upstream leaves: nothing new is sent to it, what it works on goes on.
     void leave(std::string_view service);
 
+    /// The sheet that is in force here. While it has this data centre out, a request that an entry sent under an older
+    /// version is refused, because that entry does not know of the change yet.
+    void setSheet(SheetVersion version, bool dataCentreIn);
+
     /// Refuses everything from now on.
     void close();
 
@@ -88,6 +92,8 @@
     std::shared_ptr<HttpClient> m_client;
     Metrics &m_metrics;
     bool m_closed = false;
+    SheetVersion m_sheetVersion = 0;
+    bool m_dataCentreIn = true;
     std::uint64_t m_nextId = 1;
     std::unordered_map<std::string, std::shared_ptr<Service>> m_services;
     std::atomic<std::uint32_t> m_inProgress{0};
--- a/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
+++ b/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
@@ -63,11 +63,13 @@
     std::string text;
 };
 
-SheetRepository::SheetRepository(Options options, TableService &table, ObjectStore &objects, Listener listener)
+SheetRepository::SheetRepository(
+    Options options, TableService &table, ObjectStore &objects, Listener listener, Fetch fetch)
     : m_options(options)
     , m_table(table)
     , m_objects(objects)
     , m_listener(std::move(listener))
+    , m_fetch(std::move(fetch))
 {
 }
 
@@ -75,10 +77,33 @@
 {
     for (;;) {
         co_await refresh();
+        co_await fetchFromOthers();
         co_await sleepFor(m_options.pollInterval);
     }
 }
 
+void SheetRepository::noteVersion(SheetVersion version)
+{
+    SheetVersion seen = m_seenVersion;
+    while (seen < version && !m_seenVersion.compare_exchange_weak(seen, version)) {
+    }
+}
+
+boost::asio::awaitable<void> SheetRepository::fetchFromOthers()
+{
+    const auto known = current();
+    const SheetVersion wanted = m_seenVersion;
+    if (wanted <= (known ? known->version : 0)) {
+        co_return;
+    }
+    auto sheet = co_await m_fetch(wanted);
+    if (sheet) {
+        // Not confirmed with the table: the time of the last confirmation stays, which is older and so on the safe
+        // side.
+        publish(std::move(sheet), std::nullopt);
+    }
+}
+
 boost::asio::awaitable<void> SheetRepository::refresh()
 {
     const TimePoint sentAt = std::chrono::steady_clock::now();
@@ -124,7 +149,7 @@
             sentAt);
 }
 
-void SheetRepository::publish(std::shared_ptr<const AcceptedSheet> sheet, TimePoint confirmedAt)
+void SheetRepository::publish(std::shared_ptr<const AcceptedSheet> sheet, std::optional<TimePoint> confirmedAt)
 {
     bool changed = false;
     {
@@ -138,7 +163,7 @@
         if (changed) {
             m_current = sheet;
         }
-        if (!m_confirmedAt || *m_confirmedAt < confirmedAt) {
+        if (confirmedAt && (!m_confirmedAt || *m_confirmedAt < *confirmedAt)) {
             m_confirmedAt = confirmedAt;
         }
     }
--- a/packages/daemon/src/carobflow/daemon/sheetrepository.h
+++ b/packages/daemon/src/carobflow/daemon/sheetrepository.h
@@ -5,6 +5,7 @@
 #include "carobflow/core/table.h"
 #include "carobflow/core/types.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -69,12 +70,17 @@
     };
 
     using Listener = std::function<void(const std::shared_ptr<const AcceptedSheet> &)>;
+    /// Fetches a sheet of at least this version from another process; null when none has it.
+    using Fetch = std::function<boost::asio::awaitable<std::shared_ptr<const AcceptedSheet>>(SheetVersion)>;
 
-    SheetRepository(Options options, TableService &table, ObjectStore &objects, Listener listener);
+    SheetRepository(Options options, TableService &table, ObjectStore &objects, Listener listener, Fetch fetch);
 
     /// Reads the current version again and again until the process ends.
     boost::asio::awaitable<void> poll();
 
+    /// Another process spoke of this version. When the store does not give it, poll() fetches it from others.
+    void noteVersion(SheetVersion version);
+
     /// The newest sheet that was read; null before the first one.
     [[nodiscard]] std::shared_ptr<const AcceptedSheet> current() const;
 
@@ -96,14 +102,17 @@
     struct Change;
 
     boost::asio::awaitable<void> refresh();
+    boost::asio::awaitable<void> fetchFromOthers();
     boost::asio::awaitable<ApplyOutcome> commit(Change change);
     boost::asio::awaitable<std::optional<ApplyOutcome>> resolveLostReply(const Change &change);
-    void publish(std::shared_ptr<const AcceptedSheet> sheet, TimePoint confirmedAt);
+    void publish(std::shared_ptr<const AcceptedSheet> sheet, std::optional<TimePoint> confirmedAt);
 
     Options m_options;
     TableService &m_table;
     ObjectStore &m_objects;
     Listener m_listener;
+    Fetch m_fetch;
+    std::atomic<SheetVersion> m_seenVersion{0};
     mutable std::mutex m_mutex;
     std::shared_ptr<const AcceptedSheet> m_current;
     std::optional<TimePoint> m_confirmedAt;
