--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -104,6 +104,12 @@
     found->second->leaving = true;
 }
 
+void RequestExecutor::setSheet(SheetVersion version, bool dataCentreIn)
+{
+    m_sheetVersion = version;
+    m_dataCentreIn = dataCentreIn;
+}
+
 void RequestExecutor::close()
 {
     m_closed = true;
@@ -112,11 +118,6 @@
     }
 }
 
-void RequestExecutor::setDataCentreInService(bool inService)
-{
-    m_dataCentreInService = inService;
-}
-
 boost::asio::awaitable<void> RequestExecutor::execute(const carobflow::ForwardRequest &request,
                                                       carobflow::ForwardReply &reply)
 {
@@ -128,6 +129,13 @@
         setOutcome(reply, NotRunOutcome{.reason = std::string(reason), .retryAfter = Milliseconds(0)});
         co_return;
     }
+    if (!m_dataCentreIn && request.sheet_version() < m_sheetVersion) {
+        setOutcome(reply,
+                   NotRunOutcome{.reason = "the data centre is out of service since sheet version "
+                                     + std::to_string(m_sheetVersion),
+                                 .retryAfter = Milliseconds(0)});
+        co_return;
+    }
     const std::shared_ptr<Service> service = found->second;
     auto state = std::make_shared<Request>(m_strand, m_nextId++, toHttpRequest(request));
     state->deadline = arrivedAt + Milliseconds(request.timeout_ms());
@@ -169,9 +177,6 @@
     if (m_closed) {
         return "the agent is stopping";
     }
-    if (!m_dataCentreInService) {
-        return "the data centre is out of service";
-    }
     if (service == m_services.end() || service->second->leaving) {
         return "the upstream is not announced here or is leaving";
     }
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -58,13 +58,13 @@
     /// The upstream leaves: nothing new is sent to it, what it works on goes on.
     void leave(std::string_view service);
 
+    /// The sheet that is in force here. While it has this data centre out, a request that an entry sent under an older
+    /// version is refused, because that entry does not know of the change yet.
+    void setSheet(SheetVersion version, bool dataCentreIn);
+
     /// Refuses everything from now on.
     void close();
 
-    /// Whether the sheet has this host's data centre in service; while it does not, new requests are refused. An entry
-    /// that does not have that sheet yet would still send them.
-    void setDataCentreInService(bool inService);
-
     /// Runs one attempt; ends by the deadline of the request at the latest.
     boost::asio::awaitable<void> execute(const carobflow::ForwardRequest &request, carobflow::ForwardReply &reply);
 
@@ -98,7 +98,8 @@
     std::shared_ptr<HttpClient> m_client;
     Metrics &m_metrics;
     bool m_closed = false;
-    bool m_dataCentreInService = true;
+    SheetVersion m_sheetVersion = 0;
+    bool m_dataCentreIn = true;
     std::uint64_t m_nextId = 1;
     Services m_services;
     std::atomic<std::uint32_t> m_inProgress{0};
