--- a/packages/daemon/src/carobflow/daemon/servicepipeline.cpp
+++ b/packages/daemon/src/carobflow/daemon/servicepipeline.cpp
@@ -53,7 +53,7 @@
             .body = errorBody(error, message)};
 }
 
-HttpServerResponse toResponse(NotRunOutcome outcome)
+HttpServerResponse toResponse(const NotRunOutcome &outcome)
 {
     // Retry-After has a resolution of one second.
     const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<Seconds>(outcome.retryAfter).count());
