Name the time-out of a sheet's fetch and reserve the exit codes

Change: the constant moves to the file's other constants; the vector reserves.

Conclusion: no change of behaviour.

--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -38,6 +38,9 @@
 /// still be operated. Agents hear of a new entry within two seconds.
 constexpr Milliseconds UpstreamWait{10000};
 
+/// Short, so that an entry that does not answer leaves time to ask others.
+constexpr Milliseconds FetchTimeout{500};
+
 } // namespace
 
 class EntryProcess::Private
@@ -166,7 +169,6 @@
     asio::awaitable<std::shared_ptr<const AcceptedSheet>> fetchSheet(SheetVersion version)
     {
         using Stub = carobflow::EntryService::Stub;
-        constexpr Milliseconds CallTimeout{500};
         for (const EntryMember &entry : m_cluster->entries()) {
             if (entry.name == m_settings.name) {
                 continue;
@@ -175,7 +177,7 @@
             request.set_version(version);
             std::shared_ptr<Stub> stub = carobflow::EntryService::NewStub(m_channels.channel(entry.address));
             const auto [status, reply] = co_await callUnary<Stub, carobflow::GetSheetRequest, carobflow::GetSheetReply>(
-                std::move(stub), &Stub::async::GetSheet, std::move(request), CallTimeout);
+                std::move(stub), &Stub::async::GetSheet, std::move(request), FetchTimeout);
             if (!status.ok() || reply.version() < version) {
                 continue;
             }
--- a/tests/integration/sheet_test.cpp
+++ b/tests/integration/sheet_test.cpp
@@ -76,6 +76,7 @@
             startClient(cluster, index, {"sheet", "apply", file, "--replaces", std::to_string(replaces)}));
     }
     std::vector<int> codes;
+    codes.reserve(clients.size());
     for (const auto &client : clients) {
         codes.push_back(client->waitForEnd(Milliseconds(20000)).value_or(-1));
     }
