--- a/packages/bench/src/carobflow/bench/internal/probes.cpp
+++ b/packages/bench/src/carobflow/bench/internal/probes.cpp
@@ -4,7 +4,9 @@
 
 #include <atomic>
 #include <future>
+#include <iomanip>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 #include <boost/asio/co_spawn.hpp>
@@ -25,6 +27,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr Seconds InForceLimit{30};
+/// Digits of a sequence number in the keys of the store.
+constexpr int SequenceDigits = 20;
 
 std::vector<int> daemonPids(Cluster &cluster)
 {
@@ -128,6 +132,11 @@
     return last - startedAt;
 }
 
+std::uint64_t epochOf(Cluster &cluster)
+{
+    return shardRow(cluster).at("epoch").to_number<std::uint64_t>();
+}
+
 std::uint64_t commitsOf(Cluster &cluster)
 {
     return shardRow(cluster).at("beat").to_number<std::uint64_t>();
@@ -136,9 +145,10 @@
 std::string lastSnapshot(Cluster &cluster)
 {
     const auto sequence = shardRow(cluster).at("snapshotSequence").to_number<std::uint64_t>();
-    const auto outcome = cluster.caller().call(
-        cluster.platform(),
-        {.target = "/objects/snapshot/0/" + std::to_string(sequence), .timeout = Milliseconds(8000)});
+    std::ostringstream target;
+    target << "/objects/snapshot/0/" << std::setw(SequenceDigits) << std::setfill('0') << sequence;
+    const auto outcome = cluster.caller().call(cluster.platform(),
+                                               {.target = target.str(), .timeout = Milliseconds(8000)});
     const auto *answer = std::get_if<HttpAnswer>(&outcome);
     return answer != nullptr && answer->status == 200 ? answer->body : std::string();
 }
--- a/packages/bench/src/carobflow/bench/internal/probes.h
+++ b/packages/bench/src/carobflow/bench/internal/probes.h
@@ -24,6 +24,9 @@
 /// before the change was sent; the metrics are polled every 20 ms up to 50 agents and every 100 ms with more.
 double millisecondsUntilInForce(Cluster &cluster, const std::string &sheet);
 
+/// The epoch of shard 0; it grows with each change of its leader.
+std::uint64_t epochOf(Cluster &cluster);
+
 /// Commits that the leaders of shard 0 have made.
 std::uint64_t commitsOf(Cluster &cluster);
 
--- a/packages/bench/src/carobflow/bench/internal/slopes.cpp
+++ b/packages/bench/src/carobflow/bench/internal/slopes.cpp
@@ -66,10 +66,11 @@
 
 } // namespace
 
-void measureAgents(Report &report, const MeasurementOptions &options, std::uint32_t agents)
+void measureAgents(Report &report, const MeasurementOptions &options, std::uint32_t agents, std::uint32_t entries)
 {
     Deployment deployment = coopDeployment();
     deployment.hosts = agents;
+    deployment.entries = entries;
     Cluster cluster({.deployment = deployment,
                      .proxied = true,
                      .agentsPerStandIn = std::min(agents, MaxAgentsPerStandIn),
@@ -78,6 +79,7 @@
     cluster.start(baseSheet(deployment));
     std::this_thread::sleep_for(SettleTime);
     const std::uint32_t leader = cluster.leaderIndex();
+    const auto epochBefore = epochOf(cluster);
     const auto bytesBefore = cluster.routeBytes();
     const auto writesBefore = storeCount(cluster, "writes");
     const auto readsBefore = storeCount(cluster, "reads");
@@ -94,6 +96,7 @@
     const auto firstAgent = usage.begin() + deployment.entries;
     const IntervalUsage entry = meanOf({usage.begin(), firstAgent});
     const IntervalUsage agent = meanOf({firstAgent, usage.end()});
+    const auto leaderChanges = epochOf(cluster) - epochBefore;
     double entryBytes = 0;
     for (std::uint32_t index = 0; index < deployment.entries; ++index) {
         entryBytes += perSecond("entry-" + std::to_string(index)) / deployment.entries;
@@ -102,16 +105,19 @@
     const std::vector<double> inForce = timesUntilInForce(cluster, 100, 3);
     report.add("agentsProcessor",
                {{"agents", agents},
+                {"entries", entries},
                 {"entryCorePercent", rounded(entry.corePercent)},
                 {"agentCorePercent", rounded(agent.corePercent)},
                 {"leaderCorePercent", rounded(leading.corePercent)},
                 {"entryMiB", rounded(entry.residentMiB)},
                 {"agentMiB", rounded(agent.residentMiB)},
                 {"leaderMiB", rounded(leading.residentMiB)},
+                {"leaderChanges", leaderChanges},
                 {"load", loadAverage()}});
     report.add(
         "agentsBytes",
         {{"agents", agents},
+         {"entries", entries},
          {"entryBytesPerSecond", rounded(entryBytes)},
          {"announceBytesPerAgentAndEntry", rounded(entryBytes / agents)},
          {"leaderBytesPerSecond", rounded(syncBytes)},
--- a/packages/bench/src/carobflow/bench/internal/slopes.h
+++ b/packages/bench/src/carobflow/bench/internal/slopes.h
@@ -8,9 +8,9 @@
 namespace Carobflow::Bench
 {
 
-/// Bytes, processor time and memory of entries, agents and the leader with this many agents, and the time until a sheet
-/// is in force in all of them.
-void measureAgents(Report &report, const MeasurementOptions &options, std::uint32_t agents);
+/// Bytes, processor time and memory of entries, agents and the leader with this many agents and entries, and the time
+/// until a sheet is in force in all of them.
+void measureAgents(Report &report, const MeasurementOptions &options, std::uint32_t agents, std::uint32_t entries);
 
 /// Snapshot size, submission latency, processor time and memory of a leader with 100, 1,000 and 10,000 waiting jobs.
 void measureJobsHeld(Report &report, const MeasurementOptions &options);
--- a/packages/bench/src/carobflow/bench/slopescommand.cpp
+++ b/packages/bench/src/carobflow/bench/slopescommand.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+constexpr std::uint32_t FewEntries = 3;
+/// Two entries for each data centre of the target size.
+constexpr std::uint32_t ManyEntries = 14;
+
 struct Part {
     std::string_view name;
     void (*measure)(Report &report, const MeasurementOptions &options);
@@ -19,8 +23,9 @@
 void measureAllAgentCounts(Report &report, const MeasurementOptions &options)
 {
     for (const std::uint32_t agents : {11U, 50U, 100U, 200U}) {
-        measureAgents(report, options, agents);
+        measureAgents(report, options, agents, FewEntries);
     }
+    measureAgents(report, options, 11, ManyEntries);
 }
 
 constexpr std::array Parts{
