--- a/packages/bench/src/carobflow/bench/cluster.h
+++ b/packages/bench/src/carobflow/bench/cluster.h
@@ -36,6 +36,9 @@
         std::uint32_t agentsPerStandIn = 1;
         /// The daemon to run; empty for the one beside this program.
         std::filesystem::path daemon;
+        /// True gives each entry a route of its own to the store, named entry-table-<j>, so that single entries can be
+        /// cut off from it. The route table is then that of the agents only.
+        bool separateEntryTables = false;
         std::uint64_t seed = 1;
     };
 
--- a/packages/core/src/carobflow/core/tasksupervisor.h
+++ b/packages/core/src/carobflow/core/tasksupervisor.h
@@ -18,7 +18,7 @@
 
 /// A call to the worker that the owner of a TaskSupervisor carries out.
 struct WorkerAction {
-    enum class Kind { Start, Renew, Checkpoint, Throttle, Stop };
+    enum class Kind { Start, Renew, Checkpoint, Throttle, Stop, Remove };
 
     std::uint64_t id = 0;
     Kind kind = Kind::Renew;
@@ -91,6 +91,9 @@
     /// Refuses further starts; running tasks go on.
     void setLeaving();
 
+    /// True when no task holds resources and the leader has acknowledged the end of each.
+    [[nodiscard]] bool isSettled() const;
+
     /// Reserved resources, stopping tasks included.
     [[nodiscard]] Resources reserved() const;
     /// The tasks that run now, with their classes.
--- a/packages/daemon/src/carobflow/daemon/clusterview.cpp
+++ b/packages/daemon/src/carobflow/daemon/clusterview.cpp
@@ -72,8 +72,10 @@
 boost::asio::awaitable<void> ClusterView::writeOwnRow()
 {
     // Only this process writes the row, so it needs no condition, and a write that is repeated does no harm.
-    const boost::json::object row{
-        {"address", m_options.address}, {"counter", ++m_counter}, {"leaving", m_leaving}, {"token", randomToken()}};
+    const boost::json::object row{{"address", m_options.address},
+                                  {"counter", ++m_counter},
+                                  {"leaving", m_leaving.load()},
+                                  {"token", randomToken()}};
     const Transaction transaction{
         .conditions = {}, .mutations = {{std::string(EntryPrefix) + m_options.name, boost::json::serialize(row)}}};
     co_await m_table.transact(transaction);
@@ -152,8 +154,8 @@
     const std::string value = boost::json::serialize(boost::json::object{{"token", randomToken()}});
     const Transaction transaction{.conditions = {},
                                   .mutations = {{key, drained ? std::optional(value) : std::nullopt}}};
-    constexpr int Tries = 3;
-    for (int attempt = 0; attempt < Tries; ++attempt) {
+    constexpr int tries = 3;
+    for (int attempt = 0; attempt < tries; ++attempt) {
         const auto outcome = co_await m_table.transact(transaction);
         if (std::holds_alternative<Committed>(outcome)) {
             co_await readDrains();
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -24,11 +24,22 @@
 
 #include <boost/asio/strand.hpp>
 
+#include <carobflow.grpc.pb.h>
+
 namespace Carobflow
 {
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// A new entry that no agent announces to reports itself ready after this time, so that a system without upstreams can
+/// still be operated. Agents hear of a new entry within two seconds.
+constexpr Milliseconds UpstreamWait{10000};
+
+} // namespace
+
 class EntryProcess::Private
 {
 public:
@@ -47,10 +58,12 @@
                      .adaptivePolicy = m_settings.adaptivePolicy,
                      .seed = m_settings.seed != 0 ? static_cast<std::uint64_t>(m_settings.seed) : randomNumber()})
         , m_budget({.ratio = m_settings.retryRatio})
-        , m_sheets({.pollInterval = m_settings.sheetPollInterval},
-                   m_table,
-                   m_objects,
-                   [this](const auto &sheet) { m_routing.setSheet(sheet->sheet); })
+        , m_sheets(
+              {.pollInterval = m_settings.sheetPollInterval},
+              m_table,
+              m_objects,
+              [this](const auto &sheet) { m_routing.setSheet(sheet->sheet); },
+              [this](SheetVersion version) { return fetchSheet(version); })
         , m_forwarder({.sheetVersion =
                            [this] {
                                const auto sheet = m_sheets.current();
@@ -60,7 +73,11 @@
                       m_budget,
                       m_channels,
                       m_metrics)
-        , m_charges(m_executor, m_table, m_forwarder, m_metrics)
+        , m_charges(m_executor,
+                    {.maxFlows = static_cast<std::uint32_t>(m_settings.maxChargeFlows)},
+                    m_table,
+                    m_forwarder,
+                    m_metrics)
         , m_burn({.writer = m_settings.name + "-" + randomToken()}, m_table)
         , m_pipeline({.defaultTimeout = m_settings.defaultTimeout, .maxTimeout = m_settings.maxTimeout},
                      m_routing,
@@ -116,7 +133,7 @@
         co_await sleepFor(m_settings.drainDelay);
         m_pipeline.close();
         co_await m_http.drain();
-        while (m_charges.inBackground() > 0) {
+        while (m_charges.flows() > 0) {
             co_await sleepFor(Milliseconds(20));
         }
         co_await m_burn.flush();
@@ -133,7 +150,7 @@
             co_return co_await m_operators->serve(std::move(request));
         }
         updateGauges();
-        const bool ready = m_started && !m_stopping && m_sheets.current() != nullptr;
+        const bool ready = m_started && !m_stopping && m_knowsUpstreams && m_sheets.current() != nullptr;
         co_return statusPage(request.target, m_metrics, ready);
     }
 
@@ -149,15 +166,56 @@
         m_metrics.setUpstreams(static_cast<double>(m_routing.list(now).size()));
     }
 
+    /// Asks the other entries in turn for a sheet of at least this version.
+    asio::awaitable<std::shared_ptr<const AcceptedSheet>> fetchSheet(SheetVersion version)
+    {
+        using Stub = carobflow::EntryService::Stub;
+        constexpr Milliseconds CallTimeout{500};
+        for (const EntryMember &entry : m_cluster->entries()) {
+            if (entry.name == m_settings.name) {
+                continue;
+            }
+            carobflow::GetSheetRequest request;
+            request.set_version(version);
+            std::shared_ptr<Stub> stub = carobflow::EntryService::NewStub(m_channels.channel(entry.address));
+            const auto [status, reply] = co_await callUnary<Stub, carobflow::GetSheetRequest, carobflow::GetSheetReply>(
+                std::move(stub), &Stub::async::GetSheet, std::move(request), CallTimeout);
+            if (!status.ok() || reply.version() < version) {
+                continue;
+            }
+            auto parsed = parseSheet(reply.text(), reply.reference_unix_seconds());
+            if (auto *sheet = std::get_if<Sheet>(&parsed)) {
+                logInfo("sheet-fetched").with("version", reply.version()).with("entry", entry.name);
+                co_return std::make_shared<const AcceptedSheet>(
+                    AcceptedSheet{.version = reply.version(),
+                                  .rowVersion = reply.row_version(),
+                                  .digest = sheetDigest(reply.text()),
+                                  .author = "unknown",
+                                  .referenceUnixSeconds = reply.reference_unix_seconds(),
+                                  .text = reply.text(),
+                                  .sheet = std::make_shared<const Sheet>(std::move(*sheet))});
+            }
+        }
+        co_return nullptr;
+    }
+
     asio::awaitable<void> expireUpstreams()
     {
+        const TimePoint startedAt = std::chrono::steady_clock::now();
+        std::optional<TimePoint> firstKnownAt;
         for (;;) {
             const TimePoint now = std::chrono::steady_clock::now();
             m_routing.expire(now);
             // Connections are opened before the first request needs them.
-            for (const Routing::View &view : m_routing.list(now)) {
+            const auto upstreams = m_routing.list(now);
+            for (const Routing::View &view : upstreams) {
                 m_channels.channel(view.upstream.agentAddress);
             }
+            if (!upstreams.empty() && !firstKnownAt) {
+                firstKnownAt = now;
+            }
+            m_knowsUpstreams = m_knowsUpstreams || now - startedAt > UpstreamWait
+                || (firstKnownAt && now - *firstKnownAt > 2 * m_settings.announceInterval);
             co_await sleepFor(m_settings.announceTimeout / 8);
         }
     }
@@ -183,6 +241,8 @@
     std::optional<EntryService> m_service;
     std::optional<GrpcListener> m_listener;
     std::atomic<bool> m_started{false};
+    /// True from the time at which agents have had time to announce to this entry.
+    std::atomic<bool> m_knowsUpstreams{false};
     std::atomic<bool> m_stopping{false};
 };
 
--- a/packages/daemon/src/carobflow/daemon/operatorapi.cpp
+++ b/packages/daemon/src/carobflow/daemon/operatorapi.cpp
@@ -210,8 +210,13 @@
 
 boost::asio::awaitable<HttpServerResponse> OperatorApi::drainUpstream(const Call &call)
 {
-    if (!co_await m_cluster.setDrained(std::string(call.segments.at(1)), call.request.method == "POST")) {
-        co_return errorResponse({ErrorKind::Unknown, "the table did not confirm the change; repeat the call"});
+    // GCC 12 emits a trap for an awaited call with temporaries inside a condition.
+    const std::string host(call.segments.at(1));
+    const bool drained = call.request.method == "POST";
+    const bool confirmed = co_await m_cluster.setDrained(host, drained);
+    if (!confirmed) {
+        const Error error{ErrorKind::Unknown, "the table did not confirm the change; repeat the call"};
+        co_return errorResponse(error);
     }
     co_return jsonResponse(200, {});
 }
@@ -256,7 +261,8 @@
         co_return jsonResponse(200, {{"id", id}, {"state", "cancelled"}});
     }
     if (reply.outcome == "not-found") {
-        co_return errorResponse({ErrorKind::NotFound, reply.message});
+        const Error error{ErrorKind::NotFound, reply.message};
+        co_return errorResponse(error);
     }
     if (reply.outcome == "ended") {
         co_return jsonResponse(409, {{"error", "conflict"}, {"message", reply.message}});
@@ -282,8 +288,8 @@
 
 boost::asio::awaitable<HttpServerResponse> OperatorApi::reportBurn(const Call & /*call*/)
 {
-    constexpr std::int64_t SecondsPerMinute = 60;
-    const std::int64_t lastMinute = unixSeconds() / SecondsPerMinute;
+    constexpr std::int64_t secondsPerMinute = 60;
+    const std::int64_t lastMinute = unixSeconds() / secondsPerMinute;
     const auto counts = co_await m_burn.load(lastMinute - burnWindows().back());
     if (!isOk(counts)) {
         co_return errorResponse(errorOf(counts));
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -53,7 +53,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Request>> requests;
 };
 
-RequestExecutor::RequestExecutor(boost::asio::any_io_executor executor,
+RequestExecutor::RequestExecutor(const boost::asio::any_io_executor &executor,
                                  Options options,
                                  std::shared_ptr<HttpClient> client,
                                  Metrics &metrics)
@@ -104,6 +104,12 @@
     found->second->leaving = true;
 }
 
+void RequestExecutor::setSheet(SheetVersion version, bool dataCentreIn)
+{
+    m_sheetVersion = version;
+    m_dataCentreIn = dataCentreIn;
+}
+
 void RequestExecutor::close()
 {
     m_closed = true;
@@ -119,10 +125,14 @@
     reply.set_request_id(request.request_id());
     reply.set_attempt(request.attempt());
     const auto found = m_services.find(request.service());
-    if (m_closed || found == m_services.end() || found->second->leaving) {
+    if (const std::string_view reason = refusalReason(found); !reason.empty()) {
+        setOutcome(reply, NotRunOutcome{.reason = std::string(reason), .retryAfter = Milliseconds(0)});
+        co_return;
+    }
+    if (!m_dataCentreIn && request.sheet_version() < m_sheetVersion) {
         setOutcome(reply,
-                   NotRunOutcome{.reason = m_closed ? "the agent is stopping"
-                                                    : "the upstream is not announced here or is leaving",
+                   NotRunOutcome{.reason = "the data centre is out of service since sheet version "
+                                     + std::to_string(m_sheetVersion),
                                  .retryAfter = Milliseconds(0)});
         co_return;
     }
@@ -146,7 +156,10 @@
     if (state->state == Request::State::Running) {
         service->window.setInUse(std::chrono::steady_clock::now(), service->admission.taken(), service->slots);
         boost::asio::co_spawn(m_strand, call(service, state), boost::asio::detached);
-        co_await state->changed.waitUntil(state->deadline);
+        // The call may have ended already, and a notification before the wait would be lost.
+        if (state->state != Request::State::Done) {
+            co_await state->changed.waitUntil(state->deadline);
+        }
         if (state->state != Request::State::Done) {
             state->abandoned = true;
             state->outcome = UnknownOutcome{.reason = "the upstream did not answer before the deadline"};
@@ -159,6 +172,17 @@
     --m_inProgress;
 }
 
+std::string_view RequestExecutor::refusalReason(Services::const_iterator service) const
+{
+    if (m_closed) {
+        return "the agent is stopping";
+    }
+    if (service == m_services.end() || service->second->leaving) {
+        return "the upstream is not announced here or is leaving";
+    }
+    return {};
+}
+
 boost::asio::awaitable<void> RequestExecutor::waitForSlot(Service &service, const std::shared_ptr<Request> &request)
 {
     while (request->state == Request::State::Waiting && std::chrono::steady_clock::now() < request->deadline) {
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -44,7 +45,7 @@
         Milliseconds abandonedHold{10000};
     };
 
-    RequestExecutor(boost::asio::any_io_executor executor,
+    RequestExecutor(const boost::asio::any_io_executor &executor,
                     Options options,
                     std::shared_ptr<HttpClient> client,
                     Metrics &metrics);
@@ -57,6 +58,10 @@
     /// The upstream leaves: nothing new is sent to it, what it works on goes on.
     void leave(std::string_view service);
 
+    /// The sheet that is in force here. While it has this data centre out, a request that an entry sent under an older
+    /// version is refused, because that entry does not know of the change yet.
+    void setSheet(SheetVersion version, bool dataCentreIn);
+
     /// Refuses everything from now on.
     void close();
 
@@ -78,6 +83,10 @@
 private:
     struct Request;
     struct Service;
+    using Services = std::unordered_map<std::string, std::shared_ptr<Service>>;
+
+    /// Why a new request is refused before it reaches admission; empty when it is not.
+    [[nodiscard]] std::string_view refusalReason(Services::const_iterator service) const;
 
     boost::asio::awaitable<void> waitForSlot(Service &service, const std::shared_ptr<Request> &request);
     boost::asio::awaitable<void> call(std::shared_ptr<Service> service, std::shared_ptr<Request> request);
@@ -89,8 +98,10 @@
     std::shared_ptr<HttpClient> m_client;
     Metrics &m_metrics;
     bool m_closed = false;
+    SheetVersion m_sheetVersion = 0;
+    bool m_dataCentreIn = true;
     std::uint64_t m_nextId = 1;
-    std::unordered_map<std::string, std::shared_ptr<Service>> m_services;
+    Services m_services;
     std::atomic<std::uint32_t> m_inProgress{0};
 };
 
--- a/packages/daemon/src/carobflow/daemon/shardrunner.h
+++ b/packages/daemon/src/carobflow/daemon/shardrunner.h
@@ -32,7 +32,7 @@
         std::function<bool(TimePoint)> hasLeaderContact;
     };
 
-    ShardRunner(boost::asio::any_io_executor executor,
+    ShardRunner(const boost::asio::any_io_executor &executor,
                 Options options,
                 TableService &table,
                 ObjectStore &objects,
@@ -72,6 +72,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiting>> m_waiting;
     std::map<std::string, std::shared_ptr<Notifier>> m_syncs;
     bool m_wasLeading = false;
+    bool m_releasing = false;
 };
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
+++ b/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
@@ -63,11 +63,13 @@
     std::string text;
 };
 
-SheetRepository::SheetRepository(Options options, TableService &table, ObjectStore &objects, Listener listener)
+SheetRepository::SheetRepository(
+    Options options, TableService &table, ObjectStore &objects, Listener listener, Fetch fetch)
     : m_options(options)
     , m_table(table)
     , m_objects(objects)
     , m_listener(std::move(listener))
+    , m_fetch(std::move(fetch))
 {
 }
 
@@ -75,10 +77,33 @@
 {
     for (;;) {
         co_await refresh();
+        co_await fetchFromOthers();
         co_await sleepFor(m_options.pollInterval);
     }
 }
 
+void SheetRepository::noteVersion(SheetVersion version)
+{
+    SheetVersion seen = m_seenVersion;
+    while (seen < version && !m_seenVersion.compare_exchange_weak(seen, version)) {
+    }
+}
+
+boost::asio::awaitable<void> SheetRepository::fetchFromOthers()
+{
+    const auto known = current();
+    const SheetVersion wanted = m_seenVersion;
+    if (wanted <= (known ? known->version : 0)) {
+        co_return;
+    }
+    auto sheet = co_await m_fetch(wanted);
+    if (sheet) {
+        // Not confirmed with the table: the time of the last confirmation stays, which is older and so on the safe
+        // side.
+        publish(std::move(sheet), std::nullopt);
+    }
+}
+
 boost::asio::awaitable<void> SheetRepository::refresh()
 {
     const TimePoint sentAt = std::chrono::steady_clock::now();
@@ -124,7 +149,7 @@
             sentAt);
 }
 
-void SheetRepository::publish(std::shared_ptr<const AcceptedSheet> sheet, TimePoint confirmedAt)
+void SheetRepository::publish(const std::shared_ptr<const AcceptedSheet> &sheet, std::optional<TimePoint> confirmedAt)
 {
     bool changed = false;
     {
@@ -138,7 +163,7 @@
         if (changed) {
             m_current = sheet;
         }
-        if (!m_confirmedAt || *m_confirmedAt < confirmedAt) {
+        if (confirmedAt && (!m_confirmedAt || *m_confirmedAt < *confirmedAt)) {
             m_confirmedAt = confirmedAt;
         }
     }
@@ -185,8 +210,9 @@
     if (current.version != replaces) {
         co_return SheetConflict{current.version};
     }
+    std::string digest = sheetDigest(text);
     Change change{.row = {.version = replaces + 1,
-                          .digest = sheetDigest(text),
+                          .digest = std::move(digest),
                           .author = std::move(author),
                           .token = randomToken(),
                           .referenceUnixSeconds = now,
@@ -213,8 +239,9 @@
     if (!isOk(text)) {
         co_return errorOf(text);
     }
+    std::string digest = sheetDigest(valueOf(text));
     Change change{.row = {.version = sheet->version + 1,
-                          .digest = sheetDigest(valueOf(text)),
+                          .digest = std::move(digest),
                           .author = std::move(author),
                           .token = randomToken(),
                           .referenceUnixSeconds = sheet->referenceUnixSeconds,
@@ -288,11 +315,11 @@
 
 boost::asio::awaitable<Result<std::vector<SheetHistoryEntry>>> SheetRepository::history()
 {
-    constexpr std::size_t PageSize = 500;
+    constexpr std::size_t pageSize = 500;
     std::vector<SheetHistoryEntry> entries;
     std::string after;
     for (;;) {
-        const auto rows = co_await m_table.readRange("sheet/history/", after, PageSize);
+        const auto rows = co_await m_table.readRange("sheet/history/", after, pageSize);
         if (!isOk(rows)) {
             co_return errorOf(rows);
         }
@@ -305,7 +332,7 @@
             }
             after = row.key;
         }
-        if (valueOf(rows).size() < PageSize) {
+        if (valueOf(rows).size() < pageSize) {
             co_return entries;
         }
     }
--- a/packages/daemon/src/carobflow/daemon/taskrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.cpp
@@ -23,7 +23,7 @@
 
 constexpr Milliseconds ActionInterval{50};
 constexpr Milliseconds RetryInterval{200};
-constexpr std::array<std::string_view, 5> ActionNames{"start", "renew", "checkpoint", "throttle", "stop"};
+constexpr std::array<std::string_view, 6> ActionNames{"start", "renew", "checkpoint", "throttle", "stop", "remove"};
 
 std::string_view actionName(WorkerAction::Kind kind)
 {
@@ -32,7 +32,7 @@
 
 } // namespace
 
-TaskRunner::TaskRunner(boost::asio::any_io_executor executor,
+TaskRunner::TaskRunner(const boost::asio::any_io_executor &executor,
                        Options options,
                        Callbacks callbacks,
                        WorkerRuntime &worker,
@@ -75,9 +75,9 @@
     m_supervisor.setLeaving();
 }
 
-bool TaskRunner::isIdle() const
+bool TaskRunner::isSettled() const
 {
-    return m_supervisor.reserved() == Resources{};
+    return m_supervisor.isSettled();
 }
 
 bool TaskRunner::hasLeaderContact(TimePoint now, Milliseconds within) const
@@ -137,6 +137,9 @@
     case WorkerAction::Kind::Stop:
         status = co_await m_worker.stop(action.task.job, action.task.fence);
         break;
+    case WorkerAction::Kind::Remove:
+        status = co_await m_worker.remove(action.task.job, action.task.fence);
+        break;
     }
     m_metrics.countTaskEvent(actionName(action.kind));
     if (action.kind != WorkerAction::Kind::Renew) {
@@ -203,6 +206,10 @@
         = co_await callUnary<carobflow::ShardService::Stub, carobflow::SyncRequest, carobflow::SyncReply>(
             std::move(stub), &carobflow::ShardService::Stub::async::Sync, toMessage(report), m_options.syncTimeout);
     if (!status.ok() || !reply.leading()) {
+        if (status.ok()) {
+            // The leader has stepped down: a candidate looks at the row now and not only when the contact is old.
+            m_lastContact = 0;
+        }
         m_supervisor.onReportLost();
         co_return false;
     }
