--- a/tests/integration/sheet_test.cpp
+++ b/tests/integration/sheet_test.cpp
@@ -194,6 +194,8 @@
 
 /// Takes a data centre out under a stream of jobs and requests while a fault lasts, checks what still begins there, and
 /// brings it back.
+/// Guards against starts on orders or sheets from before the change. A fault of the leader's choice and of the agent's
+/// gate together fails it; with either one intact nothing starts, so their unit tests guard each of them.
 void takeOutAndIn(Cluster &cluster,
                   const std::string &fault,
                   const std::function<void()> &begin,
