Wait for ready entries in the harness and end orphaned processes

Cause: the test of the HTTP interface failed once in a full run: /readyz answered 503, because an entry is ready only two announcement intervals after the first upstream. The harness did not wait for that, unlike the platform's balancer. A test that was killed at its time limit left its daemons running.

Ruled out: a fault of the entry; its rule keeps requests from an entry that knows few upstreams.

Change: Cluster waits for /readyz of every entry before it counts as started; children ask the kernel to be killed with their parent; the last two findings of the linter are gone.

--- a/packages/bench/src/carobflow/bench/childprocess.cpp
+++ b/packages/bench/src/carobflow/bench/childprocess.cpp
@@ -9,7 +9,9 @@
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
 #include <boost/process/exe.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
+#include <sys/prctl.h>
 
 namespace Carobflow::Bench
 {
@@ -29,10 +31,15 @@
 public:
     explicit Private(Options given)
         : options(std::move(given))
-        , child(bp::exe = options.program.string(),
-                bp::args = options.arguments,
-                (bp::std_out & bp::std_err) > options.output.string(),
-                bp::std_in < bp::null)
+        , child(
+              bp::exe = options.program.string(),
+              bp::args = options.arguments,
+              (bp::std_out & bp::std_err) > options.output.string(),
+              bp::std_in < bp::null,
+              bp::extend::on_exec_setup = [](auto & /*executor*/) {
+                  // A test that is killed at its time limit must not leave its processes behind.
+                  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+              })
     {
     }
 
--- a/packages/bench/src/carobflow/bench/cluster.cpp
+++ b/packages/bench/src/carobflow/bench/cluster.cpp
@@ -326,6 +326,16 @@
         }
         return true;
     });
+    waitUntil("all entries are ready, as the platform's balancer sees it", [&] {
+        for (std::uint32_t index = 0; index < d->entries.size(); ++index) {
+            const auto outcome = d->caller.call(entry(index), {.target = "/readyz"});
+            const auto *answer = std::get_if<HttpAnswer>(&outcome);
+            if (answer == nullptr || answer->status != 200) {
+                return false;
+            }
+        }
+        return true;
+    });
     waitUntil("all shards are led", [&] {
         const auto outcome = d->caller.call(entry(0), {.target = "/v1/jobs", .timeout = Milliseconds(8000)});
         const auto *answer = std::get_if<HttpAnswer>(&outcome);
--- a/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
+++ b/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
@@ -96,11 +96,11 @@
     if (wanted <= (known ? known->version : 0)) {
         co_return;
     }
-    auto sheet = co_await m_fetch(wanted);
+    const auto sheet = co_await m_fetch(wanted);
     if (sheet) {
         // Not confirmed with the table: the time of the last confirmation stays, which is older and so on the safe
         // side.
-        publish(std::move(sheet), std::nullopt);
+        publish(sheet, std::nullopt);
     }
 }
 
