--- a/packages/core/tests/tasksupervisor_random_test.cpp
+++ b/packages/core/tests/tasksupervisor_random_test.cpp
@@ -300,7 +300,7 @@
     Status atWorker(const WorkerAction &action, TimePoint known)
     {
         if (action.kind == WorkerAction::Kind::Start) {
-            const Status status = m_worker.start(m_now, action.start);
+            Status status = m_worker.start(m_now, action.start);
             if (isOk(status)) {
                 m_started.insert(action.task);
             }
