Keep lists of entries and leaders out of most announcement replies

Cause: each reply of Announce named all entries and the leaders of all shards. With 72 shards each reply would also have named 72 leaders; that was not measured, because one shard runs today.

Ruled out: announcing less often, since it delays the sheet and the expiry of upstreams.

Change: a request carries the host's shard and the digest of the list that this entry sent last; the reply names the leader of that shard, and the entries only when their digest differs.

--- a/packages/bench/src/carobflow/bench/cluster.cpp
+++ b/packages/bench/src/carobflow/bench/cluster.cpp
@@ -1,282 +1,25 @@
 #include "carobflow/bench/cluster.h"
 
-#include "carobflow/bench/internal/portreservation.h"
+#include "carobflow/bench/internal/clusterprivate.h"
 
 #include <csignal>
-#include <fstream>
-#include <sstream>
 #include <stdexcept>
 
 #include <boost/json/object.hpp>
 #include <boost/json/value_to.hpp>
-#include <unistd.h>
 
 namespace Carobflow::Bench
 {
 namespace
 {
 
-namespace fs = std::filesystem;
 namespace json = boost::json;
 
-constexpr std::string_view Loopback = "127.0.0.1";
 /// Hundreds of daemons that start at once take turns on the processors.
 constexpr Milliseconds StartLimit{60000};
-constexpr std::string_view DaemonName = "carobflowd";
-constexpr std::string_view Token = "measurement-token";
-
-HttpEndpoint local(std::uint16_t port)
-{
-    return {.host = std::string(Loopback), .port = port};
-}
-
-std::string addressOf(std::uint16_t port)
-{
-    return std::string(Loopback) + ":" + std::to_string(port);
-}
-
-std::uint16_t portIn(const std::string &line, std::string_view key)
-{
-    return static_cast<std::uint16_t>(std::stoul(valueInLine(line, key)));
-}
-
-fs::path createDirectory()
-{
-    std::string pattern = (fs::temp_directory_path() / "carobflow-XXXXXX").string();
-    if (::mkdtemp(pattern.data()) == nullptr) {
-        throw std::runtime_error("cannot create a temporary directory");
-    }
-    return pattern;
-}
-
-/// Writes settings as an INI file with a section for each prefix of the keys.
-void writeSettings(const fs::path &path, const std::map<std::string, std::string> &settings)
-{
-    std::ofstream file(path);
-    std::string section;
-    for (const auto &[key, value] : settings) {
-        const auto dot = key.find('.');
-        if (key.substr(0, dot) != section) {
-            section = key.substr(0, dot);
-            file << "[" << section << "]\n";
-        }
-        file << key.substr(dot + 1) << " = " << value << "\n";
-    }
-}
 
 } // namespace
 
-class Cluster::Private
-{
-public:
-    struct Host {
-        std::unique_ptr<ChildProcess> standIn;
-        std::unique_ptr<ChildProcess> agent;
-        std::uint16_t workerPort = 0;
-        std::uint16_t controlPort = 0;
-        std::uint16_t upstreamPort = 0;
-        std::uint16_t agentHttpPort = 0;
-        std::uint16_t agentGrpcPort = 0;
-    };
-
-    struct Entry {
-        std::unique_ptr<ChildProcess> process;
-        std::uint16_t httpPort = 0;
-        std::uint16_t grpcPort = 0;
-    };
-
-    explicit Private(Options given)
-        : options(std::move(given))
-        , directory(createDirectory())
-        , binaries(fs::read_symlink("/proc/self/exe").parent_path())
-    {
-    }
-
-    std::unique_ptr<ChildProcess>
-    spawn(const std::string &name, const std::string &program, std::vector<std::string> arguments)
-    {
-        return std::make_unique<ChildProcess>(ChildProcess::Options{
-            .name = name,
-            .program = program == DaemonName && !options.daemon.empty() ? options.daemon : binaries / program,
-            .arguments = std::move(arguments),
-            .output = directory / (name + "-" + std::to_string(++starts) + ".log")});
-    }
-
-    void startStandIns()
-    {
-        platform = spawn("platform", "carobflow-standin", {"platform"});
-        const std::string line = platform->waitForLine("ready ");
-        platformPort = portIn(line, "port");
-        platformControlPort = portIn(line, "control");
-        const Deployment &sizes = options.deployment;
-        hosts.resize(sizes.hosts);
-        for (std::uint32_t index = 0; index < sizes.hosts; index += options.agentsPerStandIn) {
-            std::vector<std::string> arguments{"host",
-                                               "--name",
-                                               hostName(index),
-                                               "--service",
-                                               sizes.service,
-                                               "--slots",
-                                               std::to_string(sizes.slots),
-                                               "--connections",
-                                               std::to_string(sizes.connections),
-                                               "--cpu-millis",
-                                               std::to_string(sizes.cpuMillis),
-                                               "--memory-mib",
-                                               std::to_string(sizes.memoryMiB),
-                                               "--service-ms",
-                                               std::to_string(sizes.serviceMilliseconds),
-                                               "--seed",
-                                               std::to_string(options.seed * 1000 + index),
-                                               "--pair-seed",
-                                               std::to_string(options.seed)};
-            arguments.insert(arguments.end(), options.hostArguments.begin(), options.hostArguments.end());
-            if (const auto single = options.singleHostArguments.find(index);
-                single != options.singleHostArguments.end()) {
-                arguments.insert(arguments.end(), single->second.begin(), single->second.end());
-            }
-            hosts[index].standIn = spawn(hostName(index) + "-standin", "carobflow-standin", std::move(arguments));
-        }
-        for (std::uint32_t index = 0; index < sizes.hosts; ++index) {
-            Host &host = hosts[index];
-            const Host &owner = hosts[index - index % options.agentsPerStandIn];
-            const std::string ready = owner.standIn->waitForLine("ready ");
-            host.workerPort = portIn(ready, "port");
-            host.controlPort = portIn(ready, "control");
-            host.upstreamPort = portIn(ready, "upstream");
-        }
-    }
-
-    void reservePorts()
-    {
-        for (Host &host : hosts) {
-            host.agentHttpPort = ports.reserve();
-            host.agentGrpcPort = ports.reserve();
-        }
-        entries.resize(options.deployment.entries);
-        for (Entry &entry : entries) {
-            entry.httpPort = ports.reserve();
-            entry.grpcPort = ports.reserve();
-        }
-    }
-
-    void startProxy()
-    {
-        if (!options.proxied) {
-            return;
-        }
-        std::vector<std::string> arguments{"proxy", "--route", "table@0=" + addressOf(platformPort)};
-        const auto add = [&](const std::string &name, std::uint16_t port) {
-            arguments.insert(arguments.end(), {"--route", name + "@0=" + addressOf(port)});
-        };
-        for (std::size_t index = 0; index < hosts.size(); ++index) {
-            add("worker-" + std::to_string(index), hosts[index].workerPort);
-            add("agent-" + std::to_string(index), hosts[index].agentGrpcPort);
-        }
-        for (std::size_t index = 0; index < entries.size(); ++index) {
-            add("entry-" + std::to_string(index), entries[index].grpcPort);
-            if (options.separateEntryTables) {
-                add("entry-table-" + std::to_string(index), platformPort);
-            }
-        }
-        proxy = spawn("proxy", "carobflow-standin", std::move(arguments));
-        proxyReady = proxy->waitForLine("ready ");
-        proxyControlPort = portIn(proxyReady, "control");
-    }
-
-    /// The address at which others reach a port: the proxy's route when there is a proxy.
-    [[nodiscard]] std::string through(const std::string &route, std::uint16_t port) const
-    {
-        return addressOf(options.proxied ? portIn(proxyReady, "route." + route) : port);
-    }
-
-    [[nodiscard]] std::map<std::string, std::string> commonSettings(const std::string &name) const
-    {
-        std::map<std::string, std::string> settings{
-            {"process.name", name},
-            {"process.threads", "2"},
-            {"process.shards", std::to_string(options.deployment.shards)},
-            {"process.seed", std::to_string(options.seed)},
-            {"platform.table", through("table", platformPort)},
-            {"platform.objects", through("table", platformPort)},
-        };
-        return settings;
-    }
-
-    void startEntry(std::uint32_t index)
-    {
-        Entry &entry = entries[index];
-        const std::string name = "entry-" + std::to_string(index);
-        auto settings = commonSettings(name);
-        if (options.separateEntryTables) {
-            settings["platform.table"] = through("entry-table-" + std::to_string(index), platformPort);
-            settings["platform.objects"] = settings["platform.table"];
-        }
-        settings["process.role"] = "entry";
-        settings["process.data_centre"] = options.deployment.dataCentres[index % options.deployment.dataCentres.size()];
-        settings["listen.http"] = addressOf(entry.httpPort);
-        settings["listen.grpc"] = addressOf(entry.grpcPort);
-        settings["listen.advertise"] = through(name, entry.grpcPort);
-        settings["entry.operator_token"] = std::string(Token);
-        launch(name, settings, entry.process);
-    }
-
-    void startAgent(std::uint32_t index)
-    {
-        Host &host = hosts[index];
-        const std::string suffix = std::to_string(index);
-        auto settings = commonSettings(hostName(index));
-        settings["process.role"] = "agent";
-        settings["process.data_centre"] = dataCentreOf(index);
-        settings["process.rack"] = "rack-" + std::to_string(index / options.deployment.hostsPerRack);
-        settings["listen.http"] = addressOf(host.agentHttpPort);
-        settings["listen.grpc"] = addressOf(host.agentGrpcPort);
-        settings["listen.advertise"] = through("agent-" + suffix, host.agentGrpcPort);
-        settings["platform.worker"] = through("worker-" + suffix, host.workerPort);
-        settings["agent.cpu_millis"] = std::to_string(options.deployment.cpuMillis);
-        settings["agent.memory_mib"] = std::to_string(options.deployment.memoryMiB);
-        launch(hostName(index), settings, host.agent);
-    }
-
-    void
-    launch(const std::string &name, std::map<std::string, std::string> settings, std::unique_ptr<ChildProcess> &process)
-    {
-        for (const auto &[key, value] : options.settings) {
-            settings[key] = value;
-        }
-        const fs::path path = directory / (name + ".ini");
-        writeSettings(path, settings);
-        process = spawn(name, std::string(DaemonName), {"--settings", path.string()});
-    }
-
-    [[nodiscard]] std::string hostName(std::uint32_t index) const
-    {
-        return "host-" + std::to_string(index);
-    }
-
-    /// Racks are spread over the data centres in turn.
-    [[nodiscard]] std::string dataCentreOf(std::uint32_t index) const
-    {
-        const auto &dataCentres = options.deployment.dataCentres;
-        return dataCentres[(index / options.deployment.hostsPerRack) % dataCentres.size()];
-    }
-
-    Options options;
-    fs::path directory;
-    fs::path binaries;
-    HttpCaller caller;
-    PortReservation ports;
-    int starts = 0;
-    std::uint16_t platformPort = 0;
-    std::uint16_t platformControlPort = 0;
-    std::uint16_t proxyControlPort = 0;
-    std::string proxyReady;
-    std::unique_ptr<ChildProcess> platform;
-    std::unique_ptr<ChildProcess> proxy;
-    std::vector<Host> hosts;
-    std::vector<Entry> entries;
-};
-
 Cluster::Cluster(Options options)
     : d(std::make_unique<Private>(std::move(options)))
 {
@@ -284,12 +27,12 @@
 
 Cluster::~Cluster()
 {
-    const fs::path directory = d->directory;
+    const std::filesystem::path directory = d->directory;
     const bool keep = std::uncaught_exceptions() > 0 || ::getenv("CAROBFLOW_KEEP_LOGS") != nullptr;
     d.reset();
     std::error_code ignored;
     if (!keep) {
-        fs::remove_all(directory, ignored);
+        std::filesystem::remove_all(directory, ignored);
     }
 }
 
@@ -311,10 +54,10 @@
     for (auto &host : d->hosts) {
         host.agent->waitForLine("event=ready", StartLimit);
         std::string &agents = agentsByControlPort[host.controlPort];
-        agents += (agents.empty() ? "" : ",") + addressOf(host.agentHttpPort);
+        agents += (agents.empty() ? "" : ",") + localAddress(host.agentHttpPort);
     }
     for (const auto &[port, agents] : agentsByControlPort) {
-        d->caller.postJson(local(port), "/control", {{"agent", agents}});
+        d->caller.postJson(localEndpoint(port), "/control", {{"agent", agents}});
     }
     applySheet(sheet);
     waitUntil("all entries know all upstreams", [&] {
@@ -371,41 +114,41 @@
 
 HttpEndpoint Cluster::entry(std::uint32_t index) const
 {
-    return local(d->entries.at(index).httpPort);
+    return localEndpoint(d->entries.at(index).httpPort);
 }
 
 HttpEndpoint Cluster::agentHttp(std::uint32_t index) const
 {
-    return local(d->hosts.at(index).agentHttpPort);
+    return localEndpoint(d->hosts.at(index).agentHttpPort);
 }
 
 HttpEndpoint Cluster::platformControl() const
 {
-    return local(d->platformControlPort);
+    return localEndpoint(d->platformControlPort);
 }
 
 HttpEndpoint Cluster::platform() const
 {
-    return local(d->platformPort);
+    return localEndpoint(d->platformPort);
 }
 
 std::vector<HttpEndpoint> Cluster::entries() const
 {
     std::vector<HttpEndpoint> endpoints;
     for (const Private::Entry &entry : d->entries) {
-        endpoints.push_back(local(entry.httpPort));
+        endpoints.push_back(localEndpoint(entry.httpPort));
     }
     return endpoints;
 }
 
 HttpEndpoint Cluster::hostControl(std::uint32_t index) const
 {
-    return local(d->hosts.at(index).controlPort);
+    return localEndpoint(d->hosts.at(index).controlPort);
 }
 
 HttpEndpoint Cluster::upstream(std::uint32_t index) const
 {
-    return local(d->hosts.at(index).upstreamPort);
+    return localEndpoint(d->hosts.at(index).upstreamPort);
 }
 
 std::string Cluster::hostName(std::uint32_t index) const
@@ -442,15 +185,16 @@
 
 void Cluster::setRoute(std::string_view route, std::string_view mode, std::uint32_t delayMilliseconds)
 {
-    d->caller.postJson(
-        local(d->proxyControlPort), "/control", {{"route", route}, {"mode", mode}, {"delayMs", delayMilliseconds}});
+    d->caller.postJson(localEndpoint(d->proxyControlPort),
+                       "/control",
+                       {{"route", route}, {"mode", mode}, {"delayMs", delayMilliseconds}});
 }
 
 void Cluster::setDistances()
 {
     const auto microseconds = static_cast<std::int64_t>(d->options.deployment.dataCentreMilliseconds * 1000);
     for (std::size_t index = 0; index < d->hosts.size(); ++index) {
-        d->caller.postJson(local(d->proxyControlPort),
+        d->caller.postJson(localEndpoint(d->proxyControlPort),
                            "/control",
                            {{"route", "agent-" + std::to_string(index)}, {"mode", "delay"}, {"delayUs", microseconds}});
     }
@@ -459,7 +203,7 @@
 std::map<std::string, std::uint64_t> Cluster::routeBytes()
 {
     std::map<std::string, std::uint64_t> bytes;
-    const auto routes = d->caller.postJson(local(d->proxyControlPort), "/control", json::object());
+    const auto routes = d->caller.postJson(localEndpoint(d->proxyControlPort), "/control", json::object());
     for (const auto &route : routes.as_object()) {
         bytes[route.key()] = route.value().at("bytesToTarget").to_number<std::uint64_t>()
             + route.value().at("bytesFromTarget").to_number<std::uint64_t>();
@@ -485,7 +229,7 @@
     const auto answer = d->caller.mustCall(entry(entryIndex),
                                            {.method = "PUT",
                                             .target = "/v1/sheet",
-                                            .headers = {{"Authorization", "Bearer " + std::string(Token)},
+                                            .headers = {{"Authorization", "Bearer " + std::string(OperatorToken)},
                                                         {"If-Match", std::to_string(current)},
                                                         {"Carobflow-Author", "measurement"}},
                                             .body = text,
@@ -502,7 +246,7 @@
         entry(entryIndex),
         {.method = "POST",
          .target = "/v1/datacentres/" + std::string(dataCentre) + (inService ? "/in" : "/out"),
-         .headers = {{"Authorization", "Bearer " + std::string(Token)}, {"Carobflow-Author", "measurement"}},
+         .headers = {{"Authorization", "Bearer " + std::string(OperatorToken)}, {"Carobflow-Author", "measurement"}},
          .timeout = Milliseconds(10000)});
     if (answer.status != 200) {
         throw std::runtime_error("the data centre was not changed: " + answer.body);
@@ -560,14 +304,14 @@
     return d->options.deployment;
 }
 
-const fs::path &Cluster::directory() const
+const std::filesystem::path &Cluster::directory() const
 {
     return d->directory;
 }
 
 std::string_view Cluster::operatorToken()
 {
-    return Token;
+    return OperatorToken;
 }
 
 } // namespace Carobflow::Bench
--- /dev/null
+++ b/packages/bench/src/carobflow/bench/internal/clusterprivate.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "carobflow/bench/cluster.h"
+#include "carobflow/bench/internal/portreservation.h"
+
+namespace Carobflow::Bench
+{
+
+/// The name under which the daemon is installed beside the test program.
+inline constexpr std::string_view DaemonName = "carobflowd";
+inline constexpr std::string_view OperatorToken = "measurement-token";
+
+/// The processes of a cluster, and how each is started.
+class Cluster::Private
+{
+public:
+    struct Host {
+        std::unique_ptr<ChildProcess> standIn;
+        std::unique_ptr<ChildProcess> agent;
+        std::uint16_t workerPort = 0;
+        std::uint16_t controlPort = 0;
+        std::uint16_t upstreamPort = 0;
+        std::uint16_t agentHttpPort = 0;
+        std::uint16_t agentGrpcPort = 0;
+    };
+
+    struct Entry {
+        std::unique_ptr<ChildProcess> process;
+        std::uint16_t httpPort = 0;
+        std::uint16_t grpcPort = 0;
+    };
+
+    explicit Private(Options given);
+
+    std::unique_ptr<ChildProcess>
+    spawn(const std::string &name, const std::string &program, std::vector<std::string> arguments);
+
+    void startStandIns();
+
+    void reservePorts();
+
+    void startProxy();
+
+    /// The address at which others reach a port: the proxy's route when there is a proxy.
+    [[nodiscard]] std::string through(const std::string &route, std::uint16_t port) const;
+
+    [[nodiscard]] std::map<std::string, std::string> commonSettings(const std::string &name) const;
+
+    void startEntry(std::uint32_t index);
+
+    void startAgent(std::uint32_t index);
+
+    void launch(const std::string &name,
+                std::map<std::string, std::string> settings,
+                std::unique_ptr<ChildProcess> &process);
+
+    [[nodiscard]] std::string hostName(std::uint32_t index) const;
+
+    /// Racks are spread over the data centres in turn.
+    [[nodiscard]] std::string dataCentreOf(std::uint32_t index) const;
+
+    Options options;
+    std::filesystem::path directory;
+    std::filesystem::path binaries;
+    HttpCaller caller;
+    PortReservation ports;
+    int starts = 0;
+    std::uint16_t platformPort = 0;
+    std::uint16_t platformControlPort = 0;
+    std::uint16_t proxyControlPort = 0;
+    std::string proxyReady;
+    std::unique_ptr<ChildProcess> platform;
+    std::unique_ptr<ChildProcess> proxy;
+    std::vector<Host> hosts;
+    std::vector<Entry> entries;
+};
+
+HttpEndpoint localEndpoint(std::uint16_t port);
+std::string localAddress(std::uint16_t port);
+
+} // namespace Carobflow::Bench
--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -143,6 +143,7 @@
                             Announcer::Options{.host = m_settings.name,
                                                .dataCentre = m_settings.dataCentre,
                                                .agentAddress = m_address,
+                                               .shard = m_shard,
                                                .bootId = m_bootId,
                                                .interval = m_settings.announceInterval},
                             Announcer::Callbacks{.upstreams = [this] { return announcedUpstreams(); },
--- a/packages/daemon/src/carobflow/daemon/announcer.cpp
+++ b/packages/daemon/src/carobflow/daemon/announcer.cpp
@@ -66,6 +66,7 @@
     request.set_data_centre(m_options.dataCentre);
     request.set_agent_address(m_options.agentAddress);
     request.set_boot_id(m_options.bootId);
+    request.set_shard(m_options.shard);
     request.set_sheet_version(m_sheet.version);
     for (auto &upstream : co_await m_callbacks.upstreams()) {
         *request.add_upstreams() = std::move(upstream);
@@ -76,6 +77,7 @@
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         if (now - entry->second > EntryMemory) {
             m_channels.forget(entry->first);
+            m_namedBy.erase(entry->first);
             entry = m_entries.erase(entry);
         } else {
             addresses.push_back(entry->first);
@@ -105,6 +107,7 @@
 boost::asio::awaitable<bool> Announcer::announceTo(std::string address, carobflow::AnnounceRequest request)
 {
     std::shared_ptr<Stub> stub = carobflow::EntryService::NewStub(m_channels.channel(address));
+    request.set_entries_digest(m_namedBy[address].digest);
     const TimePoint sentAt = std::chrono::steady_clock::now();
     const auto [status, reply] = co_await callUnary<Stub, carobflow::AnnounceRequest, carobflow::AnnounceReply>(
         std::move(stub), &Stub::async::Announce, std::move(request), CallTimeout);
@@ -113,7 +116,7 @@
         co_return false;
     }
     m_lastReply = std::chrono::steady_clock::now();
-    learnEntries(reply);
+    learnEntries(address, reply);
     for (const auto &row : reply.leaders()) {
         ShardLeaderRow &known = m_leaders[row.shard()];
         if (row.epoch() >= known.epoch) {
@@ -130,10 +133,21 @@
     co_return true;
 }
 
-void Announcer::learnEntries(const carobflow::AnnounceReply &reply)
+void Announcer::learnEntries(const std::string &from, const carobflow::AnnounceReply &reply)
 {
-    for (const auto &entry : reply.entries()) {
-        m_entries[entry.address()] = m_lastReply;
+    NamedEntries &named = m_namedBy[from];
+    if (reply.entries().empty() && reply.entries_digest() != named.digest) {
+        // The reply belongs to a request with another digest; the next one asks for the list again.
+        named.digest = 0;
+    } else if (!reply.entries().empty()) {
+        named.digest = reply.entries_digest();
+        named.addresses.clear();
+        for (const auto &entry : reply.entries()) {
+            named.addresses.push_back(entry.address());
+        }
+    }
+    for (const std::string &address : named.addresses) {
+        m_entries[address] = m_lastReply;
     }
 }
 
--- a/packages/daemon/src/carobflow/daemon/announcer.h
+++ b/packages/daemon/src/carobflow/daemon/announcer.h
@@ -39,6 +39,7 @@
         std::string host;
         std::string dataCentre;
         std::string agentAddress;
+        ShardId shard = 0;
         std::uint64_t bootId = 0;
         Milliseconds interval{500};
         /// Entries are read from the table again when none has answered for this long.
@@ -79,7 +80,7 @@
     boost::asio::awaitable<bool> announceTo(std::string address, carobflow::AnnounceRequest request);
     boost::asio::awaitable<void> fetchSheet(std::string address, SheetVersion version);
     boost::asio::awaitable<void> searchEntries();
-    void learnEntries(const carobflow::AnnounceReply &reply);
+    void learnEntries(const std::string &from, const carobflow::AnnounceReply &reply);
 
     boost::asio::any_io_executor m_strand;
     Options m_options;
@@ -87,7 +88,15 @@
     TableService &m_table;
     ChannelPool &m_channels;
     std::uint64_t m_sequence = 0;
+    /// What one entry named last, and the digest of its list.
+    struct NamedEntries {
+        std::vector<std::string> addresses;
+        std::uint64_t digest = 0;
+    };
+
+    /// When each entry was named last.
     std::map<std::string, TimePoint> m_entries;
+    std::map<std::string, NamedEntries> m_namedBy;
     std::set<std::string> m_inFlight;
     TimePoint m_lastReply;
     TimePoint m_lastSearch;
--- a/packages/daemon/src/carobflow/daemon/clusterview.cpp
+++ b/packages/daemon/src/carobflow/daemon/clusterview.cpp
@@ -94,7 +94,8 @@
         co_return;
     }
     const TimePoint now = std::chrono::steady_clock::now();
-    std::vector<EntryMember> members;
+    EntryList list;
+    std::string text;
     for (const Row &row : valueOf(rows)) {
         Seen &seen = m_seen[row.key];
         if (seen.value != row.value) {
@@ -104,11 +105,13 @@
         const auto *leaving = object.if_contains("leaving");
         const bool gone = leaving != nullptr && leaving->is_bool() && leaving->as_bool();
         if (!gone && now - seen.changedAt < m_options.entryTimeout) {
-            members.push_back({.name = row.key.substr(EntryPrefix.size()), .address = textOf(object, "address")});
+            list.members.push_back({.name = row.key.substr(EntryPrefix.size()), .address = textOf(object, "address")});
+            text += list.members.back().name + "=" + list.members.back().address + "\n";
         }
     }
+    list.digest = stableHash(text);
     const std::lock_guard lock(m_mutex);
-    m_entries = std::move(members);
+    m_entries = std::make_shared<const EntryList>(std::move(list));
 }
 
 boost::asio::awaitable<void> ClusterView::readLeaders()
@@ -166,23 +169,23 @@
     co_return false;
 }
 
-std::vector<EntryMember> ClusterView::entries() const
+std::shared_ptr<const EntryList> ClusterView::entries() const
 {
     const std::lock_guard lock(m_mutex);
     return m_entries;
 }
 
-std::vector<ShardLeaderRow> ClusterView::leaders() const
+std::optional<ShardLeaderRow> ClusterView::leader(ShardId shard) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_leaders;
+    const auto found = std::ranges::find(m_leaders, shard, &ShardLeaderRow::shard);
+    return found == m_leaders.end() ? std::nullopt : std::optional(*found);
 }
 
 std::optional<std::string> ClusterView::leaderAddress(ShardId shard) const
 {
-    const std::lock_guard lock(m_mutex);
-    const auto found = std::ranges::find(m_leaders, shard, &ShardLeaderRow::shard);
-    return found == m_leaders.end() ? std::nullopt : std::optional(found->address);
+    const auto row = leader(shard);
+    return row ? std::optional(row->address) : std::nullopt;
 }
 
 bool ClusterView::isDrained(const std::string &host) const
--- a/packages/daemon/src/carobflow/daemon/clusterview.h
+++ b/packages/daemon/src/carobflow/daemon/clusterview.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -25,6 +26,12 @@
     bool operator==(const EntryMember &) const = default;
 };
 
+/// The entries that are alive, with a digest by which others see whether they have this list already.
+struct EntryList {
+    std::vector<EntryMember> members;
+    std::uint64_t digest = 0;
+};
+
 /// The leader of a shard as the shard's row describes it.
 struct ShardLeaderRow {
     ShardId shard = 0;
@@ -61,8 +68,8 @@
     /// Sets or ends the drain of a host's upstreams; false when the table did not confirm it.
     boost::asio::awaitable<bool> setDrained(std::string host, bool drained);
 
-    [[nodiscard]] std::vector<EntryMember> entries() const;
-    [[nodiscard]] std::vector<ShardLeaderRow> leaders() const;
+    [[nodiscard]] std::shared_ptr<const EntryList> entries() const;
+    [[nodiscard]] std::optional<ShardLeaderRow> leader(ShardId shard) const;
     [[nodiscard]] std::optional<std::string> leaderAddress(ShardId shard) const;
     [[nodiscard]] bool isDrained(const std::string &host) const;
 
@@ -84,7 +91,7 @@
     std::atomic<bool> m_leaving{false};
     std::map<std::string, Seen> m_seen;
     mutable std::mutex m_mutex;
-    std::vector<EntryMember> m_entries;
+    std::shared_ptr<const EntryList> m_entries = std::make_shared<const EntryList>();
     std::vector<ShardLeaderRow> m_leaders;
     std::vector<std::string> m_drained;
 };
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -173,7 +173,8 @@
     asio::awaitable<std::shared_ptr<const AcceptedSheet>> fetchSheet(SheetVersion version)
     {
         using Stub = carobflow::EntryService::Stub;
-        for (const EntryMember &entry : m_cluster->entries()) {
+        const auto entries = m_cluster->entries();
+        for (const EntryMember &entry : entries->members) {
             if (entry.name == m_settings.name) {
                 continue;
             }
--- a/packages/daemon/src/carobflow/daemon/entryservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryservice.cpp
@@ -32,16 +32,21 @@
     reply->set_sheet_confirmed_age_ms(
         confirmedAt ? static_cast<std::uint64_t>(std::chrono::ceil<Milliseconds>(now - *confirmedAt).count())
                     : neverConfirmed);
-    for (const EntryMember &member : m_cluster.entries()) {
-        auto *entry = reply->add_entries();
-        entry->set_name(member.name);
-        entry->set_address(member.address);
+    // The list of entries rarely changes, and lists in every reply would grow with agents times entries.
+    const auto entries = m_cluster.entries();
+    reply->set_entries_digest(entries->digest);
+    if (entries->digest != request->entries_digest()) {
+        for (const EntryMember &member : entries->members) {
+            auto *entry = reply->add_entries();
+            entry->set_name(member.name);
+            entry->set_address(member.address);
+        }
     }
-    for (const ShardLeaderRow &row : m_cluster.leaders()) {
+    if (const auto row = m_cluster.leader(request->shard())) {
         auto *leader = reply->add_leaders();
-        leader->set_shard(row.shard);
-        leader->set_epoch(row.epoch);
-        leader->set_address(row.address);
+        leader->set_shard(row->shard);
+        leader->set_epoch(row->epoch);
+        leader->set_address(row->address);
     }
     reply->set_drained(m_cluster.isDrained(request->host()));
     auto *reactor = context->DefaultReactor();
--- /dev/null
+++ b/tests/integration/capacity_test.cpp
@@ -0,0 +1,114 @@
+#include "jobcluster.h"
+
+#include "carobflow/bench/load.h"
+
+using namespace Carobflow;
+using namespace Carobflow::Testing;
+using namespace std::chrono_literals;
+
+// Guards against hosts that are filled by declared sizes although the tasks there use more. The worker takes whatever
+// it is given, so only the counts of the leader and the agent prevent it. The leader's count alone suffices here; the
+// agent's own is guarded by the randomised test of the task supervisor.
+TEST_CASE("no host is given more than it can hold when tasks use twice what they declare", "[jobs]")
+{
+    JobCluster jobs({.hostArguments = {"--accept-all", "--usage-factor", "2"}});
+    for (int index = 0; index < 36; ++index) {
+        REQUIRE(jobs.submit("job-" + std::to_string(index), 1 + index % 4));
+    }
+    jobs.finish();
+    // Usage is measured 500 ms after a start and then takes a list to be known.
+    constexpr std::int64_t knownAfter = 1500;
+    const Runs runs = jobs.runs();
+    for (const auto &[job, list] : runs) {
+        std::int64_t used = 1000;
+        for (const auto &[other, otherList] : runs) {
+            const Run &run = otherList.front();
+            const bool beside = run.host == list.front().host && run.start < list.front().start
+                && run.end > list.front().start;
+            used += !beside ? 0 : list.front().start - run.start > knownAfter ? 2000 : 1000;
+        }
+        INFO(job << " on host " << list.front().host << " at " << list.front().start);
+        CHECK(used <= 8000);
+    }
+}
+
+// Guards against a faulty host that uses up the jobs' attempts, and against a faulty job that takes hosts with it.
+TEST_CASE("a host that fails everything and a class that fails everywhere are told apart", "[jobs]")
+{
+    JobCluster jobs({.hostArguments = {"--fail-class", "broken"}, .singleHostArguments = {{0, {"--fail-all"}}}});
+    REQUIRE(jobs.submit("bad", 1, 1000, "broken"));
+    jobs.accepted.clear();
+    jobs.submitMany("job-", 24, 1);
+    jobs.finish();
+    waitUntil(
+        "the bad job is given up", [&] { return jobs.states()["bad"] == "failed"; }, Limit);
+    std::vector<Run> onBadHost;
+    std::multiset<std::uint32_t> badJobHosts;
+    for (const auto &[job, list] : jobs.runs()) {
+        std::ranges::copy_if(list, std::back_inserter(onBadHost), [](const Run &run) { return run.host == 0; });
+        if (job == "bad") {
+            std::ranges::transform(list, std::inserter(badJobHosts, badJobHosts.end()), &Run::host);
+        }
+    }
+    // Failures on the bad host count until it is judged; each other host is tried once.
+    CHECK(badJobHosts.size() >= 3);
+    badJobHosts.erase(0);
+    CHECK(std::set(badJobHosts.begin(), badJobHosts.end()).size() == badJobHosts.size());
+    CHECK(badJobHosts.size() >= 2);
+    CHECK(jobs.cluster.job("bad").at("reason").as_string().size() > 0);
+    // After failures of three different jobs the host gets one trial at a time; the commit takes a moment.
+    std::ranges::sort(onBadHost, {}, &Run::start);
+    REQUIRE(onBadHost.size() >= 3);
+    const std::int64_t judgedAt = onBadHost[2].end + 1000;
+    for (std::size_t index = 1; index < onBadHost.size(); ++index) {
+        CHECK((onBadHost[index].start < judgedAt || onBadHost[index].start >= onBadHost[index - 1].end));
+    }
+}
+
+// Guards against cancelled jobs that run on, and against slots of the hosts that they keep.
+TEST_CASE("a wave of cancellations stops its jobs and lets the others finish", "[jobs]")
+{
+    JobCluster jobs;
+    jobs.submitMany("long-", 40, 600, 1000);
+    jobs.submitMany("short-", 8, 1);
+    jobs.waitForStarts(32);
+    for (int index = 0; index < 40; ++index) {
+        const std::string id = "long-" + std::to_string(index);
+        jobs.accepted.erase(id);
+        const HttpAnswer answer = jobs.cluster.caller().mustCall(
+            jobs.cluster.entry(1), {.method = "DELETE", .target = "/v1/jobs/" + id, .timeout = 10s});
+        CHECK(answer.status / 100 == 2);
+    }
+    const std::int64_t cancelledAt = clockNow();
+    jobs.finish();
+    waitUntil("the others are cancelled", [&] {
+        const auto states = jobs.states();
+        return std::ranges::count(states, "cancelled", &std::pair<const std::string, std::string>::second) == 40;
+    });
+    for (const auto &[job, list] : jobs.runs()) {
+        INFO(job);
+        CHECK(list.back().state != "running");
+        CHECK((list.back().start <= cancelledAt || job.starts_with("short-")));
+    }
+}
+
+// Guards against agents that let several entries together exceed an upstream's slots or connections.
+TEST_CASE("an upstream never has more requests than slots under three entries", "[jobs][requests]")
+{
+    Cluster::Options options;
+    options.deployment.hosts = 2;
+    options.deployment.slots = 4;
+    options.deployment.connections = 5;
+    Cluster cluster(options);
+    cluster.start(baseSheet(cluster.deployment()));
+    const LoadSummary summary = Load::run(
+        cluster.caller(),
+        {cluster.entry(0), cluster.entry(1), cluster.entry(2)},
+        {.requestsPerSecond = 500, .duration = 3s, .timeout = 1s, .service = cluster.deployment().service});
+    CHECK(summary.answered > 0);
+    CHECK(summary.wrong == 0);
+    for (const json::object &log : cluster.hostLogs()) {
+        CHECK(log.at("maxConcurrent").to_number<int>() == 4);
+        CHECK(log.at("maxConnections").to_number<int>() <= 5);
+    }
+}
