Wait until the entry itself serves before a charge through it

After the agents are restarted the test repeats a charge through the entries in turn and goes on when one answers. Entries learn of a restarted agent one after the other, and the next charge goes through entry 0, which could still answer not-run because it knew no upstream. The test then waited for a charge that had already ended.

Ruled out: a lost or late charge.

Change: the wait for a running charge fails at once with the outcome that the caller was told, and the tests wait until charges run through the entry that they use next. No check is changed.

--- a/tests/integration/charges_test.cpp
+++ b/tests/integration/charges_test.cpp
@@ -60,9 +60,22 @@
         return executedBy(cluster, "idempotencyKeys")[key];
     }
 
-    void waitUntilRunning(const std::string &key)
+    /// Begins a charge and waits until an upstream has it; throws when the caller is told an outcome before.
+    std::future<HttpOutcome>
+    beginRunning(const std::string &key, std::uint32_t entry, Milliseconds timeout = Milliseconds(3000))
     {
-        waitUntil("the upstream has the charge", [&] { return runs(key) > 0; });
+        std::future<HttpOutcome> call = begin(key, entry, timeout);
+        waitUntil("the upstream has the charge", [&] {
+            if (runs(key) > 0) {
+                return true;
+            }
+            if (call.wait_for(Milliseconds(0)) == std::future_status::ready) {
+                const Told told = toldBy(call.get());
+                throw std::runtime_error(key + " reached no upstream: " + told.outcome + " " + told.body);
+            }
+            return false;
+        });
+        return call;
     }
 
     /// Waits until the row of a key holds a text such as its state.
@@ -102,7 +115,18 @@
         return told;
     }
 
+    /// Waits until charges run through this entry. Entries learn of a restarted agent one after the other, and until
+    /// then an entry answers `not-run`.
+    void waitUntilServing(std::uint32_t entry)
+    {
+        waitUntil("charges run through the entry",
+                  [&] { return charge("probe-" + std::to_string(++m_probes), entry).outcome == "answer"; });
+    }
+
     Cluster cluster;
+
+private:
+    int m_probes = 0;
 };
 
 /// What the log of the upstreams may say of a charge whose caller was told this.
@@ -163,7 +187,7 @@
         }
         CHECK(till.runs(key) == runs);
         till.cluster.restartEntry(0);
-        waitUntil("the entry serves again", [&] { return till.charge("after-" + key, 0).outcome == "answer"; });
+        till.waitUntilServing(0);
     };
 
     // Half of the delay comes after the effect: the row exists, and the entry does not know it yet.
@@ -173,21 +197,18 @@
     killAndRepeat("row-without-request", "unknown", 0);
 
     setUpstreams(till.cluster, "stall");
-    call = till.begin("request-without-answer", 0, Milliseconds(8000));
-    till.waitUntilRunning("request-without-answer");
+    call = till.beginRunning("request-without-answer", 0, Milliseconds(8000));
     killAndRepeat("request-without-answer", "unknown", 1);
 
     setUpstreams(till.cluster, "stall");
-    call = till.begin("answer-without-result", 0, Milliseconds(8000));
-    till.waitUntilRunning("answer-without-result");
+    call = till.beginRunning("answer-without-result", 0, Milliseconds(8000));
     till.setStore("down");
     setUpstreams(till.cluster, "normal");
     waitUntilQuiet(till.cluster);
     killAndRepeat("answer-without-result", "unknown", 1);
 
     setUpstreams(till.cluster, "stall");
-    call = till.begin("result-without-reply", 0, Milliseconds(8000));
-    till.waitUntilRunning("result-without-reply");
+    call = till.beginRunning("result-without-reply", 0, Milliseconds(8000));
     till.setStore("slow", "mixed", 0, 2500);
     setUpstreams(till.cluster, "normal");
     till.waitUntilRow("result-without-reply", "done");
@@ -228,8 +249,7 @@
 
     till.setStore("up");
     setUpstreams(till.cluster, "stall");
-    auto open = till.begin("table-down-later", 0);
-    till.waitUntilRunning("table-down-later");
+    auto open = till.beginRunning("table-down-later", 0);
     till.setStore("down");
     setUpstreams(till.cluster, "normal");
     told["table-down-later"] = toldBy(open.get());
@@ -249,8 +269,7 @@
 {
     Till till(SettingsMap(), true);
     setUpstreams(till.cluster, "stall");
-    auto call = till.begin("agent-killed", 0);
-    till.waitUntilRunning("agent-killed");
+    auto call = till.beginRunning("agent-killed", 0);
     for (std::uint32_t index = 0; index < 3; ++index) {
         till.cluster.agentProcess(index).signal(SIGKILL);
         till.cluster.agentProcess(index).waitForEnd(Milliseconds(5000));
@@ -265,16 +284,14 @@
         till.cluster.restartAgent(index);
     }
     CHECK(till.repeatUntilAnswer("no-agent").outcome == "answer");
+    till.waitUntilServing(0);
 
     setUpstreams(till.cluster, "stall");
-    call = till.begin("silent", 0);
-    till.waitUntilRunning("silent");
+    call = till.beginRunning("silent", 0);
     till.cluster.setRoute("*", "silent");
     setUpstreams(till.cluster, "normal");
     CHECK(toldBy(call.get()).outcome == "unknown");
-    waitUntil("charges run over new connections", [&, number = 0]() mutable {
-        return till.charge("probe-" + std::to_string(++number), 0).outcome == "answer";
-    });
+    till.waitUntilServing(0);
     setUpstreams(till.cluster, "late", 0, 1000);
     CHECK(till.charge("late", 0, Milliseconds(500)).outcome == "unknown");
     setUpstreams(till.cluster, "normal");
