Split the sending of requests from the commands of the client

Cause: commands.cpp had 502 lines and held both what each command prints and how requests are sent and failures reported.

Change: Exchange sends the requests of a command and reports what went wrong; Commands keeps one member function for each command.

--- a/packages/client/src/carobflow/client/internal/commands.cpp
+++ b/packages/client/src/carobflow/client/internal/commands.cpp
@@ -24,12 +24,6 @@
 using JsonView::Column;
 using Verb = boost::beast::http::verb;
 
-// Statuses of the entry that the client tells apart; all others are reported with the entry's message.
-constexpr unsigned StatusUnauthorized = 401;
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusGatewayTimeout = 504;
-
 constexpr std::array<Column, 4> HistoryColumns{{
     {"VERSION", "version"},
     {"ACCEPTED", "acceptedUnixSeconds", JsonView::unixTime},
@@ -119,20 +113,6 @@
     return relative ? nowUnixSeconds() + seconds : seconds;
 }
 
-bool isSuccess(const EntryReply &reply)
-{
-    constexpr unsigned firstSuccess = 200;
-    constexpr unsigned lastSuccess = 299;
-    return reply.status >= firstSuccess && reply.status <= lastSuccess;
-}
-
-std::string lineOf(const std::string &file, const Json::value &fault)
-{
-    return file + ":" + JsonView::plain(JsonView::member(fault, "line")) + ":"
-        + JsonView::plain(JsonView::member(fault, "column")) + ": "
-        + printable(JsonView::plain(JsonView::member(fault, "message")));
-}
-
 Json::object faultJson(const SheetFault &fault)
 {
     return {{"line", fault.line}, {"column", fault.column}, {"message", fault.message}};
@@ -141,7 +121,8 @@
 } // namespace
 
 Commands::Commands(const CommandCall &call, const ClientSettings &settings, std::ostream &out, std::ostream &err)
-    : m_call(call)
+    : m_exchange(call, settings, out, err)
+    , m_call(call)
     , m_settings(settings)
     , m_out(out)
     , m_err(err)
@@ -153,7 +134,7 @@
     const std::string &file = m_call.words[0];
     const auto content = readFile(file);
     if (!content) {
-        return usage("cannot read " + file + "; write the path of a sheet");
+        return m_exchange.usage("cannot read " + file + "; write the path of a sheet");
     }
     const auto parsed = parseSheet(*content, nowUnixSeconds());
     const auto *faults = std::get_if<std::vector<SheetFault>>(&parsed);
@@ -163,11 +144,11 @@
             list.push_back(faultJson(fault));
         }
     }
-    if (has("json")) {
+    if (m_exchange.has("json")) {
         m_out << Json::serialize(Json::object{{"faults", list}}) << '\n';
     } else {
         for (const Json::value &fault : list) {
-            m_out << lineOf(file, fault) << '\n';
+            m_out << Exchange::lineOf(file, fault) << '\n';
         }
     }
     if (faults != nullptr) {
@@ -182,18 +163,18 @@
     const std::string &file = m_call.words[0];
     const auto content = readFile(file);
     if (!content) {
-        return usage("cannot read " + file + "; write the path of a sheet");
+        return m_exchange.usage("cannot read " + file + "; write the path of a sheet");
     }
     EntryRequest request{.method = Verb::put, .path = "/v1/sheet", .body = *content};
     request.headers = {{"Content-Type", "text/csv; charset=utf-8"}};
     addSheetHeaders(request);
-    return call(
+    return m_exchange.call(
         request, [this](const Json::value &reply) { printVersion(reply); }, file);
 }
 
 ExitCode Commands::sheetShow() const
 {
-    return call({.path = "/v1/sheet"}, [this](const Json::value &reply) {
+    return m_exchange.call({.path = "/v1/sheet"}, [this](const Json::value &reply) {
         // Only the text goes to the output, so that it can be redirected into a file and edited.
         m_out << JsonView::plain(JsonView::member(reply, "text"));
         m_err << "version=" << JsonView::plain(JsonView::member(reply, "version"))
@@ -204,8 +185,9 @@
 
 ExitCode Commands::sheetHistory() const
 {
-    return call({.path = "/v1/sheet/history"},
-                [this](const Json::value &reply) { JsonView::table(reply, "versions", HistoryColumns).print(m_out); });
+    return m_exchange.call({.path = "/v1/sheet/history"}, [this](const Json::value &reply) {
+        JsonView::table(reply, "versions", HistoryColumns).print(m_out);
+    });
 }
 
 ExitCode Commands::dataCentreOut() const
@@ -221,47 +203,48 @@
 ExitCode Commands::jobSubmit() const
 {
     std::int64_t deadlineUnixSeconds = 0;
-    if (has("deadline")) {
-        const auto deadline = parseDeadline(text("deadline"));
+    if (m_exchange.has("deadline")) {
+        const auto deadline = parseDeadline(m_exchange.text("deadline"));
         if (!deadline) {
-            return usage(
-                "--deadline '" + text("deadline")
+            return m_exchange.usage(
+                "--deadline '" + m_exchange.text("deadline")
                 + "' is not accepted; write seconds since the Unix epoch, or + and seconds from now, as +3600");
         }
         deadlineUnixSeconds = *deadline;
     }
     const Json::object job{
         {"id", m_call.words[0]},
-        {"team", text("team")},
-        {"jobClass", text("class")},
+        {"team", m_exchange.text("team")},
+        {"jobClass", m_exchange.text("class")},
         {"kind", "batch"},
-        {"urgency", has("urgent") ? "urgent" : "normal"},
-        {"cpuMillis", number("cpu-millis")},
-        {"memoryMiB", number("memory-mib")},
-        {"accelerators", has("accelerators") ? number("accelerators") : 0},
-        {"runSeconds", number("run-seconds")},
+        {"urgency", m_exchange.has("urgent") ? "urgent" : "normal"},
+        {"cpuMillis", m_exchange.number("cpu-millis")},
+        {"memoryMiB", m_exchange.number("memory-mib")},
+        {"accelerators", m_exchange.has("accelerators") ? m_exchange.number("accelerators") : 0},
+        {"runSeconds", m_exchange.number("run-seconds")},
         {"deadlineUnixSeconds", deadlineUnixSeconds},
     };
-    return call({.method = Verb::post,
-                 .path = "/v1/jobs",
-                 .body = Json::serialize(job),
-                 .headers = {{"Content-Type", "application/json"}}},
-                [this](const Json::value &reply) { printJobState(reply); });
+    return m_exchange.call({.method = Verb::post,
+                            .path = "/v1/jobs",
+                            .body = Json::serialize(job),
+                            .headers = {{"Content-Type", "application/json"}}},
+                           [this](const Json::value &reply) { printJobState(reply); });
 }
 
 ExitCode Commands::jobCancel() const
 {
-    return call({.method = Verb::delete_, .path = "/v1/jobs/" + encoded(m_call.words[0])},
-                [this](const Json::value &reply) { printJobState(reply); });
+    return m_exchange.call({.method = Verb::delete_, .path = "/v1/jobs/" + encoded(m_call.words[0])},
+                           [this](const Json::value &reply) { printJobState(reply); });
 }
 
 ExitCode Commands::jobStatus() const
 {
     if (m_call.words.empty()) {
-        return call({.path = "/v1/jobs"},
-                    [this](const Json::value &reply) { JsonView::table(reply, "jobs", JobColumns).print(m_out); });
+        return m_exchange.call({.path = "/v1/jobs"}, [this](const Json::value &reply) {
+            JsonView::table(reply, "jobs", JobColumns).print(m_out);
+        });
     }
-    return call({.path = "/v1/jobs/" + encoded(m_call.words[0])}, [this](const Json::value &reply) {
+    return m_exchange.call({.path = "/v1/jobs/" + encoded(m_call.words[0])}, [this](const Json::value &reply) {
         TextTable fields({"FIELD", "VALUE"});
         const auto addField = [&](std::string_view title, const std::string &value) {
             fields.addRow({std::string(title), value});
@@ -277,15 +260,15 @@
 
 ExitCode Commands::upstreamList() const
 {
-    return call({.path = "/v1/upstreams"}, [this](const Json::value &reply) {
+    return m_exchange.call({.path = "/v1/upstreams"}, [this](const Json::value &reply) {
         JsonView::table(reply, "upstreams", UpstreamColumns).print(m_out);
     });
 }
 
 ExitCode Commands::upstreamDrain() const
 {
-    const bool end = has("end");
-    return call(
+    const bool end = m_exchange.has("end");
+    return m_exchange.call(
         {.method = end ? Verb::delete_ : Verb::post, .path = "/v1/upstreams/" + encoded(m_call.words[0]) + "/drain"},
         [this, end](const Json::value & /*reply*/) {
             m_out << m_call.words[0] << (end ? ": the drain has ended\n" : ": drained\n");
@@ -294,12 +277,12 @@
 
 ExitCode Commands::reportBurn() const
 {
-    const auto fetched = fetch({.path = "/v1/report/burn"});
+    const auto fetched = m_exchange.fetch({.path = "/v1/report/burn"});
     if (const auto *failure = std::get_if<ExitCode>(&fetched)) {
         return *failure;
     }
     const auto &reply = std::get<Json::value>(fetched);
-    if (has("html")) {
+    if (m_exchange.has("html")) {
         std::vector<BurnRow> rows;
         for (const Json::value &row : JsonView::elements(reply, "rows")) {
             auto parsed = Json::try_value_to<BurnRow>(row);
@@ -310,14 +293,15 @@
             }
             rows.push_back(std::move(*parsed));
         }
-        std::ofstream page(text("html"), std::ios::binary);
+        std::ofstream page(m_exchange.text("html"), std::ios::binary);
         page << burnPage(rows, JsonView::unixTime(nowUnixSeconds()));
         page.close();
         if (!page) {
-            return usage("cannot write " + text("html") + "; write a path in a folder that can be written to");
+            return m_exchange.usage("cannot write " + m_exchange.text("html")
+                                    + "; write a path in a folder that can be written to");
         }
     }
-    if (!has("json")) {
+    if (!m_exchange.has("json")) {
         JsonView::table(reply, "rows", BurnColumns).print(m_out);
     }
     return ExitCode::Success;
@@ -325,7 +309,7 @@
 
 ExitCode Commands::reportJobs() const
 {
-    return call({.path = "/v1/report/jobs"}, [this](const Json::value &reply) {
+    return m_exchange.call({.path = "/v1/report/jobs"}, [this](const Json::value &reply) {
         auto titles = JsonView::titles(JobColumns);
         titles.insert(titles.begin(), "ATTENTION");
         TextTable table(std::move(titles));
@@ -345,7 +329,7 @@
 
 ExitCode Commands::reportPlacement() const
 {
-    return call({.path = "/v1/report/placement"}, [this](const Json::value &reply) {
+    return m_exchange.call({.path = "/v1/report/placement"}, [this](const Json::value &reply) {
         std::vector<std::string> titles{"HOST", "DATA_CENTRE"};
         for (const std::string &title : JsonView::titles(PlacedJobColumns)) {
             titles.push_back(title);
@@ -368,51 +352,17 @@
     });
 }
 
-std::variant<Json::value, ExitCode> Commands::fetch(const EntryRequest &request, const std::string &file) const
-{
-    const auto result = EntryClient(m_settings.entry).send(request);
-    if (!isOk(result)) {
-        return reportError(errorOf(result));
-    }
-    const EntryReply &reply = valueOf(result);
-    boost::system::error_code error;
-    Json::value json = Json::parse(reply.body, error);
-    if (has("json") && !error) {
-        m_out << reply.body << (reply.body.ends_with('\n') ? "" : "\n");
-    }
-    if (!isSuccess(reply)) {
-        return reportFailure(reply, file);
-    }
-    if (error) {
-        m_err << "the reply is not JSON; check that --entry is the address of an entry\n";
-        return ExitCode::Failed;
-    }
-    return json;
-}
-
-ExitCode Commands::call(const EntryRequest &request, const PrintReply &print, const std::string &file) const
-{
-    const auto fetched = fetch(request, file);
-    if (const auto *failure = std::get_if<ExitCode>(&fetched)) {
-        return *failure;
-    }
-    if (!has("json")) {
-        print(std::get<Json::value>(fetched));
-    }
-    return ExitCode::Success;
-}
-
 ExitCode Commands::setDataCentre(const std::string &state) const
 {
     EntryRequest request{.method = Verb::post, .path = "/v1/datacentres/" + encoded(m_call.words[0]) + "/" + state};
     addSheetHeaders(request);
-    return call(request, [this](const Json::value &reply) { printVersion(reply); });
+    return m_exchange.call(request, [this](const Json::value &reply) { printVersion(reply); });
 }
 
 void Commands::addSheetHeaders(EntryRequest &request) const
 {
-    if (has("replaces")) {
-        request.headers.emplace_back("If-Match", std::to_string(number("replaces")));
+    if (m_exchange.has("replaces")) {
+        request.headers.emplace_back("If-Match", std::to_string(m_exchange.number("replaces")));
     }
     if (!m_settings.author.empty()) {
         request.headers.emplace_back("Carobflow-Author", m_settings.author);
@@ -431,72 +381,4 @@
           << printable(JsonView::plain(JsonView::member(reply, "state"))) << '\n';
 }
 
-ExitCode Commands::reportFailure(const EntryReply &reply, const std::string &file) const
-{
-    boost::system::error_code error;
-    const Json::value json = Json::parse(reply.body, error);
-    std::string message = printable(JsonView::plain(JsonView::member(json, "message")));
-    if (message.empty()) {
-        message = "no message";
-    }
-    for (const Json::value &fault : JsonView::elements(json, "faults")) {
-        m_err << lineOf(file, fault) << '\n';
-    }
-    switch (reply.status) {
-    case StatusConflict: {
-        const std::string version = JsonView::plain(JsonView::member(json, "currentVersion"));
-        m_err << "conflict: " << message;
-        if (!version.empty()) {
-            m_err << "; the current version is " << version << ": read it with 'carobflow sheet show' and repeat with "
-                  << "--replaces " << version;
-        }
-        m_err << '\n';
-        return ExitCode::Conflict;
-    }
-    case StatusUnauthorized:
-        m_err << "refused: " << message << "; give the operators' token with --token or in the settings file\n";
-        return ExitCode::Failed;
-    case StatusUnavailable:
-        m_err << (reply.isNotRun() ? "not run: " : "unavailable: ") << message << "; try again later\n";
-        return ExitCode::Failed;
-    case StatusGatewayTimeout:
-        m_err << "unknown: " << message << "; the request may have taken effect, check before you repeat it\n";
-        return ExitCode::Failed;
-    default:
-        m_err << "failed: the entry answered " << reply.status << ": " << message << '\n';
-        return ExitCode::Failed;
-    }
-}
-
-ExitCode Commands::reportError(const Error &error) const
-{
-    if (error.kind == ErrorKind::Unknown) {
-        m_err << "unknown: " << error.message << "; the request may have taken effect, check before you repeat it\n";
-        return ExitCode::Failed;
-    }
-    m_err << "unreachable: " << error.message << "; check --entry and that an entry runs there\n";
-    return ExitCode::Unreachable;
-}
-
-ExitCode Commands::usage(const std::string &message) const
-{
-    m_err << message << '\n';
-    return ExitCode::Usage;
-}
-
-bool Commands::has(const std::string &option) const
-{
-    return m_call.options.count(option) != 0;
-}
-
-std::string Commands::text(const std::string &option) const
-{
-    return m_call.options[option].as<std::string>();
-}
-
-std::uint64_t Commands::number(const std::string &option) const
-{
-    return parseNumber(m_call.options[option].as<std::string>()).value_or(0);
-}
-
 } // namespace Carobflow
