Revert the bound on the predicted tail and the trial of unknown pairs

Two rules kept jobs waiting: a host was avoided when its predicted tail exceeded 0.9 of the deadline, and two tasks of an unknown class at most ran beside a service in the shard.

Ruled out: the hold-off after an eviction and the ranking by predicted tail; both stay in all daemons compared.

--- a/packages/core/src/carobflow/core/colocation.cpp
+++ b/packages/core/src/carobflow/core/colocation.cpp
@@ -131,15 +131,6 @@
     return until != host->second.heldOff.end() && now < until->second;
 }
 
-bool ColocationController::admitTrial(std::string_view service,
-                                      std::string_view jobClass,
-                                      double load,
-                                      std::uint32_t running) const
-{
-    return running < m_options.trialLimit
-        || m_model.predict(service, jobClass, load).confidence >= m_options.knownConfidence;
-}
-
 void ColocationController::forgetHost(std::string_view hostName)
 {
     if (const auto host = m_hosts.find(hostName); host != m_hosts.end()) {
--- a/packages/core/src/carobflow/core/colocation.h
+++ b/packages/core/src/carobflow/core/colocation.h
@@ -53,10 +53,6 @@
         std::uint32_t evictionsPerMinute = 6;
         /// The lowest throttle; a task that still disturbs there is evicted.
         std::uint32_t minPercent = 25;
-        /// Tasks of an unknown class that may run beside a service at once in the shard.
-        std::uint32_t trialLimit = 2;
-        /// Confidence from which a pair counts as known.
-        double knownConfidence = 0.6;
     };
 
     /// The model must outlive the controller, which passes windows on to it.
@@ -76,11 +72,6 @@
     /// True while no task of the class should be placed on the host because one was evicted there.
     [[nodiscard]] bool holdsOff(TimePoint now, std::string_view host, std::string_view jobClass) const;
 
-    /// True when another task of the class may start beside the service, of which `running` tasks run beside it in the
-    /// shard. Only classes with an unknown slowdown are limited.
-    [[nodiscard]] bool
-    admitTrial(std::string_view service, std::string_view jobClass, double load, std::uint32_t running) const;
-
     /// Counts an eviction against the cap, which evictions for other reasons share. Returns false, and counts nothing,
     /// when the cap is reached.
     bool takeEviction(TimePoint now);
--- a/packages/core/src/carobflow/core/internal/interferenceguide.cpp
+++ b/packages/core/src/carobflow/core/internal/interferenceguide.cpp
@@ -15,8 +15,6 @@
 constexpr std::uint32_t MinCompleted = 20;
 /// Weight of a new window in the smoothed tail.
 constexpr double NewWindowWeight = 0.4;
-/// Share of the deadline that a tail may be predicted to reach; the controller acts from there on.
-constexpr double AllowedShare = 0.9;
 /// Costs differ by quarters of the deadline, so that noise of the tails does not override an even spread.
 constexpr double CostSteps = 4;
 /// A job that no host may take waits for this long at most, unless its slack is used up before. It equals the hold-off
@@ -63,13 +61,6 @@
 void InterferenceGuide::countTask(const std::string &host, const std::string &jobClass)
 {
     m_running[host].push_back(jobClass);
-    const auto windows = m_inputs.windows.find(host);
-    if (windows == m_inputs.windows.end()) {
-        return;
-    }
-    for (const auto &[service, window] : windows->second) {
-        m_beside[service][jobClass] += isRecent(window) ? 1 : 0;
-    }
 }
 
 double InterferenceGuide::effectOf(std::string_view service, const std::string &jobClass, double load) const
@@ -110,10 +101,6 @@
             const double share = predictedTail(service, window, m_running[host], jobClass)
                 / static_cast<double>(entry->deadline.count());
             assessment.cost = std::max(assessment.cost, static_cast<int>(std::min(share, 100.0) * CostSteps));
-            if (entry->objective == Objective::Latency) {
-                assessment.allowed = assessment.allowed && share <= AllowedShare
-                    && m_inputs.controller.admitTrial(service, jobClass, window.load, m_beside[service][jobClass]);
-            }
         }
     }
     byClass.emplace(jobClass, assessment);
@@ -148,9 +135,6 @@
 {
     countTask(host, job.jobClass);
     m_assessed.erase(host);
-    for (auto &[other, byClass] : m_assessed) {
-        byClass.erase(job.jobClass);
-    }
 }
 
 } // namespace Carobflow
--- a/packages/core/src/carobflow/core/internal/interferenceguide.h
+++ b/packages/core/src/carobflow/core/internal/interferenceguide.h
@@ -16,9 +16,8 @@
 namespace Carobflow
 {
 
-/// Rules for the placements of one batch that follow from the services on the hosts: a service with the objective
-/// latency keeps tasks away that would bring its tail near the deadline, and elsewhere the tasks that disturb least
-/// come first.
+/// Rules for the placements of one batch that follow from the services on the hosts: the host whose service keeps the
+/// most of its deadline comes first, and a class that was evicted from a host stays away from it for a while.
 class InterferenceGuide : public PlacementGuide
 {
 public:
@@ -74,8 +73,6 @@
     Inputs m_inputs;
     Patience &m_patience;
     std::map<std::string, std::vector<std::string>, std::less<>> m_running;
-    /// Tasks of each class beside each service.
-    std::map<std::string, std::map<std::string, std::uint32_t>, std::less<>> m_beside;
     /// By host and class; many jobs of a batch have the same class.
     std::map<std::string, std::map<std::string, Assessment>, std::less<>> m_assessed;
 };
