Wake the agent's request queue when there is something in it

Ruled out: a longer fixed interval, because a queued request would be refused late and the entry would have less time left to try another upstream.

Change: RequestExecutor runs its own loop, every 5 ms while requests wait and every 100 ms otherwise, and a request that begins to wait wakes it.

--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -97,7 +97,7 @@
         }
         spawnLoop(m_announcer->strand(), m_announcer->run());
         spawnLoop(m_shardRunner->strand(), m_shardRunner->run());
-        spawnLoop(m_requests.strand(), tickRequests());
+        spawnLoop(m_requests.strand(), m_requests.run());
         m_tasks->start();
         m_started = true;
         logInfo("ready").with("role", "agent").with("http", m_http.port()).with("grpc", valueOf(port));
@@ -247,14 +247,6 @@
         m_metrics.setSheetVersion(static_cast<double>(sheet.version));
     }
 
-    asio::awaitable<void> tickRequests()
-    {
-        for (;;) {
-            m_requests.tick();
-            co_await sleepFor(Milliseconds(5));
-        }
-    }
-
     asio::awaitable<HttpServerResponse> serve(HttpServerRequest request)
     {
         if (request.target != "/v1/announce") {
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -13,6 +13,15 @@
 
 namespace Carobflow
 {
+namespace
+{
+
+/// While requests wait for a slot, so that each is refused soon after its deadline can no longer be met.
+constexpr Milliseconds QueueCheck{5};
+/// Otherwise. An idle agent that woke every 5 ms used a third more processor time.
+constexpr Milliseconds IdleCheck{100};
+
+} // namespace
 
 struct RequestExecutor::Request {
     Request(const boost::asio::any_io_executor &strand, std::uint64_t number, HttpRequest message)
@@ -61,6 +70,7 @@
     , m_options(options)
     , m_client(std::move(client))
     , m_metrics(metrics)
+    , m_queueChanged(std::make_unique<Notifier>(m_strand))
 {
 }
 
@@ -149,6 +159,7 @@
     }
     service->requests.emplace(state->id, state);
     if (decision.verdict == Admission::Verdict::Queued) {
+        m_queueChanged->notify();
         co_await waitForSlot(*service, state);
     } else {
         state->state = Request::State::Running;
@@ -250,7 +261,15 @@
     }
 }
 
-void RequestExecutor::tick()
+boost::asio::awaitable<void> RequestExecutor::run()
+{
+    for (;;) {
+        const bool queued = expire();
+        co_await m_queueChanged->waitUntil(std::chrono::steady_clock::now() + (queued ? QueueCheck : IdleCheck));
+    }
+}
+
+bool RequestExecutor::expire()
 {
     const TimePoint now = std::chrono::steady_clock::now();
     std::uint32_t taken = 0;
@@ -272,6 +291,7 @@
         }
     }
     m_metrics.setSlotsTaken(taken, queued);
+    return queued > 0;
 }
 
 std::vector<carobflow::UpstreamInfo> RequestExecutor::upstreams() const
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -22,6 +22,7 @@
 {
 
 class Metrics;
+class Notifier;
 
 /// What an upstream says about itself to the agent beside it.
 struct LocalAnnouncement {
@@ -68,8 +69,9 @@
     /// Runs one attempt; ends by the deadline of the request at the latest.
     boost::asio::awaitable<void> execute(const carobflow::ForwardRequest &request, carobflow::ForwardReply &reply);
 
-    /// Forgets upstreams that are gone and frees slots that were held for too long; called a few times a second.
-    void tick();
+    /// Forgets upstreams that are gone, frees slots that were held for too long and refuses queued requests whose
+    /// deadline can no longer be met, until the process ends.
+    boost::asio::awaitable<void> run();
 
     [[nodiscard]] std::vector<carobflow::UpstreamInfo> upstreams() const;
 
@@ -85,6 +87,9 @@
     struct Service;
     using Services = std::unordered_map<std::string, std::shared_ptr<Service>>;
 
+    /// One round of run(); true when requests wait for a slot.
+    bool expire();
+
     /// Why a new request is refused before it reaches admission; empty when it is not.
     [[nodiscard]] std::string_view refusalReason(Services::const_iterator service) const;
 
@@ -102,6 +107,8 @@
     bool m_dataCentreIn = true;
     std::uint64_t m_nextId = 1;
     Services m_services;
+    /// Notified when a request begins to wait for a slot.
+    std::unique_ptr<Notifier> m_queueChanged;
     std::atomic<std::uint32_t> m_inProgress{0};
 };
 
