Store the late answer of a charge as its result

Cause: the agent ended each attempt at the caller's deadline and dropped an answer that came later. For a charge this left the row pending, so the key answered unknown for good although the upstream had answered. The charge flow itself already stored an outcome that came after the deadline.

Ruled out: agents that keep late answers for entries to ask for (one more message, a bounded memory of answers in each agent and a rule when they are dropped, and still lost when the agent dies); agents that write the row themselves (entry and agent would have to agree on who changes a pending row).

Change: an entry keeps the Forward call of a charge open for up to 10 s after the deadline, and says so in the new field late_answer_ms; the agent holds the slot and the connection for that time in any case. The wait also ends 25 s after the call, so planned stops wait no longer than for a request. The caller is told unknown at the deadline as before, and the routing counts the attempt as failed at the deadline. Other requests do not change.

Tests: the case of a killed agent, a silent connection or a late answer expected unknown on repeats of the key 'late'. That was the fault and not a guarantee, so the expectation is replaced: repeats through other entries give the upstream's body, and the charge ran exactly once; also when the table is down as the answer arrives, and when the entry is being stopped. An answer that never comes leaves unknown, 1 run, and a stop that ends with code 0 within 12 s. The randomised test requires the stored result also after a late answer.

Conclusion: an answer up to 10 s late counts. It is still lost when the entry, the agent or their connection is lost during the wait. A planned stop of an agent during the wait is not tested.

--- a/packages/daemon/src/carobflow/daemon/chargeservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.cpp
@@ -7,6 +7,7 @@
 #include "carobflow/logging/log.h"
 #include "carobflow/platform/tableservice.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -22,6 +23,13 @@
 constexpr Milliseconds FirstBackoff{100};
 constexpr Milliseconds LongestBackoff{5000};
 
+/// How long after the caller's deadline an answer is stored. An agent gives up a request 10 s after its deadline
+/// (RequestExecutor::Options::abandonedHold), so an answer that comes later reaches nobody.
+constexpr Milliseconds LateAnswerWait{10000};
+/// Longest time from the call to the end of the wait for an answer: the longest deadline of any request. Planned stops
+/// wait for requests in progress, and their bound of 30 s rests on this.
+constexpr Milliseconds LongestAttempt{25000};
+
 /// Exponential backoff with full jitter.
 class Backoff
 {
@@ -91,6 +99,8 @@
     // A charge is never tried elsewhere after `unknown`, whatever the service says of its other requests.
     request.idempotent = false;
     const TimePoint deadline = request.deadline;
+    const auto untilDeadline = std::chrono::ceil<Milliseconds>(deadline - std::chrono::steady_clock::now());
+    request.lateAnswerWait = std::clamp(LongestAttempt - untilDeadline, Milliseconds::zero(), LateAnswerWait);
     const std::string digest = sheetDigest(request.method + " " + request.target + "\n" + request.body);
     auto call = std::make_shared<Call>(
         m_executor,
--- a/packages/daemon/src/carobflow/daemon/chargeservice.h
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.h
@@ -18,7 +18,7 @@
 class TableService;
 
 /// Runs charges: drives the charge flow over the table and the forwarder. Work that a flow still has after its reply,
-/// such as storing a result while the table is down, goes on in the background.
+/// such as storing a result while the table is down or waiting for a late answer, goes on in the background.
 class ChargeService
 {
 public:
--- a/packages/daemon/src/carobflow/daemon/forwarder.cpp
+++ b/packages/daemon/src/carobflow/daemon/forwarder.cpp
@@ -7,6 +7,11 @@
 #include "carobflow/daemon/rpc.h"
 
 #include <array>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 
 #include <carobflow.grpc.pb.h>
 
@@ -95,7 +100,13 @@
                                                           std::uint32_t attemptNumber)
 {
     const TimePoint startedAt = std::chrono::steady_clock::now();
+    // Shared with the timer's handler, which may run after this coroutine has ended.
+    std::shared_ptr<bool> settled;
+    std::optional<boost::asio::steady_timer> deadlineTimer;
     const auto settle = [&](AttemptOutcome outcome, std::uint32_t outstanding) {
+        if (settled && std::exchange(*settled, true)) {
+            return outcome;
+        }
         const TimePoint now = std::chrono::steady_clock::now();
         m_routing.settle(now, upstream, resultOf(outcome), now - startedAt, outstanding);
         return outcome;
@@ -122,11 +133,25 @@
     message.set_timeout_ms(static_cast<std::uint32_t>(remaining.count()));
     message.set_sheet_version(m_options.sheetVersion());
     message.set_idempotent(request.idempotent);
+    message.set_late_answer_ms(static_cast<std::uint32_t>(request.lateAnswerWait.count()));
     for (const auto &[name, value] : request.headers) {
         auto *header = message.add_headers();
         header->set_name(name);
         header->set_value(value);
     }
+    if (request.lateAnswerWait > Milliseconds::zero()) {
+        // An upstream that misses the deadline counts as failed at the deadline, as for other requests; otherwise a
+        // stalled one would be ejected only after the wait for late answers.
+        const auto executor = co_await boost::asio::this_coro::executor;
+        settled = std::make_shared<bool>(false);
+        deadlineTimer.emplace(executor, request.deadline);
+        deadlineTimer->async_wait([this, settled, upstream, startedAt](const boost::system::error_code &cancelled) {
+            if (!cancelled && !std::exchange(*settled, true)) {
+                const TimePoint now = std::chrono::steady_clock::now();
+                m_routing.settle(now, upstream, AttemptResult::Unknown, now - startedAt, 0);
+            }
+        });
+    }
     std::shared_ptr<carobflow::AgentService::Stub> stub = carobflow::AgentService::NewStub(
         m_channels.channel(upstream.agentAddress));
     auto [status, reply]
@@ -134,7 +159,7 @@
             std::move(stub),
             &carobflow::AgentService::Stub::async::Forward,
             std::move(message),
-            remaining + ReplyAllowance);
+            remaining + request.lateAnswerWait + ReplyAllowance);
     if (!status.ok()) {
         co_return settle(UnknownOutcome{.reason = "the agent did not answer: " + status.error_message()}, 0);
     }
--- a/packages/daemon/src/carobflow/daemon/forwarder.h
+++ b/packages/daemon/src/carobflow/daemon/forwarder.h
@@ -28,6 +28,8 @@
     HttpHeaders headers;
     std::string body;
     TimePoint deadline;
+    /// How long after the deadline an answer is still of use; zero for all requests but charges.
+    Milliseconds lateAnswerWait{0};
 };
 
 /// Sends a request to one upstream after another until it has an outcome that must not be tried elsewhere: only
@@ -44,6 +46,7 @@
 
     Forwarder(Options options, Routing &routing, RetryBudget &budget, ChannelPool &channels, Metrics &metrics);
 
+    /// Ends by the deadline of the request and its wait for a late answer. Nothing is sent after the deadline.
     boost::asio::awaitable<AttemptOutcome> forward(ServiceRequest request);
 
 private:
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -28,7 +28,7 @@
     HttpRequest http;
     TimePoint deadline;
     State state = State::Waiting;
-    /// True when the caller was told `unknown` before there was an answer.
+    /// True when the entry was told `unknown` before there was an answer.
     bool abandoned = false;
     AttemptOutcome outcome;
     Notifier changed;
@@ -160,10 +160,15 @@
         if (state->state != Request::State::Done) {
             co_await state->changed.waitUntil(state->deadline);
         }
+        if (state->state != Request::State::Done) {
+            service->admission.abandon(std::chrono::steady_clock::now(), state->id);
+            if (request.late_answer_ms() > 0) {
+                co_await state->changed.waitUntil(state->deadline + Milliseconds(request.late_answer_ms()));
+            }
+        }
         if (state->state != Request::State::Done) {
             state->abandoned = true;
             state->outcome = UnknownOutcome{.reason = "the upstream did not answer before the deadline"};
-            service->admission.abandon(std::chrono::steady_clock::now(), state->id);
         }
     }
     service->requests.erase(state->id);
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -65,7 +65,7 @@
     /// Refuses everything from now on.
     void close();
 
-    /// Runs one attempt; ends by the deadline of the request at the latest.
+    /// Runs one attempt; ends at the latest by the deadline of the request and its wait for a late answer.
     boost::asio::awaitable<void> execute(const carobflow::ForwardRequest &request, carobflow::ForwardReply &reply);
 
     /// Forgets upstreams that are gone and frees slots that were held for too long; called a few times a second.
