Carry a drain through the agent to entries cut off from the table

Cause: entries learn of `carobflow upstream drain` only from the rows drain/<host>, so an entry that cannot read the table went on choosing the drained host. Agents were told in the Announce reply and ignored it.

Change: the reply also carries the age of the read that `drained` comes from. The agent follows the reply with the newest read, announces its upstreams as leaving to every entry while it says drained, and refuses new requests as `not-run`. ClusterView no longer lets an older read of the drains replace a newer one when both are under way.

Figures: the new test drains a host while one entry is cut off from the table.

Conclusion: an operator's drain reaches every entry that the agent reaches.

--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -146,12 +146,12 @@
                                                .shard = m_shard,
                                                .bootId = m_bootId,
                                                .interval = m_settings.announceInterval},
-                            Announcer::Callbacks{.upstreams = [this] { return announcedUpstreams(); },
-                                                 .onSheet = [this](const FollowedSheet &sheet) { setSheet(sheet); },
-                                                 .onConfirmed =
-                                                     [this](TimePoint confirmedAt, const FollowedSheet &sheet) {
-                                                         confirmSheet(confirmedAt, sheet);
-                                                     }},
+                            Announcer::Callbacks{
+                                .upstreams = [this] { return announcedUpstreams(); },
+                                .onSheet = [this](const FollowedSheet &sheet) { setSheet(sheet); },
+                                .onConfirmed = [this](TimePoint confirmedAt,
+                                                      const FollowedSheet &sheet) { confirmSheet(confirmedAt, sheet); },
+                                .onDrain = [this](bool drained) { return setDrained(drained); }},
                             m_table,
                             m_channels);
         // Candidates wait for different times, so that they do not all try to take over at once.
@@ -219,6 +219,14 @@
         co_return upstreams;
     }
 
+    asio::awaitable<void> setDrained(bool drained)
+    {
+        co_await runOn(m_requests.strand(), [this, drained] {
+            m_requests.setDrained(drained);
+            return true;
+        });
+    }
+
     asio::awaitable<std::optional<ShardLeaderRow>> currentLeader()
     {
         const auto leading = co_await runOn(m_shardRunner->strand(), [this] {
--- a/packages/daemon/src/carobflow/daemon/announcer.cpp
+++ b/packages/daemon/src/carobflow/daemon/announcer.cpp
@@ -123,6 +123,7 @@
             known = {.shard = row.shard(), .epoch = row.epoch(), .address = row.address()};
         }
     }
+    co_await learnDrain(sentAt - Milliseconds(reply.drained_confirmed_age_ms()), reply.drained());
     noteVersion(reply.sheet_version());
     if (reply.sheet_version() > m_sheet.version) {
         co_await fetchSheet(address, reply.sheet_version());
@@ -133,6 +134,24 @@
     co_return true;
 }
 
+boost::asio::awaitable<void> Announcer::learnDrain(TimePoint confirmedAt, bool drained)
+{
+    // The newest read of the table counts, so that an entry that is cut off from the table is overruled by any other.
+    if (confirmedAt <= m_drainConfirmedAt) {
+        co_return;
+    }
+    m_drainConfirmedAt = confirmedAt;
+    if (drained == m_drained) {
+        co_return;
+    }
+    m_drained = drained;
+    logInfo(drained ? "drain-begun" : "drain-ended").with("host", m_options.host);
+    co_await m_callbacks.onDrain(drained);
+    // Not awaited: the reply that is being handled must not wait for entries that do not answer.
+    boost::asio::co_spawn(
+        m_strand, [this]() -> boost::asio::awaitable<void> { co_await announceOnce(); }, boost::asio::detached);
+}
+
 void Announcer::learnEntries(const std::string &from, const carobflow::AnnounceReply &reply)
 {
     NamedEntries &named = m_namedBy[from];
--- a/packages/daemon/src/carobflow/daemon/announcer.h
+++ b/packages/daemon/src/carobflow/daemon/announcer.h
@@ -52,6 +52,8 @@
         std::function<void(const FollowedSheet &)> onSheet;
         /// The version was current at this time.
         std::function<void(TimePoint confirmedAt, const FollowedSheet &)> onConfirmed;
+        /// The operators' drain of this host has begun or ended.
+        std::function<boost::asio::awaitable<void>(bool drained)> onDrain;
     };
 
     Announcer(const boost::asio::any_io_executor &executor,
@@ -80,6 +82,7 @@
     boost::asio::awaitable<bool> announceTo(std::string address, carobflow::AnnounceRequest request);
     boost::asio::awaitable<void> fetchSheet(std::string address, SheetVersion version);
     boost::asio::awaitable<void> searchEntries();
+    boost::asio::awaitable<void> learnDrain(TimePoint confirmedAt, bool drained);
     void learnEntries(const std::string &from, const carobflow::AnnounceReply &reply);
 
     boost::asio::any_io_executor m_strand;
@@ -102,6 +105,9 @@
     TimePoint m_lastSearch;
     SheetVersion m_seenVersion = 0;
     FollowedSheet m_sheet;
+    bool m_drained = false;
+    /// When the read of the table was sent, at the earliest, that m_drained comes from.
+    TimePoint m_drainConfirmedAt = TimePoint::min();
     std::map<ShardId, ShardLeaderRow> m_leaders;
 };
 
--- a/packages/daemon/src/carobflow/daemon/clusterview.cpp
+++ b/packages/daemon/src/carobflow/daemon/clusterview.cpp
@@ -132,6 +132,7 @@
 
 boost::asio::awaitable<void> ClusterView::readDrains()
 {
+    const TimePoint sentAt = std::chrono::steady_clock::now();
     const auto rows = co_await m_table.readRange(DrainPrefix, "", RangeLimit);
     if (!isOk(rows)) {
         co_return;
@@ -140,14 +141,16 @@
     for (const Row &row : valueOf(rows)) {
         hosts.push_back(row.key.substr(DrainPrefix.size()));
     }
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_drained == hosts) {
-            co_return;
-        }
+    const std::lock_guard lock(m_mutex);
+    // setDrained() reads besides run(), so that replies can come out of order.
+    if (m_drainsConfirmedAt && sentAt < *m_drainsConfirmedAt) {
+        co_return;
+    }
+    m_drainsConfirmedAt = sentAt;
+    if (m_drained != hosts) {
         m_drained = hosts;
+        m_drainListener(std::move(hosts));
     }
-    m_drainListener(std::move(hosts));
 }
 
 boost::asio::awaitable<bool> ClusterView::setDrained(std::string host, bool drained)
@@ -188,10 +191,10 @@
     return row ? std::optional(row->address) : std::nullopt;
 }
 
-bool ClusterView::isDrained(const std::string &host) const
+HostDrain ClusterView::drainOf(const std::string &host) const
 {
     const std::lock_guard lock(m_mutex);
-    return std::ranges::find(m_drained, host) != m_drained.end();
+    return {.drained = std::ranges::find(m_drained, host) != m_drained.end(), .confirmedAt = m_drainsConfirmedAt};
 }
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/clusterview.h
+++ b/packages/daemon/src/carobflow/daemon/clusterview.h
@@ -42,6 +42,12 @@
 /// Reads the row of a shard; empty when it has no leader or cannot be parsed.
 std::optional<ShardLeaderRow> parseShardRow(std::string_view key, std::string_view value);
 
+/// Whether an operator drains a host, and when the read of the table was sent that says so.
+struct HostDrain {
+    bool drained = false;
+    std::optional<TimePoint> confirmedAt;
+};
+
 /// The entry's view of what the table says about entries, shard leaders and drained hosts. Keeps this entry's own row.
 /// Safe to call from several threads.
 class ClusterView
@@ -71,7 +77,7 @@
     [[nodiscard]] std::shared_ptr<const EntryList> entries() const;
     [[nodiscard]] std::optional<ShardLeaderRow> leader(ShardId shard) const;
     [[nodiscard]] std::optional<std::string> leaderAddress(ShardId shard) const;
-    [[nodiscard]] bool isDrained(const std::string &host) const;
+    [[nodiscard]] HostDrain drainOf(const std::string &host) const;
 
 private:
     struct Seen {
@@ -94,6 +100,7 @@
     std::shared_ptr<const EntryList> m_entries = std::make_shared<const EntryList>();
     std::vector<ShardLeaderRow> m_leaders;
     std::vector<std::string> m_drained;
+    std::optional<TimePoint> m_drainsConfirmedAt;
 };
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/entryservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryservice.cpp
@@ -5,8 +5,24 @@
 #include "carobflow/daemon/protocolconversion.h"
 #include "carobflow/daemon/sheetrepository.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace Carobflow
 {
+namespace
+{
+
+std::uint64_t ageMilliseconds(TimePoint now, std::optional<TimePoint> confirmedAt)
+{
+    constexpr std::uint64_t neverConfirmed = std::uint64_t{1} << 40U;
+    // A read that was sent after `now` was taken has no age yet.
+    return confirmedAt ? static_cast<std::uint64_t>(
+               std::max<std::int64_t>(0, std::chrono::ceil<Milliseconds>(now - *confirmedAt).count()))
+                       : neverConfirmed;
+}
+
+} // namespace
 
 EntryService::EntryService(SheetRepository &sheets, ClusterView &cluster, Routing &routing)
     : m_sheets(sheets)
@@ -28,10 +44,7 @@
         reply->set_sheet_version(sheet->version);
         reply->set_sheet_row_version(sheet->rowVersion);
     }
-    constexpr std::uint64_t neverConfirmed = std::uint64_t{1} << 40U;
-    reply->set_sheet_confirmed_age_ms(
-        confirmedAt ? static_cast<std::uint64_t>(std::chrono::ceil<Milliseconds>(now - *confirmedAt).count())
-                    : neverConfirmed);
+    reply->set_sheet_confirmed_age_ms(ageMilliseconds(now, confirmedAt));
     // The list of entries rarely changes, and lists in every reply would grow with agents times entries.
     const auto entries = m_cluster.entries();
     reply->set_entries_digest(entries->digest);
@@ -48,7 +61,9 @@
         leader->set_epoch(row->epoch);
         leader->set_address(row->address);
     }
-    reply->set_drained(m_cluster.isDrained(request->host()));
+    const HostDrain drain = m_cluster.drainOf(request->host());
+    reply->set_drained(drain.drained);
+    reply->set_drained_confirmed_age_ms(ageMilliseconds(now, drain.confirmedAt));
     auto *reactor = context->DefaultReactor();
     reactor->Finish(grpc::Status::OK);
     return reactor;
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.cpp
@@ -110,6 +110,11 @@
     m_dataCentreIn = dataCentreIn;
 }
 
+void RequestExecutor::setDrained(bool drained)
+{
+    m_drained = drained;
+}
+
 void RequestExecutor::close()
 {
     m_closed = true;
@@ -177,6 +182,9 @@
     if (m_closed) {
         return "the agent is stopping";
     }
+    if (m_drained) {
+        return "an operator drains this host";
+    }
     if (service == m_services.end() || service->second->leaving) {
         return "the upstream is not announced here or is leaving";
     }
@@ -282,7 +290,7 @@
         info.set_service(name);
         info.set_slots(service->slots);
         info.set_connections(service->connections);
-        info.set_leaving(service->leaving || m_closed);
+        info.set_leaving(service->leaving || m_closed || m_drained);
     }
     return list;
 }
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -62,6 +62,9 @@
     /// version is refused, because that entry does not know of the change yet.
     void setSheet(SheetVersion version, bool dataCentreIn);
 
+    /// While an operator drains this host, its upstreams are leaving, whatever they announce.
+    void setDrained(bool drained);
+
     /// Refuses everything from now on.
     void close();
 
@@ -98,6 +101,7 @@
     std::shared_ptr<HttpClient> m_client;
     Metrics &m_metrics;
     bool m_closed = false;
+    bool m_drained = false;
     SheetVersion m_sheetVersion = 0;
     bool m_dataCentreIn = true;
     std::uint64_t m_nextId = 1;
--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -1,5 +1,7 @@
 #include "systemhelpers.h"
 
+#include <algorithm>
+#include <atomic>
 #include <csignal>
 
 #include <catch2/catch.hpp>
@@ -32,7 +34,8 @@
 }
 
 /// Lets an upstream leave, and checks that it executes nothing after the bound while the others are used.
-void checkLeaves(Cluster &cluster, BalancedLoad &load, std::uint32_t host, const std::function<void()> &leave)
+template<typename Requests>
+void checkLeaves(Cluster &cluster, const Requests &load, std::uint32_t host, const std::function<void()> &leave)
 {
     leave();
     const TimePoint leftAt = std::chrono::steady_clock::now();
@@ -43,6 +46,64 @@
     CHECK(executedBy(cluster, host) == executed);
 }
 
+/// Sends requests through one entry only.
+class EntryLoad
+{
+public:
+    EntryLoad(Cluster &cluster, std::uint32_t entry, double requestsPerSecond)
+        : m_sending(
+            [this, &cluster, entry, requestsPerSecond] {
+                const LoadSummary some = Load::run(cluster.caller(),
+                                                   {cluster.entry(entry)},
+                                                   {.requestsPerSecond = requestsPerSecond,
+                                                    .duration = Milliseconds(100),
+                                                    .service = cluster.deployment().service});
+                m_answered += some.answered;
+            },
+            Milliseconds(0))
+    {
+    }
+
+    [[nodiscard]] std::uint64_t answered() const
+    {
+        return m_answered;
+    }
+
+private:
+    std::atomic<std::uint64_t> m_answered{0};
+    Repeating m_sending;
+};
+
+void setDrained(Cluster &cluster, std::uint32_t entry, std::uint32_t host, bool drained)
+{
+    std::vector<std::string> arguments{"upstream", "drain", cluster.hostName(host)};
+    if (!drained) {
+        arguments.emplace_back("--end");
+    }
+    CHECK(startClient(cluster, entry, arguments)->waitForEnd(Milliseconds(10000)) == 0);
+}
+
+void setAnnounced(Cluster &cluster, std::uint32_t host, bool announced)
+{
+    cluster.caller().postJson(cluster.hostControl(host), "/control", {{"announce", announced}});
+}
+
+void waitUntilUsed(Cluster &cluster, std::uint32_t host)
+{
+    waitUntil("the upstream is used again",
+              [&, executed = executedBy(cluster, host)] { return executedBy(cluster, host) > executed; });
+}
+
+/// What an entry's list of upstreams says about a host in a field such as "drained".
+bool listedAs(Cluster &cluster, std::uint32_t entry, std::uint32_t host, std::string_view field)
+{
+    const auto list = cluster.caller().getJson(cluster.entry(entry), "/v1/upstreams");
+    const auto &upstreams = list.at("upstreams").as_array();
+    return std::ranges::any_of(upstreams, [&](const boost::json::value &upstream) {
+        return upstream.at("host").as_string() == cluster.hostName(host) && upstream.at(field).as_bool();
+    });
+}
+
 void checkNothingLost(const LoadSummary &summary)
 {
     WARN("requests: " << summary.answered << " answered of " << summary.total() << ", " << summary.notRun
@@ -68,30 +129,59 @@
     Cluster cluster(smallSystem());
     cluster.start(baseSheet(cluster.deployment()));
     BalancedLoad load(cluster, 150);
-    const auto control = [&](std::uint32_t host, bool announce) {
-        cluster.caller().postJson(cluster.hostControl(host), "/control", {{"announce", announce}});
-    };
-    const auto drain = [&](std::vector<std::string> more) {
-        std::vector<std::string> arguments{"upstream", "drain", "host-1"};
-        arguments.insert(arguments.end(), more.begin(), more.end());
-        CHECK(startClient(cluster, 2, arguments)->waitForEnd(Milliseconds(10000)) == 0);
-    };
-    const auto checkReturns = [&](std::uint32_t host) {
-        waitUntil("the upstream is used again",
-                  [&, executed = executedBy(cluster, host)] { return executedBy(cluster, host) > executed; });
-    };
-
-    checkLeaves(cluster, load, 0, [&] { control(0, false); });
-    control(0, true);
-    checkReturns(0);
-    checkLeaves(cluster, load, 1, [&] { drain({}); });
-    drain({"--end"});
-    checkReturns(1);
+
+    checkLeaves(cluster, load, 0, [&] { setAnnounced(cluster, 0, false); });
+    setAnnounced(cluster, 0, true);
+    waitUntilUsed(cluster, 0);
+    checkLeaves(cluster, load, 1, [&] { setDrained(cluster, 2, 1, true); });
+    setDrained(cluster, 2, 1, false);
+    waitUntilUsed(cluster, 1);
     checkLeaves(cluster, load, 2, [&] { cluster.agentProcess(2).signal(SIGTERM); });
     CHECK(cluster.agentProcess(2).waitForEnd(StopBound) == 0);
     checkNothingLost(load.stop());
 }
 
+TEST_CASE("A drain reaches an entry without contact with the table, and such an entry does not keep it up", "[leave]")
+{
+    Cluster::Options options = smallSystem();
+    options.proxied = true;
+    options.separateEntryTables = true;
+    Cluster cluster(options);
+    cluster.start(baseSheet(cluster.deployment()));
+    const std::uint32_t cutOff = 1;
+    const std::uint32_t host = 2;
+
+    {
+        // Guards against an entry that learns of drains from the table only.
+        const EntryLoad load(cluster, cutOff, 100);
+        waitUntilUsed(cluster, host);
+        cluster.setRoute("entry-table-1", "cut");
+        checkLeaves(cluster, load, host, [&] { setDrained(cluster, 0, host, true); });
+        setDrained(cluster, 0, host, false);
+        waitUntilUsed(cluster, host);
+    }
+
+    // Guards against an agent that follows any entry, or the last reply: the entry that is cut off goes on saying that
+    // the host is drained. The host is one that the other entry prefers.
+    const std::uint32_t near = 0;
+    REQUIRE(cluster.dataCentreOf(near) == cluster.deployment().dataCentres.at(0));
+    cluster.setRoute("entry-table-1", "pass");
+    setDrained(cluster, 0, near, true);
+    waitUntil("the entry has read the drain", [&] { return listedAs(cluster, cutOff, near, "drained"); });
+    cluster.setRoute("entry-table-1", "cut");
+    setDrained(cluster, 0, near, false);
+    waitUntil("the agent has ended the drain", [&] { return !listedAs(cluster, 0, near, "leaving"); });
+    const EntryLoad load(cluster, 0, 100);
+    waitUntilUsed(cluster, near);
+    std::uint32_t drainedAgain = 0;
+    waitUntil("more requests are answered", [&] {
+        drainedAgain += listedAs(cluster, 0, near, "leaving") ? 1 : 0;
+        return load.answered() > 300;
+    });
+    CHECK(drainedAgain == 0);
+    CHECK(listedAs(cluster, cutOff, near, "drained"));
+}
+
 TEST_CASE("Planned stops of each role cut no request and lose no job", "[stop]")
 {
     Cluster cluster(smallSystem());
