Test the first requests of an entry after a freeze

Cause: an entry that was frozen over a change of the sheet, or while an upstream left, serves its first requests after SIGCONT from its old state. Only the agent's refusal guards that moment, and no test showed it.

Change: a test freezes an entry, takes a data centre out, lets an upstream leave, and drains another one, each with a freeze that is shorter and one that is longer than the time after which upstreams expire. Sixty requests are written to the entry's sockets while it is stopped.

Ruled out: a first form of the test with an entry that reads the table and a data centre other than the entry's. It passed without the agent's refusal for the data centre and for the leaving upstream, because the entry prefers its own data centre and reads the sheet at once. The entry is now cut off from the table, and the hosts are in its data centre.

--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -4,6 +4,10 @@
 #include <atomic>
 #include <csignal>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 
 namespace Carobflow::Bench
@@ -182,6 +186,148 @@
     CHECK(listedAs(cluster, cutOff, near, "drained"));
 }
 
+namespace
+{
+
+/// Requests that lie in the socket buffers of an entry before it reads them.
+class BufferedRequests
+{
+public:
+    BufferedRequests(const Cluster &cluster, std::uint32_t entry, std::size_t count)
+    {
+        namespace http = boost::beast::http;
+        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(),
+                                                      cluster.entry(entry).port);
+        http::request<http::empty_body> request(
+            http::verb::get, "/v1/services/" + cluster.deployment().service + "/quote", 11);
+        request.set(http::field::host, "entry");
+        for (std::size_t index = 0; index < count; ++index) {
+            m_sockets.emplace_back(m_context).connect(endpoint);
+            http::write(m_sockets.back(), request);
+        }
+    }
+
+    /// Waits for all responses; returns how many of them are answers of upstreams.
+    std::size_t answered()
+    {
+        namespace http = boost::beast::http;
+        std::size_t count = 0;
+        for (auto &socket : m_sockets) {
+            boost::beast::flat_buffer buffer;
+            http::response<http::string_body> response;
+            http::read(socket, buffer, response);
+            count += response["Carobflow-Outcome"] == "answer" ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    std::vector<boost::asio::ip::tcp::socket> m_sockets;
+};
+
+/// Freezes an entry, takes hosts out of use, and lets the entry go on with requests in its socket buffers; checks that
+/// none of them runs on these hosts. `isKnown` tells whether the agents of the hosts know of the change.
+void checkFrozenEntry(Cluster &cluster,
+                      const std::vector<std::uint32_t> &hosts,
+                      Milliseconds frozenFor,
+                      const std::function<void()> &change,
+                      const std::function<bool()> &isKnown)
+{
+    const std::uint32_t frozen = 2;
+    const auto executed = [&] {
+        std::vector<std::uint64_t> counts;
+        for (const std::uint32_t host : hosts) {
+            counts.push_back(executedBy(cluster, host));
+        }
+        return counts;
+    };
+    waitUntil("the entry uses the hosts", [&, before = executed()] {
+        BufferedRequests(cluster, frozen, 30).answered();
+        return std::ranges::equal(before, executed(), std::ranges::less());
+    });
+    // Without the table the entry learns late that its sheet and its drains are old.
+    cluster.setRoute("entry-table-2", "cut");
+    cluster.entryProcess(frozen).signal(SIGSTOP);
+    const TimePoint since = std::chrono::steady_clock::now();
+    change();
+    waitUntil("the agents know of the change", isKnown);
+    waitUntil("the time has passed", [&] { return std::chrono::steady_clock::now() >= since + frozenFor; });
+    const auto before = executed();
+    BufferedRequests requests(cluster, frozen, 60);
+    cluster.entryProcess(frozen).signal(SIGCONT);
+    const std::size_t atOnce = requests.answered();
+    std::size_t later = 0;
+    waitUntil("the entry serves again", [&] {
+        later += BufferedRequests(cluster, frozen, 20).answered();
+        return later >= 60;
+    });
+    WARN(atOnce << " of 60 requests answered at once and " << later << " later");
+    CHECK(executed() == before);
+    cluster.setRoute("entry-table-2", "pass");
+}
+
+} // namespace
+
+// Guards against an entry that serves its first requests after a freeze from a sheet or a list of upstreams that is out
+// of date, with an agent that trusts it. A short freeze leaves the entry's announcements valid; after a long one they
+// have timed out, unless the ones that wait in its sockets come first.
+TEST_CASE("No request of an entry that was frozen runs where none may run since then", "[datacentre][leave]")
+{
+    Cluster::Options options = smallSystem();
+    options.proxied = true;
+    options.separateEntryTables = true;
+    Cluster cluster(options);
+    cluster.start(baseSheet(cluster.deployment()));
+    // The data centre of the entry, whose upstreams it prefers.
+    const std::string out = cluster.deployment().dataCentres.at(2);
+    std::vector<std::uint32_t> inside;
+    for (std::uint32_t host = 0; host < cluster.deployment().hosts; ++host) {
+        if (cluster.dataCentreOf(host) == out) {
+            inside.push_back(host);
+        }
+    }
+
+    for (const Milliseconds frozenFor : {Milliseconds(0), Milliseconds(4000)}) {
+        INFO("frozen for at least " << frozenFor.count() << " ms");
+        {
+            INFO("data centre taken out");
+            const auto version = metricOf(cluster, cluster.entry(0), "carobflow_sheet_version");
+            checkFrozenEntry(
+                cluster,
+                inside,
+                frozenFor,
+                [&] { cluster.setDataCentre(out, false, 0); },
+                [&] {
+                    return std::ranges::all_of(inside, [&](std::uint32_t host) {
+                        return metricOf(cluster, cluster.agentHttp(host), "carobflow_sheet_version") > version;
+                    });
+                });
+            cluster.setDataCentre(out, true, 0);
+        }
+        {
+            INFO("upstream leaves");
+            checkFrozenEntry(
+                cluster,
+                {inside.front()},
+                frozenFor,
+                [&] { setAnnounced(cluster, inside.front(), false); },
+                [&] { return listedAs(cluster, 0, inside.front(), "leaving"); });
+            setAnnounced(cluster, inside.front(), true);
+        }
+        {
+            INFO("upstream drained");
+            checkFrozenEntry(
+                cluster,
+                {inside.back()},
+                frozenFor,
+                [&] { setDrained(cluster, 0, inside.back(), true); },
+                [&] { return listedAs(cluster, 0, inside.back(), "leaving"); });
+            setDrained(cluster, 0, inside.back(), false);
+        }
+    }
+}
+
 TEST_CASE("Planned stops of each role cut no request and lose no job", "[stop]")
 {
     Cluster cluster(smallSystem());
