Let the thread sanitizer check the core and the daemon

Cause: the thread sanitizer had never been run. Its first run of [routing] gave 52 warnings: all of them lead to RcuPointer::replace, because liburcu is not built with the sanitizer and the ordering of its grace periods is not seen.

Ruled out: suppressions by function, which would also hide real races between readers and writers of the routing.

Tests with processes were not run with it.

--- a/packages/core/src/carobflow/core/internal/rcupointer.cpp
+++ b/packages/core/src/carobflow/core/internal/rcupointer.cpp
@@ -4,6 +4,10 @@
 
 #include <urcu/urcu-bp.h>
 
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#endif
+
 namespace Carobflow::Detail
 {
 
@@ -18,8 +22,30 @@
 // The callback gets the address of the first member and turns it into the address of the structure.
 static_assert(std::is_standard_layout_v<Deferred>);
 
+#ifdef __SANITIZE_THREAD__
+/// The thread sanitizer does not see the ordering that grace periods of the library give, because the library is not
+/// built with it: the end of each read section, and each request to destroy, precedes what is destroyed after it.
+char gracePeriod;
+void beforeGracePeriod()
+{
+    __tsan_release(&gracePeriod);
+}
+void afterGracePeriod()
+{
+    __tsan_acquire(&gracePeriod);
+}
+#else
+void beforeGracePeriod()
+{
+}
+void afterGracePeriod()
+{
+}
+#endif
+
 void destroyDeferred(rcu_head *head)
 {
+    afterGracePeriod();
     const std::unique_ptr<Deferred> deferred(reinterpret_cast<Deferred *>(head));
     deferred->destroy(deferred->object);
 }
@@ -33,6 +59,7 @@
 
 RcuReadSection::~RcuReadSection()
 {
+    beforeGracePeriod();
     urcu_bp_read_unlock();
 }
 
@@ -41,6 +68,7 @@
     auto deferred = std::make_unique<Deferred>();
     deferred->object = object;
     deferred->destroy = destroy;
+    beforeGracePeriod();
     urcu_bp_call_rcu(&deferred.release()->head, destroyDeferred);
 }
 
