Show with processes that the agent alone prevents overcommitment

Cause: in the existing case both the leader and the agent keep a host within its capacity, so it passes with an agent that counts declared sizes only.

Ruled out: relying on the leader's view being late by one report. Whether a start falls into that gap depends on timing.

Change: a new case puts a task of 7000 of 8000 millis on each worker directly, as a start call does that takes effect after the leader has given up its task. The leader does not count it, the agents stop it, and the workers take 4 s to do so. Jobs that come in meanwhile must be refused by the agents. The worker takes whatever it is given. Cluster::worker gives the address.

Conclusion: the check of the fit at the agent is guarded at the level of processes. That it counts measured sizes is guarded by the randomised test only.

--- a/packages/bench/src/carobflow/bench/cluster.cpp
+++ b/packages/bench/src/carobflow/bench/cluster.cpp
@@ -151,6 +151,11 @@
     return localEndpoint(d->hosts.at(index).upstreamPort);
 }
 
+HttpEndpoint Cluster::worker(std::uint32_t index) const
+{
+    return localEndpoint(d->hosts.at(index).workerPort);
+}
+
 std::string Cluster::hostName(std::uint32_t index) const
 {
     return d->hostName(index);
--- a/packages/bench/src/carobflow/bench/cluster.h
+++ b/packages/bench/src/carobflow/bench/cluster.h
@@ -62,6 +62,8 @@
     [[nodiscard]] std::vector<HttpEndpoint> entries() const;
     [[nodiscard]] HttpEndpoint hostControl(std::uint32_t index) const;
     [[nodiscard]] HttpEndpoint upstream(std::uint32_t index) const;
+    /// The worker of a host, without the proxy.
+    [[nodiscard]] HttpEndpoint worker(std::uint32_t index) const;
     [[nodiscard]] std::string hostName(std::uint32_t index) const;
     [[nodiscard]] std::string dataCentreOf(std::uint32_t index) const;
 
--- a/tests/integration/capacity_test.cpp
+++ b/tests/integration/capacity_test.cpp
@@ -32,6 +32,34 @@
     }
 }
 
+// Guards against an agent that relies on the leader's count: the leader counts its own assignments only, but a task
+// whose start call took effect late holds its resources until the worker has stopped it.
+TEST_CASE("an agent alone refuses tasks beside one that the leader does not count", "[jobs]")
+{
+    JobCluster jobs({.hostArguments = {"--accept-all", "--stop-ms", "4000"}});
+    const std::uint32_t hosts = jobs.cluster.deployment().hosts;
+    for (std::uint32_t host = 0; host < hosts; ++host) {
+        const json::object task{{"job", "uncounted-" + std::to_string(host)},
+                                {"fence", 1},
+                                {"leaseMs", 60000},
+                                {"cpuMillis", 7000},
+                                {"memoryMiB", 100},
+                                {"accelerators", 0},
+                                {"jobClass", "reseam"},
+                                {"checkpoint", ""},
+                                {"runSeconds", 600}};
+        jobs.cluster.caller().postJson(jobs.cluster.worker(host), "/tasks", task);
+    }
+    waitUntil("every agent stops its uncounted task", [&] {
+        return std::ranges::all_of(jobs.cluster.hostLogs(), [](const json::object &log) {
+            return std::ranges::any_of(log.at("tasks").as_array(),
+                                       [](const json::value &event) { return event.at("event") == "stop"; });
+        });
+    });
+    jobs.submitMany("job-", 4, 1);
+    jobs.finish();
+}
+
 // Guards against a faulty host that uses up the jobs' attempts, and against a faulty job that takes hosts with it.
 TEST_CASE("a host that fails everything and a class that fails everywhere are told apart", "[jobs]")
 {
