Let the cases of faults fail when the mechanism behind them is broken

Cause: the cases of frozen agent, frozen leader, killed leader, cut worker connection, slow table and silent connections had not been seen to fail with a broken mechanism. Trials with broken daemons showed which of them do not.

Ruled out: one break for each case. Several mechanisms overlap, so two were tried where the first one told too little.

Before, with the broken mechanism: - killed leader without the wait after a take-over: passed, because the leases of the dead host (1.5 s) were over before the take-over (2.5 s). - frozen leader without the condition on the shard's row: passed, because the condition on the ledger row and the epoch in the reports suffice for jobs. - frozen agent with a reassignment wait of 1 s: passed, because the agent resumed and reported as soon as the leases had lapsed. - cut worker connection with a failed list taken as an empty one: passed in 1 of 2 runs, because a lease of 1.5 s may be over before the next start. - slow table with a lost reply of a commit taken as a refusal: passed, because the condition on the row deposes the leader and the next one replays. The others failed with the broken mechanism as they were.

Change: longer worker leases and tasks for killed leader, frozen agent and cut worker, with a task on each host when the leader is killed; a frozen agent also stays frozen until its task runs elsewhere. The frozen leader has to step down and the epoch in its row must not fall, also under a grace that outlasts the case. Under a slow table calls time out before and after their effect, no task runs twice and the epoch stays.

--- a/tests/integration/jobcluster.h
+++ b/tests/integration/jobcluster.h
@@ -186,17 +186,22 @@
         throw std::runtime_error("no task runs on a host beside the leader's");
     }
 
+    /// True when an agent answers and says that it leads, or that it does not.
+    bool saysLeading(std::uint32_t host, bool leading)
+    {
+        const auto outcome = cluster.caller().call(cluster.agentHttp(host), {.target = "/metrics", .timeout = 200ms});
+        const auto *answer = std::get_if<HttpAnswer>(&outcome);
+        const std::string line = "carobflow_shard_leading{shard=\"0\"} " + std::to_string(leading ? 1 : 0);
+        return answer != nullptr && answer->body.find(line) != std::string::npos;
+    }
+
     void waitForOtherLeader(std::uint32_t previous)
     {
         waitUntil(
             "another agent leads",
             [&] {
                 for (std::uint32_t host = 0; host < cluster.deployment().hosts; ++host) {
-                    const auto outcome = cluster.caller().call(cluster.agentHttp(host),
-                                                               {.target = "/metrics", .timeout = 200ms});
-                    const auto *answer = std::get_if<HttpAnswer>(&outcome);
-                    if (host != previous && answer != nullptr
-                        && answer->body.find("carobflow_shard_leading{shard=\"0\"} 1") != std::string::npos) {
+                    if (host != previous && saysLeading(host, true)) {
                         return true;
                     }
                 }
@@ -205,6 +210,15 @@
             Limit);
     }
 
+    /// The epoch in the row of the shard.
+    Epoch epoch()
+    {
+        const json::value answer = cluster.caller().postJson(
+            cluster.platform(), "/table/read", json::object{{"keys", json::array{"shard/0"}}});
+        const json::value row = json::parse(answer.at("rows").at(0).at("value").as_string());
+        return row.at("epoch").to_number<Epoch>();
+    }
+
     /// Waits until all accepted jobs are finished, then checks what happened on the hosts.
     void finish()
     {
--- a/tests/integration/jobs_test.cpp
+++ b/tests/integration/jobs_test.cpp
@@ -10,9 +10,10 @@
 // is too short.
 TEST_CASE("jobs go on when the leader is killed while jobs come in", "[jobs]")
 {
-    JobCluster jobs;
-    jobs.submitMany("before-", 8, 3);
-    jobs.waitForStarts(8);
+    // Three hosts hold twelve tasks, so that the leader's has one. Its lease goes on after the take-over.
+    JobCluster jobs({}, {{"timing.worker_lease_ms", "7000"}});
+    jobs.submitMany("before-", 13, 9);
+    jobs.waitForStarts(13);
     const std::uint32_t leader = jobs.cluster.leaderIndex();
     jobs.cluster.agentProcess(leader).signal(SIGKILL);
     jobs.killed.insert(leader);
@@ -24,7 +25,9 @@
 // Guards against a leader that goes on deciding after others took over.
 TEST_CASE("a leader that was frozen past its lease steps down", "[jobs]")
 {
-    JobCluster jobs;
+    // With the longer grace only its failed commit can tell the old leader that others took over.
+    const std::string grace = GENERATE(as<std::string>(), "2000", "60000");
+    JobCluster jobs({}, {{"timing.outage_grace_ms", grace}});
     jobs.submitMany("before-", 8, 4);
     jobs.waitForStarts(8);
     const std::uint32_t leader = jobs.cluster.leaderIndex();
@@ -32,20 +35,32 @@
     jobs.unheard = true;
     jobs.waitForOtherLeader(leader);
     jobs.submitMany("during-", 4, 1);
+    const Epoch epoch = jobs.epoch();
     jobs.cluster.agentProcess(leader).signal(SIGCONT);
+    waitUntil("the frozen leader steps down", [&] {
+        CHECK(jobs.epoch() >= epoch);
+        return jobs.saysLeading(leader, false);
+    });
     jobs.submitMany("after-", 4, 1);
     jobs.finish();
 }
 
-// Guards against an agent that goes on with tasks whose leases have lapsed.
+// Guards against an agent that goes on with tasks whose leases have lapsed, and against a reassignment before that.
 TEST_CASE("tasks of an agent that was frozen past its worker lease run again", "[jobs]")
 {
-    JobCluster jobs;
-    jobs.submitMany("job-", 8, 5);
+    JobCluster jobs({}, {{"timing.worker_lease_ms", "6000"}});
+    jobs.submitMany("job-", 8, 8);
     jobs.waitForStarts(8);
     const std::uint32_t host = jobs.busyFollower();
     jobs.cluster.agentProcess(host).signal(SIGSTOP);
-    jobs.waitForLapse(host);
+    SECTION("it resumes when its tasks have stopped")
+    {
+        jobs.waitForLapse(host);
+    }
+    SECTION("it resumes when a task of it runs elsewhere")
+    {
+        jobs.waitForRuns("a task runs again", 9, [](const Run & /*run*/) { return true; });
+    }
     jobs.cluster.agentProcess(host).signal(SIGCONT);
     jobs.finish();
 }
@@ -64,11 +79,12 @@
     jobs.checkNoneRanTwice();
 }
 
-// Guards against results and ends of tasks that are missed while the worker cannot be reached.
+// Guards against results and ends of tasks that are missed while the worker cannot be reached, and against tasks that
+// are given up although they still run there.
 TEST_CASE("tasks run again after the connection to their worker was cut past the lease", "[jobs]")
 {
-    JobCluster jobs;
-    jobs.submitMany("job-", 8, 4);
+    JobCluster jobs({}, {{"timing.worker_lease_ms", "4000"}});
+    jobs.submitMany("job-", 8, 8);
     jobs.waitForStarts(8);
     const std::uint32_t host = jobs.busyFollower();
     jobs.cluster.setRoute("worker-" + std::to_string(host), "cut");
@@ -98,15 +114,24 @@
 // Guards against decisions that are repeated because their commit was slow or its reply came too late.
 TEST_CASE("jobs go on while the table is slow", "[jobs]")
 {
-    JobCluster jobs;
-    jobs.cluster.setPlatform("slow", 300);
-    jobs.submitMany("slow-", 6, 2);
-    jobs.waitForStarts(1);
-    // Half of the delay comes after the effect, beyond the time-out of the call.
-    jobs.cluster.setPlatform("slow", 1000);
-    letFaultLast(3s);
+    JobCluster jobs({}, {{"timing.outage_grace_ms", "20000"}});
     jobs.cluster.setPlatform("slow", 300);
+    jobs.submitMany("slow-", 6, 8);
+    jobs.waitForStarts(6);
+    const Epoch epoch = jobs.epoch();
+    // Half of the delay comes before the effect: the calls time out after their effect, then before it.
+    for (const std::uint32_t delay : {1000U, 1400U}) {
+        jobs.cluster.setPlatform("slow", delay);
+        const std::string id = "delay-" + std::to_string(delay);
+        jobs.submit(id, 1);
+        letFaultLast(2s);
+        jobs.cluster.setPlatform("slow", 300);
+        waitUntil("the submission is accepted", [&] { return jobs.submit(id, 1); });
+    }
     jobs.finish();
+    jobs.checkNoneRanTwice();
+    // A leader that takes a lost reply for a failure commits again, conflicts with itself and loses the shard.
+    CHECK(jobs.epoch() == epoch);
 }
 
 // Guards against commits that are made twice or forgotten when their reply is lost, and evicted tasks that do not
