Answer requests that arrived before their idle connection is closed

Cause: at the end of its drain the HTTP server cancelled the read of every idle connection. When a request had arrived and was not read yet, the connection was closed with that request in its socket buffer, so the caller got a reset.

Ruled out: keeping idle connections open until the process ends. A stop has a bound, so that they must be closed at some time, and the race would only move there. Nor is an unsolicited `not-run` sent on idle connections: a client may take it for the answer to its next request.

Change: a connection on which bytes have arrived is not closed; its request is read and answered, as `not-run` and with `Connection: close`. The next look, 10 ms later, finds it closed or idle.

Figures: the new test stops an entry with SIGSTOP over the end of its drain delay and sends 600 requests on idle connections meanwhile.

--- a/packages/daemon/src/carobflow/daemon/httpserver.cpp
+++ b/packages/daemon/src/carobflow/daemon/httpserver.cpp
@@ -266,7 +266,9 @@
         const std::lock_guard lock(m_mutex);
         for (const auto &connection : m_open) {
             asio::post(connection->stream.get_executor(), [connection] {
-                if (connection->idle) {
+                // A request that has arrived is read and answered: closing would cut it.
+                boost::system::error_code ignored;
+                if (connection->idle && connection->stream.socket().available(ignored) == 0) {
                     connection->stream.cancel();
                 }
             });
--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <map>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
 namespace Carobflow::Bench
@@ -189,39 +191,56 @@
 namespace
 {
 
-/// Requests that lie in the socket buffers of an entry before it reads them.
+/// Connections to an entry, with a request on each that may lie in its socket buffers before it reads them.
 class BufferedRequests
 {
 public:
     BufferedRequests(const Cluster &cluster, std::uint32_t entry, std::size_t count)
+        : m_target("/v1/services/" + cluster.deployment().service + "/quote")
     {
-        namespace http = boost::beast::http;
         const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(),
                                                       cluster.entry(entry).port);
-        http::request<http::empty_body> request(
-            http::verb::get, "/v1/services/" + cluster.deployment().service + "/quote", 11);
-        request.set(http::field::host, "entry");
         for (std::size_t index = 0; index < count; ++index) {
             m_sockets.emplace_back(m_context).connect(endpoint);
-            http::write(m_sockets.back(), request);
         }
+        send();
     }
 
-    /// Waits for all responses; returns how many of them are answers of upstreams.
-    std::size_t answered()
+    /// Sends a request on each connection.
+    void send()
     {
         namespace http = boost::beast::http;
-        std::size_t count = 0;
+        http::request<http::empty_body> request(http::verb::get, m_target, 11);
+        request.set(http::field::host, "entry");
+        for (auto &socket : m_sockets) {
+            http::write(socket, request);
+        }
+    }
+
+    /// Waits for all responses; returns how many have each value of Carobflow-Outcome, and as "cut" how many
+    /// connections ended without one.
+    std::map<std::string, std::size_t> outcomes()
+    {
+        namespace http = boost::beast::http;
+        std::map<std::string, std::size_t> counts;
         for (auto &socket : m_sockets) {
             boost::beast::flat_buffer buffer;
             http::response<http::string_body> response;
-            http::read(socket, buffer, response);
-            count += response["Carobflow-Outcome"] == "answer" ? 1 : 0;
+            boost::system::error_code error;
+            http::read(socket, buffer, response, error);
+            ++counts[error ? "cut" : std::string(response["Carobflow-Outcome"])];
         }
-        return count;
+        return counts;
+    }
+
+    /// Waits for all responses; returns how many of them are answers of upstreams.
+    std::size_t answered()
+    {
+        return outcomes()["answer"];
     }
 
 private:
+    std::string m_target;
     boost::asio::io_context m_context;
     std::vector<boost::asio::ip::tcp::socket> m_sockets;
 };
@@ -237,6 +256,7 @@
     const std::uint32_t frozen = 2;
     const auto executed = [&] {
         std::vector<std::uint64_t> counts;
+        counts.reserve(hosts.size());
         for (const std::uint32_t host : hosts) {
             counts.push_back(executedBy(cluster, host));
         }
@@ -328,6 +348,39 @@
     }
 }
 
+// Guards against an entry that closes idle connections although requests have arrived on them. The entry is stopped
+// over the end of its drain delay, so that the requests and that end come at once.
+TEST_CASE("A request that arrives before its idle connection is closed is answered", "[stop]")
+{
+    Cluster cluster(smallSystem());
+    cluster.start(baseSheet(cluster.deployment()));
+    constexpr std::size_t connections = 600;
+    BufferedRequests requests(cluster, 1, connections);
+    CHECK(requests.outcomes()["cut"] == 0);
+
+    cluster.entryProcess(1).signal(SIGTERM);
+    const boost::json::object row{{"keys", {"entry/entry-1"}}};
+    waitUntil("the drain delay has begun", [&] {
+        const auto rows = cluster.caller().postJson(cluster.platform(), "/table/read", row);
+        return boost::json::serialize(rows).find(R"(\"leaving\":true)") != std::string::npos;
+    });
+    const TimePoint since = std::chrono::steady_clock::now();
+    waitUntil("the entry has seen that its row is written",
+              [&] { return std::chrono::steady_clock::now() > since + Milliseconds(200); });
+    cluster.entryProcess(1).signal(SIGSTOP);
+    waitUntil("the drain delay has passed",
+              [&] { return std::chrono::steady_clock::now() > since + Milliseconds(2000); });
+    // After the end of the delay, so that the entry notices that end first.
+    requests.send();
+    cluster.entryProcess(1).signal(SIGCONT);
+    const auto outcomes = requests.outcomes();
+    for (const auto &[outcome, count] : outcomes) {
+        WARN(count << " of " << connections << " requests: " << outcome);
+    }
+    CHECK(outcomes.count("cut") == 0);
+    CHECK(cluster.entryProcess(1).waitForEnd(StopBound) == 0);
+}
+
 TEST_CASE("Planned stops of each role cut no request and lose no job", "[stop]")
 {
     Cluster cluster(smallSystem());
