Refuse jobs and hosts of other shards at a leader

Cause: a leader took every submission, cancellation, report and list that reached its address, whatever shard it was meant for. Entries and agents send to the address in the row of a shard; when that host has been replaced by one of another shard under the same address, which leads its own shard, the new leader recorded the foreign job, and gave a foreign host a grant while that host's own leader waits only for the grants that it gave itself. Found by reading while a gateway that uses a wrong shard was considered; it has not been seen in a run with processes, because so far only one shard was run.

Ruled out: leaving the check to the callers, since they cannot know that an address has passed to another process.

Change: a leader answers calls about a job, host or shard that is not its own as a process that does not lead; callers then look the leader up again.

Conclusion: a job and a host belong to one shard also for callers with an outdated address. No test drives this with processes yet.

--- a/packages/core/src/carobflow/core/internal/shardleaderprivate.h
+++ b/packages/core/src/carobflow/core/internal/shardleaderprivate.h
@@ -40,6 +40,7 @@
     std::uint64_t request(TimePoint now, JobRequest request);
     [[nodiscard]] JobView view(const JobRecord &job) const;
     [[nodiscard]] bool isLeading(TimePoint now) const;
+    [[nodiscard]] bool owns(std::string_view name) const;
     void release();
 
     Options m_options;
--- a/packages/core/src/carobflow/core/shardleader.cpp
+++ b/packages/core/src/carobflow/core/shardleader.cpp
@@ -44,10 +44,15 @@
     return m_phase == Phase::Leading && !m_releasing && now < m_leaseStart + m_options.outageGrace;
 }
 
+bool ShardLeader::Private::owns(std::string_view name) const
+{
+    return shardOf(name, m_options.shardCount) == m_options.shard;
+}
+
 void ShardLeader::Private::onReport(TimePoint now, const HostReport &report)
 {
     m_sheet.seen(report.sheetVersion);
-    if (!holdsShard()) {
+    if (!holdsShard() || !owns(report.host.name)) {
         return;
     }
     if (report.epoch > m_row.epoch) {
@@ -65,7 +70,7 @@
 HostOrders ShardLeader::Private::ordersFor(TimePoint now, std::string_view host)
 {
     HostOrders orders;
-    if (!isLeading(now)) {
+    if (!isLeading(now) || !owns(host)) {
         return orders;
     }
     orders.leading = true;
@@ -86,8 +91,9 @@
 
 std::uint64_t ShardLeader::Private::request(TimePoint now, JobRequest request)
 {
+    const bool isOwn = owns(request.cancelledJob.empty() ? request.spec.id : request.cancelledJob);
     const std::uint64_t ticket = m_requests.add(now, std::move(request));
-    if (!isLeading(now)) {
+    if (!isLeading(now) || !isOwn) {
         m_requests.waiting().pop_back();
         m_requests.reply(ticket, JobReply::Outcome::NotLeader, "this process does not lead the shard: ask its leader");
     }
@@ -230,6 +236,16 @@
     return m_d->isLeading(now);
 }
 
+bool ShardLeader::owns(std::string_view name) const
+{
+    return m_d->owns(name);
+}
+
+ShardId ShardLeader::shard() const
+{
+    return m_d->m_options.shard;
+}
+
 Epoch ShardLeader::epoch() const
 {
     return m_d->m_row.epoch;
--- a/packages/core/src/carobflow/core/shardleader.h
+++ b/packages/core/src/carobflow/core/shardleader.h
@@ -143,6 +143,12 @@
     [[nodiscard]] bool isLeading(TimePoint now) const;
     [[nodiscard]] Epoch epoch() const;
 
+    /// True when the host or job of this name belongs to this shard. Calls about others are answered as by a process
+    /// that does not lead: an address may have passed to the leader of another shard since the caller learned it, and
+    /// a host that took grants from it could run a task that its own leader assigns elsewhere.
+    [[nodiscard]] bool owns(std::string_view name) const;
+    [[nodiscard]] ShardId shard() const;
+
     /// Hands the leadership over: the next commit marks the row as released and nothing is decided after it.
     void release(TimePoint now);
     [[nodiscard]] bool isReleased() const;
--- a/packages/core/tests/shardleader_test.cpp
+++ b/packages/core/tests/shardleader_test.cpp
@@ -202,3 +202,48 @@
     CHECK(next.isLeading(now));
     CHECK(next.list().size() == 20);
 }
+
+// Guards against a job that is recorded in the shard of another one, and against a host that runs on the grants of two
+// leaders: callers may still use the address of a host that has been replaced by one of another shard.
+TEST_CASE_METHOD(Fixture, "a leader refuses jobs and hosts of other shards", "[shardleader]")
+{
+    ShardLeader::Options sharded = options("a", 1);
+    sharded.shardCount = 3;
+    sharded.shard = 1;
+    ShardLeader leader(sharded);
+    step(leader);
+    REQUIRE(leader.isLeading(now));
+    const auto outcomes = [&] {
+        pass(leader, Milliseconds(200));
+        std::vector<JobReply::Outcome> list;
+        for (const JobReply &reply : leader.takeReplies()) {
+            list.push_back(reply.outcome);
+        }
+        return list;
+    };
+    const std::string own = "j0";
+    const std::string other = "j2";
+    REQUIRE(leader.owns(own));
+    REQUIRE_FALSE(leader.owns(other));
+
+    SECTION("a submission or cancellation is answered as by a process that does not lead")
+    {
+        leader.submit(now, makeJob(own));
+        CHECK(outcomes() == std::vector{JobReply::Outcome::Accepted});
+        leader.submit(now, makeJob(other));
+        leader.cancel(now, other);
+        CHECK(outcomes() == std::vector{JobReply::Outcome::NotLeader, JobReply::Outcome::NotLeader});
+        CHECK(leader.list().size() == 1);
+    }
+    SECTION("a host gets neither a grant nor a task")
+    {
+        leader.submit(now, makeJob(own));
+        const HostOrders refused = report(leader, "host-0", {});
+        CHECK_FALSE(refused.leading);
+        CHECK(refused.grant == Milliseconds(0));
+        CHECK(refused.starts.empty());
+        const HostOrders orders = report(leader, "host-1", {});
+        CHECK(orders.leading);
+        CHECK(orders.starts.size() == 1);
+    }
+}
--- a/packages/daemon/src/carobflow/daemon/agentservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentservice.cpp
@@ -73,8 +73,9 @@
                                                carobflow::GetJobReply *reply)
 {
     return serveUnary(context, m_runner.strand(), [this, request, reply]() -> awaitable<grpc::Status> {
-        reply->set_leading(m_runner.leader().isLeading(std::chrono::steady_clock::now()));
-        if (const auto job = m_runner.leader().find(request->id())) {
+        const ShardLeader &leader = m_runner.leader();
+        reply->set_leading(leader.isLeading(std::chrono::steady_clock::now()) && leader.owns(request->id()));
+        if (const auto job = leader.find(request->id())) {
             reply->set_found(true);
             *reply->mutable_status() = toMessage(*job);
         }
@@ -83,12 +84,13 @@
 }
 
 grpc::ServerUnaryReactor *ShardService::ListJobs(grpc::CallbackServerContext *context,
-                                                 const carobflow::ListJobsRequest * /*request*/,
+                                                 const carobflow::ListJobsRequest *request,
                                                  carobflow::ListJobsReply *reply)
 {
-    return serveUnary(context, m_runner.strand(), [this, reply]() -> awaitable<grpc::Status> {
-        reply->set_leading(m_runner.leader().isLeading(std::chrono::steady_clock::now()));
-        for (const JobView &job : m_runner.leader().list()) {
+    return serveUnary(context, m_runner.strand(), [this, request, reply]() -> awaitable<grpc::Status> {
+        const ShardLeader &leader = m_runner.leader();
+        reply->set_leading(leader.isLeading(std::chrono::steady_clock::now()) && leader.shard() == request->shard());
+        for (const JobView &job : leader.list()) {
             *reply->add_jobs() = toMessage(job);
         }
         co_return grpc::Status::OK;
