Let the table decide on the number of shards

Cause: nothing enforced that all processes have the same number of shards. Two processes with different numbers hash a job or a host to different shards: a job could be unknown to its leader or be recorded twice.

Change: the first process creates the row cluster/shards on condition that it is absent; a conflict or a lost reply is settled by reading the row. Each process compares its setting with the row until they agree. Before that an agent leads no shard, sends no Sync and runs no task, an entry refuses calls about jobs as not-run, and /readyz fails; requests for counter services are served.

Conclusion: no process takes part with a number that the table has not confirmed.

--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -12,6 +12,7 @@
 #include "carobflow/daemon/metrics.h"
 #include "carobflow/daemon/requestexecutor.h"
 #include "carobflow/daemon/rpc.h"
+#include "carobflow/daemon/shardcountcheck.h"
 #include "carobflow/daemon/shardrunner.h"
 #include "carobflow/daemon/taskrunner.h"
 #include "carobflow/logging/log.h"
@@ -63,6 +64,8 @@
         , m_worker(m_platformClient,
                    {.endpoint = {.host = m_settings.worker.address, .port = m_settings.worker.port},
                     .timeout = m_settings.platformTimeout})
+        , m_shardCount({.shards = static_cast<std::uint32_t>(m_settings.shards), .settingsPath = m_settings.path},
+                       m_table)
         , m_requests(m_executor,
                      {.queueLimit = static_cast<std::uint32_t>(m_settings.queueLimit),
                       .adaptivePolicy = m_settings.adaptivePolicy},
@@ -96,9 +99,8 @@
             return status;
         }
         spawnLoop(m_announcer->strand(), m_announcer->run());
-        spawnLoop(m_shardRunner->strand(), m_shardRunner->run());
         spawnLoop(m_requests.strand(), tickRequests());
-        m_tasks->start();
+        spawnLoop(m_executor, joinShard());
         m_started = true;
         logInfo("ready").with("role", "agent").with("http", m_http.port()).with("grpc", valueOf(port));
         return std::monostate{};
@@ -137,6 +139,14 @@
     }
 
 private:
+    /// Leads the shard and runs tasks once the table has confirmed the number of shards. Requests do not wait for it.
+    asio::awaitable<void> joinShard()
+    {
+        co_await m_shardCount.waitUntilVerified();
+        spawnLoop(m_shardRunner->strand(), m_shardRunner->run());
+        m_tasks->start();
+    }
+
     void createRunners()
     {
         m_announcer.emplace(m_executor,
@@ -258,7 +268,7 @@
     asio::awaitable<HttpServerResponse> serve(HttpServerRequest request)
     {
         if (request.target != "/v1/announce") {
-            co_return statusPage(request.target, m_metrics, m_started && !m_stopping);
+            co_return statusPage(request.target, m_metrics, m_started && !m_stopping && m_shardCount.isVerified());
         }
         auto announcement = parseLocalAnnouncement(request.body, request.method == "DELETE");
         if (!isOk(announcement)) {
@@ -292,6 +302,7 @@
     HttpTableService m_table;
     HttpObjectStore m_objects;
     HttpWorkerRuntime m_worker;
+    ShardCountCheck m_shardCount;
     ChannelPool m_channels;
     RequestExecutor m_requests;
     HttpServer m_http;
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -17,6 +17,7 @@
 #include "carobflow/daemon/operatorapi.h"
 #include "carobflow/daemon/rpc.h"
 #include "carobflow/daemon/servicepipeline.h"
+#include "carobflow/daemon/shardcountcheck.h"
 #include "carobflow/daemon/sheetrepository.h"
 #include "carobflow/logging/log.h"
 #include "carobflow/platform/httpobjectstore.h"
@@ -56,6 +57,8 @@
         , m_objects(m_client,
                     {.endpoint = {.host = m_settings.objects.address, .port = m_settings.objects.port},
                      .timeout = m_settings.platformTimeout})
+        , m_shardCount({.shards = static_cast<std::uint32_t>(m_settings.shards), .settingsPath = m_settings.path},
+                       m_table)
         , m_routing({.dataCentre = m_settings.dataCentre,
                      .announcementTimeout = m_settings.announceTimeout,
                      .adaptivePolicy = m_settings.adaptivePolicy,
@@ -110,14 +113,17 @@
         m_cluster.emplace(ClusterView::Options{.name = m_settings.name, .address = address},
                           m_table,
                           [this](std::vector<std::string> hosts) { m_routing.setDrainedHosts(std::move(hosts)); });
-        m_jobs.emplace(
-            JobGateway::Options{.shards = static_cast<std::uint32_t>(m_settings.shards)}, *m_cluster, m_channels);
+        m_jobs.emplace(JobGateway::Options{.shards = static_cast<std::uint32_t>(m_settings.shards),
+                                           .participation = [this] { return m_shardCount.status(); }},
+                       *m_cluster,
+                       m_channels);
         m_operators.emplace(
             OperatorApi::Options{.token = m_settings.operatorToken}, m_sheets, *m_cluster, m_routing, *m_jobs, m_burn);
         m_service.emplace(m_sheets, *m_cluster, m_routing);
         if (Status status = m_listener->start({&*m_service}); !isOk(status)) {
             return status;
         }
+        spawnLoop(asio::make_strand(m_executor), m_shardCount.waitUntilVerified());
         spawnLoop(asio::make_strand(m_executor), m_sheets.poll());
         spawnLoop(asio::make_strand(m_executor), m_cluster->run());
         spawnLoop(asio::make_strand(m_executor), m_burn.run());
@@ -153,7 +159,8 @@
             co_return co_await m_operators->serve(std::move(request));
         }
         updateGauges();
-        const bool ready = m_started && !m_stopping && m_knowsUpstreams && m_sheets.current() != nullptr;
+        const bool ready = m_started && !m_stopping && m_knowsUpstreams && m_sheets.current() != nullptr
+            && m_shardCount.isVerified();
         co_return statusPage(request.target, m_metrics, ready);
     }
 
@@ -229,6 +236,7 @@
     std::shared_ptr<HttpClient> m_client;
     HttpTableService m_table;
     HttpObjectStore m_objects;
+    ShardCountCheck m_shardCount;
     ChannelPool m_channels;
     Routing m_routing;
     RetryBudget m_budget;
--- a/packages/daemon/src/carobflow/daemon/jobgateway.cpp
+++ b/packages/daemon/src/carobflow/daemon/jobgateway.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 JobGateway::JobGateway(Options options, ClusterView &cluster, ChannelPool &channels)
-    : m_options(options)
+    : m_options(std::move(options))
     , m_cluster(cluster)
     , m_channels(channels)
 {
@@ -36,6 +36,10 @@
 boost::asio::awaitable<Result<ReplyMessage>>
 JobGateway::callLeader(ShardId shard, Method<Request, ReplyMessage> method, Request request, Accept accept)
 {
+    const Status participation = m_options.participation();
+    if (!isOk(participation)) {
+        co_return Error{ErrorKind::Unavailable, errorOf(participation).message};
+    }
     const TimePoint deadline = std::chrono::steady_clock::now() + m_options.timeout;
     // Once a call may have reached a leader, the outcome of a change is no longer known to be "nothing happened".
     bool sent = false;
--- a/packages/daemon/src/carobflow/daemon/jobgateway.h
+++ b/packages/daemon/src/carobflow/daemon/jobgateway.h
@@ -26,6 +26,8 @@
         std::uint32_t shards = 1;
         /// Bounds one call with all its repetitions.
         Milliseconds timeout{6000};
+        /// An error while this process must not talk to leaders, because its number of shards may be wrong.
+        std::function<Status()> participation = [] { return Status(); };
     };
 
     JobGateway(Options options, ClusterView &cluster, ChannelPool &channels);
--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -190,6 +190,7 @@
         : m_faultyLine(ini_parse_string(std::string(text).c_str(), storeValue, &m_values))
         , m_path(path)
     {
+        m_settings.path = m_path;
     }
 
     Result<Settings> read()
--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -23,6 +23,9 @@
 
 /// All settings of the daemon, with their defaults. `docs/operations.md` describes each.
 struct Settings {
+    /// The file that they were read from.
+    std::string path;
+
     // [process]
     Role role = Role::Entry;
     std::string name;
