Guard against swapped answers and retries of unknown charges

Besides, no test showed that an agent's planned stop waits for late answers.

Change: a new case cuts the answers of charges short while their time has not passed, with the service marked as idempotent. Repeats after lost replies and outages must give the body of their own key. A new case stops all agents during the wait for a late answer. No check is changed or removed.

--- a/tests/integration/charges_test.cpp
+++ b/tests/integration/charges_test.cpp
@@ -1,4 +1,5 @@
 #include "outcomes.h"
+#include "systemhelpers.h"
 
 #include <algorithm>
 #include <csignal>
@@ -261,6 +262,7 @@
         const Told repeated = till.repeatUntilAnswer(key);
         INFO(key << " was told " << first.outcome << " at first");
         CHECK((first.outcome != "answer" || first.body == repeated.body));
+        CHECK(repeated.body.ends_with("bill of " + key + "."));
         CHECK(till.runs(key) == 1);
     }
 }
@@ -358,6 +360,27 @@
     checkRepeats("never-and-stop", "unknown", "");
 }
 
+// Guards against an agent that ends before it has passed on the late answers that entries wait for.
+TEST_CASE("A planned stop of an agent waits for the late answer of a charge", "[charges]")
+{
+    Till till;
+    // Longer than a stop takes otherwise.
+    setUpstreams(till.cluster, "late", 0, 6000);
+    auto call = till.beginRunning("late-and-agent-stop", 0, Milliseconds(500));
+    CHECK(toldBy(call.get()).outcome == "unknown");
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        till.cluster.agentProcess(index).signal(SIGTERM);
+    }
+    till.waitUntilRow("late-and-agent-stop", "done");
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        CHECK(till.cluster.agentProcess(index).waitForEnd(Milliseconds(30000)) == 0);
+    }
+    const Told repeated = till.charge("late-and-agent-stop", 1);
+    CHECK(repeated.outcome == "answer");
+    CHECK(repeated.body.ends_with("bill of late-and-agent-stop."));
+    CHECK(till.runs("late-and-agent-stop") == 1);
+}
+
 // Guards against a wait for late answers that hides from the choice of an upstream that it has stalled.
 TEST_CASE("An upstream that stalls is ejected by charges before the wait for late answers ends", "[charges]")
 {
@@ -380,6 +403,29 @@
     CHECK(std::chrono::steady_clock::now() - since < Seconds(2));
 }
 
+// Guards against a second run on another upstream while the first call still has time for one.
+TEST_CASE("A charge whose answer was cut short is not tried elsewhere, even by an idempotent service", "[charges]")
+{
+    Till till;
+    std::string sheet = baseSheet(till.cluster.deployment());
+    const std::size_t notIdempotent = sheet.find(",no,");
+    REQUIRE(notIdempotent != std::string::npos);
+    sheet.replace(notIdempotent, 4, ",yes,");
+    waitUntilInForce(till.cluster, till.cluster.applySheet(sheet), std::chrono::steady_clock::now());
+    setUpstreams(till.cluster, "truncate");
+    for (int number = 0; number < 6; ++number) {
+        CHECK(till.charge("cut-" + std::to_string(number), 0).outcome == "unknown");
+    }
+    setUpstreams(till.cluster, "normal");
+    till.waitUntilServing(1);
+    for (int number = 0; number < 6; ++number) {
+        const std::string key = "cut-" + std::to_string(number);
+        INFO(key);
+        CHECK(till.charge(key, 1).outcome == "unknown");
+        CHECK(till.runs(key) == 1);
+    }
+}
+
 TEST_CASE("An entry bounds the charges that wait for the table", "[charges]")
 {
     Till till(SettingsMap{{"entry.max_charge_flows", "10"}});
