Test several shards in one run, and processes with another number

Cause: no test ran more than one shard, and the comparison of the number of shards had unit tests only.

The harness restarts a process with changed settings and finds the leader of any shard.

The wait of an agent for its number is not seen to fail at the start during an outage other than by its readiness, since without the table it can do nothing.

--- a/packages/bench/src/carobflow/bench/cluster.cpp
+++ b/packages/bench/src/carobflow/bench/cluster.cpp
@@ -171,15 +171,15 @@
     return *d->hosts.at(index).agent;
 }
 
-void Cluster::restartEntry(std::uint32_t index)
+void Cluster::restartEntry(std::uint32_t index, const std::map<std::string, std::string> &changed)
 {
-    d->startEntry(index);
+    d->startEntry(index, changed);
     entryProcess(index).waitForLine("event=ready");
 }
 
-void Cluster::restartAgent(std::uint32_t index)
+void Cluster::restartAgent(std::uint32_t index, const std::map<std::string, std::string> &changed)
 {
-    d->startAgent(index);
+    d->startAgent(index, changed);
     agentProcess(index).waitForLine("event=ready");
 }
 
@@ -278,16 +278,17 @@
     return d->caller.getJson(entry(0), "/v1/jobs/" + std::string(id)).as_object();
 }
 
-std::uint32_t Cluster::leaderIndex()
+std::uint32_t Cluster::leaderIndex(ShardId shard)
 {
+    const std::string metric = "carobflow_shard_leading{shard=\"" + std::to_string(shard) + "\"} 1";
     for (std::uint32_t index = 0; index < d->hosts.size(); ++index) {
         const auto outcome = d->caller.call(agentHttp(index), {.target = "/metrics"});
         const auto *answer = std::get_if<HttpAnswer>(&outcome);
-        if (answer != nullptr && answer->body.find("carobflow_shard_leading{shard=\"0\"} 1") != std::string::npos) {
+        if (answer != nullptr && answer->body.find(metric) != std::string::npos) {
             return index;
         }
     }
-    throw std::runtime_error("no agent leads shard 0");
+    throw std::runtime_error("no agent leads shard " + std::to_string(shard));
 }
 
 std::vector<json::object> Cluster::hostLogs()
--- a/packages/bench/src/carobflow/bench/cluster.h
+++ b/packages/bench/src/carobflow/bench/cluster.h
@@ -68,9 +68,9 @@
     ChildProcess &entryProcess(std::uint32_t index);
     ChildProcess &agentProcess(std::uint32_t index);
 
-    /// Starts an entry or agent again after it has ended, with the same settings and addresses.
-    void restartEntry(std::uint32_t index);
-    void restartAgent(std::uint32_t index);
+    /// Starts an entry or agent again after it has ended, with the same addresses and settings but for those given.
+    void restartEntry(std::uint32_t index, const std::map<std::string, std::string> &changed = {});
+    void restartAgent(std::uint32_t index, const std::map<std::string, std::string> &changed = {});
 
     /// Sets the mode of a proxy route; "*" means all.
     void setRoute(std::string_view route, std::string_view mode, std::uint32_t delayMilliseconds = 0);
@@ -96,8 +96,8 @@
                    std::int64_t deadlineUnixSeconds = 0);
     boost::json::object job(std::string_view id);
 
-    /// The index of the agent that leads shard 0, by the agents' metrics.
-    std::uint32_t leaderIndex();
+    /// The index of the agent that leads a shard, by the agents' metrics.
+    std::uint32_t leaderIndex(ShardId shard = 0);
 
     /// The logs of all host stand-ins.
     std::vector<boost::json::object> hostLogs();
--- a/packages/bench/src/carobflow/bench/internal/clusterprivate.cpp
+++ b/packages/bench/src/carobflow/bench/internal/clusterprivate.cpp
@@ -168,7 +168,7 @@
     return settings;
 }
 
-void Cluster::Private::startEntry(std::uint32_t index)
+void Cluster::Private::startEntry(std::uint32_t index, const std::map<std::string, std::string> &changed)
 {
     Entry &entry = entries[index];
     const std::string name = "entry-" + std::to_string(index);
@@ -183,10 +183,10 @@
     settings["listen.grpc"] = localAddress(entry.grpcPort);
     settings["listen.advertise"] = through(name, entry.grpcPort);
     settings["entry.operator_token"] = std::string(OperatorToken);
-    launch(name, settings, entry.process);
+    launch(name, settings, changed, entry.process);
 }
 
-void Cluster::Private::startAgent(std::uint32_t index)
+void Cluster::Private::startAgent(std::uint32_t index, const std::map<std::string, std::string> &changed)
 {
     Host &host = hosts[index];
     const std::string suffix = std::to_string(index);
@@ -200,18 +200,19 @@
     settings["platform.worker"] = through("worker-" + suffix, host.workerPort);
     settings["agent.cpu_millis"] = std::to_string(options.deployment.cpuMillis);
     settings["agent.memory_mib"] = std::to_string(options.deployment.memoryMiB);
-    launch(hostName(index), settings, host.agent);
+    launch(hostName(index), settings, changed, host.agent);
 }
 
 void Cluster::Private::launch(const std::string &name,
-                              std::map<std::string, std::string> settings,
+                              const std::map<std::string, std::string> &settings,
+                              const std::map<std::string, std::string> &changed,
                               std::unique_ptr<ChildProcess> &process)
 {
-    for (const auto &[key, value] : options.settings) {
-        settings[key] = value;
-    }
+    std::map<std::string, std::string> all = changed;
+    all.insert(options.settings.begin(), options.settings.end());
+    all.insert(settings.begin(), settings.end());
     const std::filesystem::path path = directory / (name + ".ini");
-    writeSettings(path, settings);
+    writeSettings(path, all);
     process = spawn(name, std::string(DaemonName), {"--settings", path.string()});
 }
 
--- a/packages/bench/src/carobflow/bench/internal/clusterprivate.h
+++ b/packages/bench/src/carobflow/bench/internal/clusterprivate.h
@@ -46,12 +46,14 @@
 
     [[nodiscard]] std::map<std::string, std::string> commonSettings(const std::string &name) const;
 
-    void startEntry(std::uint32_t index);
+    void startEntry(std::uint32_t index, const std::map<std::string, std::string> &changed = {});
 
-    void startAgent(std::uint32_t index);
+    void startAgent(std::uint32_t index, const std::map<std::string, std::string> &changed = {});
 
+    /// `changed` replaces settings of this start only.
     void launch(const std::string &name,
-                std::map<std::string, std::string> settings,
+                const std::map<std::string, std::string> &settings,
+                const std::map<std::string, std::string> &changed,
                 std::unique_ptr<ChildProcess> &process);
 
     [[nodiscard]] std::string hostName(std::uint32_t index) const;
--- a/packages/daemon/tests/shardcountcheck_test.cpp
+++ b/packages/daemon/tests/shardcountcheck_test.cpp
@@ -79,8 +79,9 @@
     Status verifyBy(ShardCountCheck &one)
     {
         Status result;
-        boost::asio::co_spawn(
-            io, one.verify(), [&result](const std::exception_ptr & /*failure*/, Status status) { result = status; });
+        boost::asio::co_spawn(io, one.verify(), [&result](const std::exception_ptr & /*failure*/, Status status) {
+            result = std::move(status);
+        });
         io.restart();
         io.run();
         return result;
--- a/tests/integration/jobcluster.h
+++ b/tests/integration/jobcluster.h
@@ -89,7 +89,7 @@
 
     static Cluster::Options prepared(Cluster::Options options, const Settings &settings)
     {
-        options.deployment.hosts = 4;
+        options.deployment.hosts = options.deployment.shards == 1 ? 4 : 9;
         options.deployment.hostsPerRack = 1;
         options.deployment.cpuMillis = 8000;
         options.deployment.entries = std::min(options.deployment.entries, 2U);
@@ -186,8 +186,9 @@
         throw std::runtime_error("no task runs on a host beside the leader's");
     }
 
-    void waitForOtherLeader(std::uint32_t previous)
+    void waitForOtherLeader(std::uint32_t previous, ShardId shard = 0)
     {
+        const std::string metric = "carobflow_shard_leading{shard=\"" + std::to_string(shard) + "\"} 1";
         waitUntil(
             "another agent leads",
             [&] {
@@ -195,8 +196,7 @@
                     const auto outcome = cluster.caller().call(cluster.agentHttp(host),
                                                                {.target = "/metrics", .timeout = 200ms});
                     const auto *answer = std::get_if<HttpAnswer>(&outcome);
-                    if (host != previous && answer != nullptr
-                        && answer->body.find("carobflow_shard_leading{shard=\"0\"} 1") != std::string::npos) {
+                    if (host != previous && answer != nullptr && answer->body.find(metric) != std::string::npos) {
                         return true;
                     }
                 }
