--- a/tests/integration/jobcluster.h
+++ b/tests/integration/jobcluster.h
@@ -89,7 +89,7 @@
 
     static Cluster::Options prepared(Cluster::Options options, const Settings &settings)
     {
-        options.deployment.hosts = 4;
+        options.deployment.hosts = options.deployment.shards == 1 ? 4 : 9;
         options.deployment.hostsPerRack = 1;
         options.deployment.cpuMillis = 8000;
         options.deployment.entries = std::min(options.deployment.entries, 2U);
@@ -186,22 +186,23 @@
         throw std::runtime_error("no task runs on a host beside the leader's");
     }
 
-    /// True when an agent answers and says that it leads, or that it does not.
-    bool saysLeading(std::uint32_t host, bool leading)
+    /// True when an agent answers and says that it leads the shard, or that it does not.
+    bool saysLeading(std::uint32_t host, bool leading, ShardId shard = 0)
     {
         const auto outcome = cluster.caller().call(cluster.agentHttp(host), {.target = "/metrics", .timeout = 200ms});
         const auto *answer = std::get_if<HttpAnswer>(&outcome);
-        const std::string line = "carobflow_shard_leading{shard=\"0\"} " + std::to_string(leading ? 1 : 0);
+        const std::string line = "carobflow_shard_leading{shard=\"" + std::to_string(shard) + "\"} "
+            + std::to_string(leading ? 1 : 0);
         return answer != nullptr && answer->body.find(line) != std::string::npos;
     }
 
-    void waitForOtherLeader(std::uint32_t previous)
+    void waitForOtherLeader(std::uint32_t previous, ShardId shard = 0)
     {
         waitUntil(
             "another agent leads",
             [&] {
                 for (std::uint32_t host = 0; host < cluster.deployment().hosts; ++host) {
-                    if (host != previous && saysLeading(host, true)) {
+                    if (host != previous && saysLeading(host, true, shard)) {
                         return true;
                     }
                 }
