Let an agent that starts in an outage of the table reach known entries

Cause: an agent reads the entries from the table at its start. One that starts while the table is down serves requests but no entry hears of it, so that each host that is restarted in a long outage is lost to its counter service.

Ruled out: entries that go on looking for agents that are gone (they know the old address only, and a replaced host has another one); other agents as a source (their addresses are in no settings either).

Change: the optional setting [agent] entries names gRPC addresses of entries.

Figures: the test of a start in an outage now expects that the upstream of the restarted host executes requests before the table is back.

Conclusion: an entry that starts then still has no sheet and is not ready.

--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -151,13 +151,18 @@
 
     void createRunners()
     {
+        std::vector<std::string> knownEntries;
+        for (const Endpoint &entry : m_settings.knownEntries) {
+            knownEntries.push_back(entry.toString());
+        }
         m_announcer.emplace(m_executor,
                             Announcer::Options{.host = m_settings.name,
                                                .dataCentre = m_settings.dataCentre,
                                                .agentAddress = m_address,
                                                .shard = m_shard,
                                                .bootId = m_bootId,
-                                               .interval = m_settings.announceInterval},
+                                               .interval = m_settings.announceInterval,
+                                               .knownEntries = std::move(knownEntries)},
                             Announcer::Callbacks{
                                 .upstreams = [this] { return announcedUpstreams(); },
                                 .onSheet = [this](const FollowedSheet &sheet) { setSheet(sheet); },
--- a/packages/daemon/src/carobflow/daemon/announcer.cpp
+++ b/packages/daemon/src/carobflow/daemon/announcer.cpp
@@ -201,10 +201,13 @@
 {
     constexpr std::size_t maxEntries = 1000;
     const auto rows = co_await m_table.readRange(EntryPrefix, "", maxEntries);
+    const TimePoint now = std::chrono::steady_clock::now();
     if (!isOk(rows)) {
+        for (const std::string &address : m_options.knownEntries) {
+            m_entries[address] = now;
+        }
         co_return;
     }
-    const TimePoint now = std::chrono::steady_clock::now();
     for (const Row &row : valueOf(rows)) {
         boost::system::error_code error;
         const auto value = boost::json::parse(row.value, error);
--- a/packages/daemon/src/carobflow/daemon/announcer.h
+++ b/packages/daemon/src/carobflow/daemon/announcer.h
@@ -44,6 +44,8 @@
         Milliseconds interval{500};
         /// Entries are read from the table again when none has answered for this long.
         Milliseconds entrySearchInterval{2000};
+        /// Entries that are tried while the table cannot be read, so that a host that starts in an outage can serve.
+        std::vector<std::string> knownEntries;
     };
 
     struct Callbacks {
--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -8,6 +8,9 @@
 #include <sstream>
 #include <variant>
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <ini.h>
 
@@ -23,6 +26,7 @@
                            bool Settings::*,
                            Milliseconds Settings::*,
                            Endpoint Settings::*,
+                           std::vector<Endpoint> Settings::*,
                            Role Settings::*>;
 
 enum class Need { Always, EntryOnly, AgentOnly, Optional };
@@ -64,6 +68,7 @@
     Key{"agent", "cpu_millis", &Settings::cpuMillis, Need::AgentOnly, 1, 1e9, "32000"},
     Key{"agent", "memory_mib", &Settings::memoryMiB, Need::AgentOnly, 1, 1e9, "128000"},
     Key{"agent", "accelerators", &Settings::accelerators, Need::Optional, 0, 1000, "0"},
+    Key{"agent", "entries", &Settings::knownEntries, Need::Optional, 0, 0, "127.0.0.1:9090, 127.0.0.1:9091"},
     Key{"agent", "queue_limit", &Settings::queueLimit, Need::Optional, 0, 10000, "16"},
     Key{"timing", "announce_interval_ms", &Settings::announceInterval, Need::Optional, 10, 10000, "500"},
     Key{"timing", "announce_timeout_ms", &Settings::announceTimeout, Need::Optional, 50, 60000, "2000"},
@@ -165,6 +170,21 @@
     return {};
 }
 
+Expectation
+assign(Settings &settings, const Key & /*key*/, std::vector<Endpoint> Settings::*field, const std::string &text)
+{
+    std::vector<std::string> parts;
+    boost::algorithm::split(parts, text, boost::algorithm::is_any_of(","));
+    for (const std::string &part : parts) {
+        auto endpoint = parseEndpoint(boost::algorithm::trim_copy(part));
+        if (!isOk(endpoint)) {
+            return "IP addresses with ports, separated by commas";
+        }
+        (settings.*field).push_back(valueOf(endpoint));
+    }
+    return {};
+}
+
 Expectation assign(Settings &settings, const Key & /*key*/, Role Settings::*field, const std::string &text)
 {
     if (text != "entry" && text != "agent") {
--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -61,6 +61,8 @@
     std::int64_t cpuMillis = 0;
     std::int64_t memoryMiB = 0;
     std::int64_t accelerators = 0;
+    /// gRPC addresses of entries to announce to while the table cannot name them.
+    std::vector<Endpoint> knownEntries;
     std::int64_t queueLimit = 16;
 
     // [timing]
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -72,6 +72,9 @@
         {"[entry]", "[timing]\nstop_timeout_ms = 1\n[entry]", "expected a number of milliseconds from 100 to 120000"},
         {"[entry]", "[timing]\nannounce_timeout_ms = 600\n[entry]", "[timing] announce_timeout_ms: expected at least"},
         {"operator_token = secret\n", "", "[entry] operator_token: missing"},
+        {"[entry]",
+         "[agent]\nentries = 127.0.0.1:9090,\n[entry]",
+         "expected IP addresses with ports, separated by commas; write for example 'entries = 127.0.0.1:9090, "},
         {"role = entry", "role = agent", "[platform] worker: missing; write for example 'worker = 127.0.0.1:7100'"},
         {"[entry]", "nonsense\n[entry]", "test.ini:11: expected '[section]' or 'key = value'; correct this line"},
     };
@@ -81,6 +84,11 @@
         CHECK(faults.starts_with("test.ini"));
         CHECK(faults.find(test.fault) != std::string::npos);
     }
+    const auto read = parseSettings(
+        replaced(EntryText, "[entry]", "[agent]\nentries = 127.0.0.1:9090, [::1]:9\n[entry]"), "test.ini");
+    REQUIRE(isOk(read));
+    REQUIRE(valueOf(read).knownEntries.size() == 2);
+    CHECK(valueOf(read).knownEntries.back().toString() == "[::1]:9");
     const std::string two = faultsOf(replaced(replaced(EntryText, "[entry]", "[enty]"), "role = entry", "role = x"));
     CHECK(std::count(two.begin(), two.end(), '\n') >= 2);
     CHECK(errorOf(loadSettings("/nonexistent/x.ini")).kind == ErrorKind::NotFound);
--- a/tests/integration/shards_test.cpp
+++ b/tests/integration/shards_test.cpp
@@ -90,6 +90,15 @@
     return client->output();
 }
 
+/// The gRPC address in the row of an entry.
+std::string addressOfEntry(Cluster &cluster, std::uint32_t entry)
+{
+    const json::object read{{"keys", {"entry/entry-" + std::to_string(entry)}}};
+    const json::value answer = cluster.caller().postJson(cluster.platform(), "/table/read", read);
+    const json::value row = json::parse(answer.at("rows").at(0).at("value").as_string());
+    return json::value_to<std::string>(row.at("address"));
+}
+
 bool isReady(Cluster &cluster, const HttpEndpoint &process)
 {
     const auto outcome = cluster.caller().call(process, {.target = "/readyz", .timeout = 1s});
@@ -306,7 +315,8 @@
     jobs.finish();
 }
 
-// Guards against a process that ends, or takes part with a number that nobody confirmed, when the table is down.
+// Guards against a process that ends, or takes part with a number that nobody confirmed, when the table is down, and
+// against counter services that lose each host that restarts in an outage.
 TEST_CASE("processes that start while the table is down wait for it", "[shards]")
 {
     JobCluster jobs;
@@ -317,8 +327,9 @@
     REQUIRE(cluster.agentProcess(host).waitForEnd(Limit));
     REQUIRE(cluster.entryProcess(1).waitForEnd(Limit));
     jobs.unheard = true;
+    const std::string entryAddress = addressOfEntry(cluster, 0);
     cluster.setPlatform("down");
-    cluster.restartAgent(host);
+    cluster.restartAgent(host, {{"agent.entries", entryAddress}});
     cluster.restartEntry(1);
     for (ChildProcess *process : {&cluster.agentProcess(host), &cluster.entryProcess(1)}) {
         const std::string line = process->waitForLine("event=shards-unverified");
@@ -328,6 +339,8 @@
     CHECK_FALSE(isReady(cluster, cluster.agentHttp(host)));
     CHECK_FALSE(isReady(cluster, cluster.entry(1)));
     CHECK(submitThrough(cluster, 1, "refused").status == 503);
+    // Without the table the agent finds entries by its settings only.
+    waitUntilServes(cluster, 0, host);
     cluster.setPlatform("up");
     waitUntil("both are ready",
               [&] { return isReady(cluster, cluster.agentHttp(host)) && isReady(cluster, cluster.entry(1)); });
