Make the roles of the daemon without wrappers

Cause: EntryProcess and AgentProcess each were a class whose only content was a pointer to a private class and two functions that call it; the headers were the same but for the names.

Change: each header declares one function that makes the role, and the class behind it implements Process itself. main() is the only caller.

--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -43,12 +43,10 @@
     co_return co_await asio::co_spawn(strand, invokeAsCoroutine(std::move(function)), asio::use_awaitable);
 }
 
-} // namespace
-
-class AgentProcess::Private
+class AgentProcess final : public Process
 {
 public:
-    Private(asio::io_context &context, Settings settings)
+    AgentProcess(asio::io_context &context, Settings settings)
         : m_settings(std::move(settings))
         , m_bootId(randomNumber())
         , m_shard(shardOf(m_settings.name, static_cast<std::uint32_t>(m_settings.shards)))
@@ -77,7 +75,7 @@
     {
     }
 
-    Status start()
+    Status start() override
     {
         if (Status status = m_http.start(); !isOk(status)) {
             return status;
@@ -106,7 +104,7 @@
         return std::monostate{};
     }
 
-    asio::awaitable<void> stop()
+    asio::awaitable<void> stop() override
     {
         m_stopping = true;
         // Tasks move while requests finish, so both count from here. Added up, the longest request and this limit would
@@ -324,21 +322,11 @@
     std::atomic<bool> m_stopping{false};
 };
 
-AgentProcess::AgentProcess(asio::io_context &context, Settings settings)
-    : d(std::make_unique<Private>(context, std::move(settings)))
-{
-}
-
-AgentProcess::~AgentProcess() = default;
-
-Status AgentProcess::start()
-{
-    return d->start();
-}
+} // namespace
 
-asio::awaitable<void> AgentProcess::stop()
+std::unique_ptr<Process> makeAgentProcess(asio::io_context &context, Settings settings)
 {
-    return d->stop();
+    return std::make_unique<AgentProcess>(context, std::move(settings));
 }
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/agentprocess.h
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.h
@@ -8,18 +8,7 @@
 {
 
 /// The agent role: serves one host's upstream, runs its tasks, and may lead the host's shard.
-class AgentProcess : public Process
-{
-public:
-    AgentProcess(boost::asio::io_context &context, Settings settings);
-    ~AgentProcess() override;
-
-    Status start() override;
-    boost::asio::awaitable<void> stop() override;
-
-private:
-    class Private;
-    std::unique_ptr<Private> d;
-};
+/// Errors of its start are those of Process::start().
+std::unique_ptr<Process> makeAgentProcess(boost::asio::io_context &context, Settings settings);
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -42,12 +42,10 @@
 /// Short, so that an entry that does not answer leaves time to ask others.
 constexpr Milliseconds FetchTimeout{500};
 
-} // namespace
-
-class EntryProcess::Private
+class EntryProcess final : public Process
 {
 public:
-    Private(asio::io_context &context, Settings settings)
+    EntryProcess(asio::io_context &context, Settings settings)
         : m_settings(std::move(settings))
         , m_executor(context.get_executor())
         , m_client(std::make_shared<HttpClient>(m_executor))
@@ -97,7 +95,7 @@
     {
     }
 
-    Status start()
+    Status start() override
     {
         if (Status status = m_http.start(); !isOk(status)) {
             return status;
@@ -133,7 +131,7 @@
         return std::monostate{};
     }
 
-    asio::awaitable<void> stop()
+    asio::awaitable<void> stop() override
     {
         // The balancer sees /readyz fail and sends new connections elsewhere; until then requests are served.
         m_stopping = true;
@@ -257,21 +255,11 @@
     std::atomic<bool> m_stopping{false};
 };
 
-EntryProcess::EntryProcess(asio::io_context &context, Settings settings)
-    : d(std::make_unique<Private>(context, std::move(settings)))
-{
-}
-
-EntryProcess::~EntryProcess() = default;
-
-Status EntryProcess::start()
-{
-    return d->start();
-}
+} // namespace
 
-asio::awaitable<void> EntryProcess::stop()
+std::unique_ptr<Process> makeEntryProcess(asio::io_context &context, Settings settings)
 {
-    return d->stop();
+    return std::make_unique<EntryProcess>(context, std::move(settings));
 }
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/entryprocess.h
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.h
@@ -8,18 +8,7 @@
 {
 
 /// The entry role: serves callers and operators over HTTP and agents over gRPC.
-class EntryProcess : public Process
-{
-public:
-    EntryProcess(boost::asio::io_context &context, Settings settings);
-    ~EntryProcess() override;
-
-    Status start() override;
-    boost::asio::awaitable<void> stop() override;
-
-private:
-    class Private;
-    std::unique_ptr<Private> d;
-};
+/// Errors of its start are those of Process::start().
+std::unique_ptr<Process> makeEntryProcess(boost::asio::io_context &context, Settings settings);
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/main.cpp
+++ b/packages/daemon/src/carobflow/daemon/main.cpp
@@ -34,12 +34,8 @@
     // Writing to a connection that the other side has closed is reported as an error of the write.
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context context(static_cast<int>(settings.threads));
-    std::unique_ptr<Process> process;
-    if (settings.role == Role::Entry) {
-        process = std::make_unique<EntryProcess>(context, settings);
-    } else {
-        process = std::make_unique<AgentProcess>(context, settings);
-    }
+    const std::unique_ptr<Process> process = settings.role == Role::Entry ? makeEntryProcess(context, settings)
+                                                                          : makeAgentProcess(context, settings);
     const int code = runProcess(context, settings, *process);
     // Suspended coroutines refer to the process object, so the program ends without destroying either.
     std::cout.flush();
