Refuse start and renew calls that the network delivers late

Cause: the lease of a start call counts from its arrival, and a worker knows only the fences that it has seen. A start that the network holds back until its agent has died and its job has been assigned elsewhere therefore ran beside the next assignment; a renewal that is held back could keep a task beyond the wait for its host in the same way.

Ruled out: a longer wait before the reassignment, since a call can be held back for any time; the fence alone, since each worker compares it with its own last one.

Change: the worker's list carries its clock, and start and renew name the time of that clock after which they have no effect: the reading, plus the time since it arrived here, plus the time-out of the call. The reading is older than its arrival, so the bound is never too late. The worker answers 410, which the agent takes as certainly not applied.

Figures: the new test holds start calls back at the proxy, kills their agent, and lets them go when the jobs run elsewhere.

--- a/packages/platform/src/carobflow/platform/httpworkerruntime.cpp
+++ b/packages/platform/src/carobflow/platform/httpworkerruntime.cpp
@@ -75,19 +75,24 @@
     return task;
 }
 
+struct TaskList {
+    std::int64_t clockMilliseconds = 0;
+    std::vector<TaskInfo> tasks;
+};
+
 /// Parses the tasks of an answer; nothing when a part is missing or of another type.
-std::optional<std::vector<TaskInfo>> tasksOf(std::string_view text)
+std::optional<TaskList> tasksOf(std::string_view text)
 {
     const auto body = Detail::parseObject(text);
     if (!body) {
         return std::nullopt;
     }
     try {
-        std::vector<TaskInfo> tasks;
+        TaskList list{.clockMilliseconds = body->at("clockMs").to_number<std::int64_t>(), .tasks = {}};
         for (const auto &entry : body->at("tasks").as_array()) {
-            tasks.push_back(taskOf(entry.as_object()));
+            list.tasks.push_back(taskOf(entry.as_object()));
         }
-        return tasks;
+        return list;
     } catch (const std::exception &) {
         return std::nullopt;
     }
@@ -101,17 +106,29 @@
 {
 }
 
+void HttpWorkerRuntime::addNotAfter(json::object &body) const
+{
+    if (!m_workerClock) {
+        return;
+    }
+    // The reading is older than its arrival, so this time comes within the time-out also on the worker's clock.
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now()
+                                                                  - m_workerClock->arrivedAt);
+    body["notAfterMs"] = m_workerClock->milliseconds + (elapsed + m_options.timeout).count();
+}
+
 boost::asio::awaitable<Status> HttpWorkerRuntime::start(const TaskStart &start)
 {
-    const json::object body{{"job", start.job},
-                            {"fence", start.fence},
-                            {"leaseMs", start.lease.count()},
-                            {"cpuMillis", start.reserved.cpuMillis},
-                            {"memoryMiB", start.reserved.memoryMiB},
-                            {"accelerators", start.reserved.accelerators},
-                            {"jobClass", start.jobClass},
-                            {"checkpoint", start.checkpoint},
-                            {"runSeconds", start.runSeconds}};
+    json::object body{{"job", start.job},
+                      {"fence", start.fence},
+                      {"leaseMs", start.lease.count()},
+                      {"cpuMillis", start.reserved.cpuMillis},
+                      {"memoryMiB", start.reserved.memoryMiB},
+                      {"accelerators", start.reserved.accelerators},
+                      {"jobClass", start.jobClass},
+                      {"checkpoint", start.checkpoint},
+                      {"runSeconds", start.runSeconds}};
+    addNotAfter(body);
     const std::string name = "start of '" + start.job + "'";
     auto request = Detail::jsonPost("/tasks", body, m_options.timeout);
     const auto outcome = co_await m_client->call(m_options.endpoint, std::move(request));
@@ -153,7 +170,9 @@
 
 boost::asio::awaitable<Status> HttpWorkerRuntime::renew(std::string_view job, Fence fence, Milliseconds lease)
 {
-    const std::string body = json::serialize(json::object{{"leaseMs", lease.count()}});
+    json::object values{{"leaseMs", lease.count()}};
+    addNotAfter(values);
+    const std::string body = json::serialize(values);
     co_return co_await command(job, fence, "renew", body);
 }
 
@@ -188,7 +207,8 @@
     if (const auto *answer = Detail::answerWith(outcome, 200)) {
         auto tasks = tasksOf(answer->body);
         if (tasks) {
-            co_return std::move(*tasks);
+            m_workerClock = {.milliseconds = tasks->clockMilliseconds, .arrivedAt = std::chrono::steady_clock::now()};
+            co_return std::move(tasks->tasks);
         }
     }
     co_return Detail::failureOf("list of tasks", outcome, ErrorKind::Unavailable);
--- a/packages/platform/src/carobflow/platform/httpworkerruntime.h
+++ b/packages/platform/src/carobflow/platform/httpworkerruntime.h
@@ -5,11 +5,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
+
+#include <boost/json/object.hpp>
 
 namespace Carobflow
 {
 
-/// The worker of one host over HTTP with JSON bodies (section 4 of the design page).
+/// The worker of one host over HTTP with JSON bodies (section 4 of the design page). All calls are made on one strand.
 class HttpWorkerRuntime : public WorkerRuntime
 {
 public:
@@ -30,11 +33,22 @@
     boost::asio::awaitable<Result<std::vector<TaskInfo>>> list() override;
 
 private:
+    /// A time of the worker's clock.
+    struct ClockReading {
+        std::int64_t milliseconds = 0;
+        /// When the reading arrived here, which is not before it was taken.
+        TimePoint arrivedAt;
+    };
+
+    /// Adds the time of the worker's clock after which the worker refuses a call that is sent now.
+    void addNotAfter(boost::json::object &body) const;
+
     boost::asio::awaitable<Status>
     command(std::string_view job, Fence fence, std::string_view verb, std::string_view body);
 
     std::shared_ptr<HttpClient> m_client;
     Options m_options;
+    std::optional<ClockReading> m_workerClock;
 };
 
 } // namespace Carobflow
--- a/tests/integration/jobs_test.cpp
+++ b/tests/integration/jobs_test.cpp
@@ -79,6 +79,48 @@
     jobs.checkNoneRanTwice();
 }
 
+// Guards against a start that the network delivers when its job runs elsewhere: the worker has not seen the newer
+// fence, and the lease counts from the arrival of the call.
+TEST_CASE("a start call that is held back past the reassignment starts nothing", "[jobs]")
+{
+    JobCluster jobs;
+    jobs.submitMany("first-", 1, 1);
+    jobs.finish();
+    const std::uint32_t hosts = jobs.cluster.deployment().hosts;
+    const std::uint32_t leader = jobs.cluster.leaderIndex();
+    const std::uint32_t victim = (leader + 1) % hosts;
+    const auto setWorkers = [&](const char *mode, bool victimToo) {
+        for (std::uint32_t host = 0; host < hosts; ++host) {
+            if (host != leader && (victimToo || host != victim)) {
+                jobs.cluster.setRoute("worker-" + std::to_string(host), mode);
+            }
+        }
+    };
+    setWorkers("freeze", true);
+    jobs.submitMany("job-", 12, 20);
+    waitUntil("jobs are assigned to the host", [&] {
+        const json::value list = jobs.cluster.caller().getJson(jobs.cluster.entry(0), "/v1/jobs");
+        return std::ranges::any_of(list.at("jobs").as_array(), [&](const json::value &job) {
+            return json::value_to<std::string>(job.at("host")) == jobs.cluster.hostName(victim);
+        });
+    });
+    // The agent sends its start calls at once; there is nothing to see of them.
+    letFaultLast(400ms);
+    jobs.cluster.agentProcess(victim).signal(SIGKILL);
+    jobs.killed.insert(victim);
+    setWorkers("pass", false);
+    jobs.waitForStarts(12);
+    jobs.cluster.setRoute("worker-" + std::to_string(victim), "pass");
+    waitUntil("the calls that were held back arrive", [&] {
+        const json::object log = jobs.cluster.hostLogs().at(victim);
+        const Runs runs = jobs.runs();
+        return log.at("refusedLate").to_number<std::uint64_t>() > 0 || std::ranges::any_of(runs, [&](const auto &job) {
+                   return std::ranges::count(job.second, victim, &Run::host) > 0 && job.first.starts_with("job-");
+               });
+    });
+    jobs.finish();
+}
+
 // Guards against results and ends of tasks that are missed while the worker cannot be reached, and against tasks that
 // are given up although they still run there.
 TEST_CASE("tasks run again after the connection to their worker was cut past the lease", "[jobs]")
--- a/tests/standins/workerstandin.cpp
+++ b/tests/standins/workerstandin.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <stdexcept>
 
 #include <boost/algorithm/string/classification.hpp>
@@ -134,8 +135,18 @@
         {boost::urls::pct_string_view(path[2]).decode(), std::stoull(path[3])}, path[4], objectOf(request));
 }
 
+bool WorkerStandIn::isLate(const json::object &body)
+{
+    const bool late = numberOr(body, "notAfterMs", std::numeric_limits<std::int64_t>::max()) < clockMilliseconds();
+    m_refusedLate += late ? 1 : 0;
+    return late;
+}
+
 ServerReply WorkerStandIn::start(const json::object &body)
 {
+    if (isLate(body)) {
+        return {.status = 410};
+    }
     const Key key(json::value_to<std::string>(body.at("job")), body.at("fence").to_number<Fence>());
     Task task;
     task.jobClass = textOr(body, "jobClass", "");
@@ -195,6 +206,9 @@
     }
     const auto now = clockMilliseconds();
     if (verb == "renew") {
+        if (isLate(body)) {
+            return {.status = 410};
+        }
         task.leaseEndsAt = now + body.at("leaseMs").to_number<std::int64_t>();
     } else if (verb == "checkpoint") {
         task.checkpoint = "checkpoint/" + key.first + "/" + std::to_string(key.second) + "-"
@@ -249,7 +263,7 @@
         entry["runTimeMs"] = (task.isActive() ? now : task.endedAt) - task.startedAt;
         tasks.push_back(std::move(entry));
     }
-    return jsonReply(200, json::object{{"tasks", std::move(tasks)}});
+    return jsonReply(200, json::object{{"tasks", std::move(tasks)}, {"clockMs", now}});
 }
 
 void WorkerStandIn::forEachActive(const std::function<void(const std::string &, double)> &visit) const
@@ -268,6 +282,7 @@
     log["usageExceeded"] = m_usageExceeded;
     log["refusedFence"] = m_refusedFence;
     log["refusedSize"] = m_refusedSize;
+    log["refusedLate"] = m_refusedLate;
 }
 
 } // namespace Carobflow::StandIn
--- a/tests/standins/workerstandin.h
+++ b/tests/standins/workerstandin.h
@@ -78,6 +78,8 @@
     void advance();
     void end(const Key &key, Task &task, const std::string &state, const std::string &reason);
     void record(const char *event, const Key &key, const Task &task);
+    /// True when the call arrived after the time of the worker's clock that it names.
+    bool isLate(const boost::json::object &body);
     ServerReply start(const boost::json::object &body);
     ServerReply command(const Key &key, const std::string &verb, const boost::json::object &body);
     [[nodiscard]] ServerReply list() const;
@@ -92,6 +94,7 @@
     bool m_usageExceeded = false;
     std::uint64_t m_refusedFence = 0;
     std::uint64_t m_refusedSize = 0;
+    std::uint64_t m_refusedLate = 0;
     boost::json::array m_events;
 };
 
