Keep the time-out of calls to the worker within half of the margin

Cause: a start or renewal has no effect after the time-out of its call. The margin of a reassignment must cover that time, but both are settings: with platform.timeout_ms above reassign_margin_ms a late renewal could still outlive the wait.

Ruled out: refusing such settings, since the time-out is that of all calls to the platform and a slow table may need a longer one.

Change: calls to the worker time out after half of the margin at most.

--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -20,6 +20,7 @@
 #include "carobflow/platform/httptableservice.h"
 #include "carobflow/platform/httpworkerruntime.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace Carobflow
@@ -61,7 +62,8 @@
                      .timeout = m_settings.platformTimeout})
         , m_worker(m_platformClient,
                    {.endpoint = {.host = m_settings.worker.address, .port = m_settings.worker.port},
-                    .timeout = m_settings.platformTimeout})
+                    // A start or renewal takes effect within this time, which the margin of a reassignment covers.
+                    .timeout = std::min(m_settings.platformTimeout, m_settings.reassignMargin / 2)})
         , m_shardCount({.shards = static_cast<std::uint32_t>(m_settings.shards), .settingsPath = m_settings.path},
                        m_table)
         , m_requests(m_executor,
