Remove a function that only appends to a list

Ruled out: keeping the name for the two calls; it says something that is not done.

Change: the two calls append themselves. Behaviour is unchanged.

--- a/packages/core/src/carobflow/core/internal/interferenceguide.cpp
+++ b/packages/core/src/carobflow/core/internal/interferenceguide.cpp
@@ -47,7 +47,7 @@
 {
     for (const std::string &id : m_inputs.state.active()) {
         const JobRecord &job = *m_inputs.state.find(id);
-        countTask(job.host, job.spec.jobClass);
+        m_running[job.host].push_back(job.spec.jobClass);
     }
     std::erase_if(m_patience.blockedSince,
                   [this](const auto &blocked) { return !m_inputs.state.pending().contains(blocked.first); });
@@ -58,11 +58,6 @@
     return m_inputs.now - window.at <= WindowLifetime;
 }
 
-void InterferenceGuide::countTask(const std::string &host, const std::string &jobClass)
-{
-    m_running[host].push_back(jobClass);
-}
-
 double InterferenceGuide::effectOf(std::string_view service, const std::string &jobClass, double load) const
 {
     return std::log(m_inputs.model.predict(service, jobClass, load).factor);
@@ -133,7 +128,7 @@
 
 void InterferenceGuide::placed(const std::string &host, const JobSpec &job)
 {
-    countTask(host, job.jobClass);
+    m_running[host].push_back(job.jobClass);
     m_assessed.erase(host);
 }
 
--- a/packages/core/src/carobflow/core/internal/interferenceguide.h
+++ b/packages/core/src/carobflow/core/internal/interferenceguide.h
@@ -68,7 +68,6 @@
                                        const std::string &jobClass) const;
     [[nodiscard]] double effectOf(std::string_view service, const std::string &jobClass, double load) const;
     [[nodiscard]] bool isRecent(const RecentWindow &window) const;
-    void countTask(const std::string &host, const std::string &jobClass);
 
     Inputs m_inputs;
     Patience &m_patience;
