Rename the package of service interfaces to connectors

Cause: the adapter to the users' platform gets the folder platform/ at the root, and two things with one name would be confused.

--- a/packages/platform/src/carobflow/platform/httpclient.cpp
+++ b/packages/connectors/src/carobflow/connectors/httpclient.cpp
@@ -1,6 +1,6 @@
-#include "carobflow/platform/httpclient.h"
+#include "carobflow/connectors/httpclient.h"
 
-#include "carobflow/platform/internal/connectionpool.h"
+#include "carobflow/connectors/internal/connectionpool.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/platform/src/carobflow/platform/httpobjectstore.cpp
+++ b/packages/connectors/src/carobflow/connectors/httpobjectstore.cpp
@@ -1,6 +1,6 @@
-#include "carobflow/platform/httpobjectstore.h"
+#include "carobflow/connectors/httpobjectstore.h"
 
-#include "carobflow/platform/internal/httpcall.h"
+#include "carobflow/connectors/internal/httpcall.h"
 
 namespace Carobflow
 {
--- a/packages/platform/src/carobflow/platform/httpobjectstore.h
+++ b/packages/connectors/src/carobflow/connectors/httpobjectstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "carobflow/platform/httpclient.h"
-#include "carobflow/platform/objectstore.h"
+#include "carobflow/connectors/httpclient.h"
+#include "carobflow/connectors/objectstore.h"
 
 #include <memory>
 
--- a/packages/platform/src/carobflow/platform/httptableservice.cpp
+++ b/packages/connectors/src/carobflow/connectors/httptableservice.cpp
@@ -1,6 +1,6 @@
-#include "carobflow/platform/httptableservice.h"
+#include "carobflow/connectors/httptableservice.h"
 
-#include "carobflow/platform/internal/httpcall.h"
+#include "carobflow/connectors/internal/httpcall.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_from.hpp>
--- a/packages/platform/src/carobflow/platform/httpworkerruntime.cpp
+++ b/packages/connectors/src/carobflow/connectors/httpworkerruntime.cpp
@@ -1,6 +1,6 @@
-#include "carobflow/platform/httpworkerruntime.h"
+#include "carobflow/connectors/httpworkerruntime.h"
 
-#include "carobflow/platform/internal/httpcall.h"
+#include "carobflow/connectors/internal/httpcall.h"
 
 #include <array>
 #include <optional>
--- a/packages/platform/src/carobflow/platform/httpworkerruntime.h
+++ b/packages/connectors/src/carobflow/connectors/httpworkerruntime.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "carobflow/platform/httpclient.h"
-#include "carobflow/platform/workerruntime.h"
+#include "carobflow/connectors/httpclient.h"
+#include "carobflow/connectors/workerruntime.h"
 
 #include <cstdint>
 #include <memory>
--- a/packages/platform/src/carobflow/platform/internal/connectionpool.cpp
+++ b/packages/connectors/src/carobflow/connectors/internal/connectionpool.cpp
@@ -1,4 +1,4 @@
-#include "carobflow/platform/internal/connectionpool.h"
+#include "carobflow/connectors/internal/connectionpool.h"
 
 #include <array>
 
--- a/packages/platform/src/carobflow/platform/internal/connectionpool.h
+++ b/packages/connectors/src/carobflow/connectors/internal/connectionpool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "carobflow/platform/httpclient.h"
+#include "carobflow/connectors/httpclient.h"
 
 #include <chrono>
 #include <map>
--- a/packages/platform/src/carobflow/platform/internal/httpcall.cpp
+++ b/packages/connectors/src/carobflow/connectors/internal/httpcall.cpp
@@ -1,4 +1,4 @@
-#include "carobflow/platform/internal/httpcall.h"
+#include "carobflow/connectors/internal/httpcall.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
--- a/packages/platform/src/carobflow/platform/internal/httpcall.h
+++ b/packages/connectors/src/carobflow/connectors/internal/httpcall.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "carobflow/core/result.h"
-#include "carobflow/platform/httpclient.h"
+#include "carobflow/connectors/httpclient.h"
 
 #include <optional>
 #include <string>
--- a/packages/platform/tests/platformfixture.h
+++ b/packages/connectors/tests/connectorfixture.h
@@ -4,7 +4,7 @@
 #include "standins/platformstandin.h"
 #include "standins/proxystandin.h"
 
-#include "carobflow/platform/httpclient.h"
+#include "carobflow/connectors/httpclient.h"
 
 #include <chrono>
 #include <exception>
@@ -22,7 +22,7 @@
 {
 
 /// Runs coroutines, clients and stand-ins on one io_context in the thread of the test.
-struct PlatformFixture {
+struct ConnectorFixture {
     boost::asio::io_context io;
     std::shared_ptr<HttpClient> client = std::make_shared<HttpClient>(io.get_executor());
 
--- a/packages/platform/tests/httpobjectstore_test.cpp
+++ b/packages/connectors/tests/httpobjectstore_test.cpp
@@ -1,12 +1,12 @@
-#include "platformfixture.h"
+#include "connectorfixture.h"
 
-#include "carobflow/platform/httpobjectstore.h"
+#include "carobflow/connectors/httpobjectstore.h"
 
 #include <catch2/catch.hpp>
 
 using namespace Carobflow;
 
-TEST_CASE_METHOD(PlatformFixture, "objects are stored and read over HTTP", "[objects]")
+TEST_CASE_METHOD(ConnectorFixture, "objects are stored and read over HTTP", "[objects]")
 {
     StandIn::PlatformStandIn platform(io, {});
     HttpObjectStore store(client, {.endpoint = {.host = "127.0.0.1", .port = platform.port()}});
--- a/packages/platform/tests/httptableservice_test.cpp
+++ b/packages/connectors/tests/httptableservice_test.cpp
@@ -1,6 +1,6 @@
-#include "platformfixture.h"
+#include "connectorfixture.h"
 
-#include "carobflow/platform/httptableservice.h"
+#include "carobflow/connectors/httptableservice.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,7 +9,7 @@
 namespace
 {
 
-struct TableFixture : PlatformFixture {
+struct TableFixture : ConnectorFixture {
     StandIn::PlatformStandIn platform{io, {}};
     HttpTableService table = serviceAt(platform.port());
 
--- a/packages/platform/tests/httpworkerruntime_test.cpp
+++ b/packages/connectors/tests/httpworkerruntime_test.cpp
@@ -1,6 +1,6 @@
-#include "platformfixture.h"
+#include "connectorfixture.h"
 
-#include "carobflow/platform/httpworkerruntime.h"
+#include "carobflow/connectors/httpworkerruntime.h"
 
 #include <algorithm>
 
@@ -34,7 +34,7 @@
             .runSeconds = runSeconds};
 }
 
-struct WorkerFixture : PlatformFixture {
+struct WorkerFixture : ConnectorFixture {
     StandIn::HostStandIn host{io, hostOptions()};
     HttpWorkerRuntime worker = runtimeAt(host.port());
 
--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -16,9 +16,9 @@
 #include "carobflow/daemon/shardrunner.h"
 #include "carobflow/daemon/taskrunner.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/platform/httpobjectstore.h"
-#include "carobflow/platform/httptableservice.h"
-#include "carobflow/platform/httpworkerruntime.h"
+#include "carobflow/connectors/httpobjectstore.h"
+#include "carobflow/connectors/httptableservice.h"
+#include "carobflow/connectors/httpworkerruntime.h"
 
 #include <algorithm>
 #include <optional>
--- a/packages/daemon/src/carobflow/daemon/announcer.cpp
+++ b/packages/daemon/src/carobflow/daemon/announcer.cpp
@@ -3,7 +3,7 @@
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/rpc.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/platform/tableservice.h"
+#include "carobflow/connectors/tableservice.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/daemon/src/carobflow/daemon/burnrecorder.cpp
+++ b/packages/daemon/src/carobflow/daemon/burnrecorder.cpp
@@ -2,7 +2,7 @@
 
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/internal/identifiers.h"
-#include "carobflow/platform/tableservice.h"
+#include "carobflow/connectors/tableservice.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
--- a/packages/daemon/src/carobflow/daemon/chargeservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.cpp
@@ -5,7 +5,7 @@
 #include "carobflow/daemon/internal/identifiers.h"
 #include "carobflow/daemon/metrics.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/platform/tableservice.h"
+#include "carobflow/connectors/tableservice.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -20,8 +20,8 @@
 #include "carobflow/daemon/shardcountcheck.h"
 #include "carobflow/daemon/sheetrepository.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/platform/httpobjectstore.h"
-#include "carobflow/platform/httptableservice.h"
+#include "carobflow/connectors/httpobjectstore.h"
+#include "carobflow/connectors/httptableservice.h"
 
 #include <boost/asio/strand.hpp>
 
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -3,7 +3,7 @@
 #include "carobflow/core/admission.h"
 #include "carobflow/core/hostmessages.h"
 #include "carobflow/daemon/internal/windowrecorder.h"
-#include "carobflow/platform/httpclient.h"
+#include "carobflow/connectors/httpclient.h"
 
 #include <atomic>
 #include <functional>
--- a/packages/daemon/src/carobflow/daemon/shardcountcheck.cpp
+++ b/packages/daemon/src/carobflow/daemon/shardcountcheck.cpp
@@ -3,7 +3,7 @@
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/internal/identifiers.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/platform/tableservice.h"
+#include "carobflow/connectors/tableservice.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/daemon/src/carobflow/daemon/shardrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/shardrunner.cpp
@@ -4,8 +4,8 @@
 #include "carobflow/daemon/internal/identifiers.h"
 #include "carobflow/daemon/metrics.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/platform/objectstore.h"
-#include "carobflow/platform/tableservice.h"
+#include "carobflow/connectors/objectstore.h"
+#include "carobflow/connectors/tableservice.h"
 
 #include <array>
 
--- a/packages/daemon/src/carobflow/daemon/taskrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.cpp
@@ -5,8 +5,8 @@
 #include "carobflow/daemon/protocolconversion.h"
 #include "carobflow/daemon/rpc.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/platform/tableservice.h"
-#include "carobflow/platform/workerruntime.h"
+#include "carobflow/connectors/tableservice.h"
+#include "carobflow/connectors/workerruntime.h"
 
 #include <array>
 
--- a/packages/daemon/tests/shardcountcheck_test.cpp
+++ b/packages/daemon/tests/shardcountcheck_test.cpp
@@ -1,5 +1,5 @@
 #include "carobflow/daemon/shardcountcheck.h"
-#include "carobflow/platform/tableservice.h"
+#include "carobflow/connectors/tableservice.h"
 
 #include <map>
 
--- a/tests/standins/hoststandin.h
+++ b/tests/standins/hoststandin.h
@@ -3,7 +3,7 @@
 #include "standins/upstreamstandin.h"
 #include "standins/workerstandin.h"
 
-#include "carobflow/platform/httpclient.h"
+#include "carobflow/connectors/httpclient.h"
 
 #include <memory>
 #include <string>
