--- a/packages/connectors/src/carobflow/connectors/internal/httpcall.h
+++ b/packages/connectors/src/carobflow/connectors/internal/httpcall.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "carobflow/core/result.h"
 #include "carobflow/connectors/httpclient.h"
+#include "carobflow/core/result.h"
 
 #include <optional>
 #include <string>
--- /dev/null
+++ b/packages/control/src/carobflow/control/conversion.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "carobflow/scheduler/host.h"
+#include "carobflow/scheduler/job.h"
+#include "carobflow/scheduler/orders.h"
+
+#include <control.pb.h>
+
+namespace Carobflow
+{
+
+/// Conversions between the scheduler's types and the messages of the control protocol, which are also the values of
+/// rows in the store.
+carobflow::control::Job toMessage(const Scheduling::JobSpec &job);
+Scheduling::JobSpec fromMessage(const carobflow::control::Job &message);
+
+carobflow::control::JobProgress toMessage(const Scheduling::JobProgress &progress);
+Scheduling::JobProgress fromMessage(const carobflow::control::JobProgress &message, const std::string &job);
+
+carobflow::control::ReportRequest toMessage(const Scheduling::HostReport &report);
+Scheduling::HostReport fromMessage(const carobflow::control::ReportRequest &message);
+
+carobflow::control::StartOrder toMessage(const Scheduling::StartOrder &order);
+Scheduling::StartOrder fromMessage(const carobflow::control::StartOrder &message, std::string_view host);
+
+carobflow::control::StopOrder toMessage(const Scheduling::StopOrder &order);
+Scheduling::StopOrder fromMessage(const carobflow::control::StopOrder &message, std::string_view host);
+
+/// The run that a message names by the text of its task; the task is empty when the text is malformed.
+Scheduling::RunId runOf(const std::string &task, std::uint32_t run);
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/election.cpp
@@ -0,0 +1,149 @@
+#include "carobflow/control/election.h"
+
+#include "carobflow/control/storelayout.h"
+#include "carobflow/core/clock.h"
+#include "carobflow/logging/log.h"
+
+#include <algorithm>
+
+#include <boost/asio/strand.hpp>
+
+namespace Carobflow
+{
+
+namespace asio = boost::asio;
+namespace wire = carobflow::control;
+
+namespace
+{
+
+constexpr Milliseconds FollowWait{1000};
+constexpr Milliseconds FollowPause{150};
+constexpr Milliseconds CandidateInterval{40};
+/// Candidates spread their attempts over this time by the hash of their names.
+constexpr Milliseconds AttemptSpread{240};
+/// Pause after a failed attempt, and after a term that ended while others lead.
+constexpr Milliseconds StandBackTime{1000};
+
+} // namespace
+
+Election::Election(const asio::any_io_executor &executor,
+                   Options options,
+                   WatchableTable &table,
+                   LeaderDirectory &directory,
+                   OperatorSync &operators,
+                   ControlCaller &caller)
+    : m_executor(executor)
+    , m_strand(asio::make_strand(executor))
+    , m_options(std::move(options))
+    , m_table(table)
+    , m_directory(directory)
+    , m_operators(operators)
+    , m_caller(caller)
+    , m_candidacy({.delay = Milliseconds(stableHash(m_options.ledger.name) % AttemptSpread.count())})
+{
+}
+
+void Election::start()
+{
+    spawnLoop(m_strand, followLoop());
+    if (m_options.isCandidate) {
+        spawnLoop(m_strand, candidateLoop());
+    }
+}
+
+void Election::onLeaderRow(const Row *row, TimePoint now)
+{
+    wire::Leadership leadership;
+    if (row == nullptr || !leadership.ParseFromString(row->value)) {
+        m_candidacy.onRow(0, false, now);
+        return;
+    }
+    m_directory.learn(leadership.epoch(), leadership.address());
+    m_candidacy.onRow(row->version, leadership.address().empty(), now);
+}
+
+asio::awaitable<void> Election::followLoop()
+{
+    std::uint64_t version = 0;
+    std::optional<Row> row;
+    for (;;) {
+        bool answered = false;
+        if (version == 0) {
+            const auto snapshot = co_await m_table.snapshot(StoreLayout::ControlPrefix);
+            if (isOk(snapshot)) {
+                answered = true;
+                version = valueOf(snapshot).version;
+                row.reset();
+                for (const Row &candidate : valueOf(snapshot).rows) {
+                    if (candidate.key == StoreLayout::LeaderKey) {
+                        row = candidate;
+                    }
+                }
+            }
+        } else {
+            const ChangesOutcome outcome = co_await m_table.changes(StoreLayout::ControlPrefix, version, FollowWait);
+            if (const auto *changes = std::get_if<TableChanges>(&outcome)) {
+                answered = true;
+                version = changes->version;
+                for (const TableChange &change : changes->changes) {
+                    if (change.key == StoreLayout::LeaderKey && change.value) {
+                        row = Row{.key = change.key, .value = *change.value, .version = change.version};
+                    }
+                }
+            } else if (std::holds_alternative<HistoryGone>(outcome)) {
+                version = 0;
+                continue;
+            }
+        }
+        if (answered) {
+            onLeaderRow(row ? &*row : nullptr, suspendAwareNow());
+        } else {
+            version = 0;
+            m_candidacy.onSilence();
+            co_await sleepFor(FollowPause);
+        }
+    }
+}
+
+asio::awaitable<void> Election::candidateLoop()
+{
+    while (!m_leaving) {
+        co_await sleepFor(CandidateInterval);
+        if (m_candidacy.shouldTakeOver(suspendAwareNow()) && m_operators.current() && !m_leaving) {
+            co_await tryToLead();
+            m_candidacy.standBack(suspendAwareNow() + StandBackTime);
+        }
+    }
+}
+
+asio::awaitable<void> Election::tryToLead()
+{
+    auto ledger = std::make_unique<Ledger>(m_options.ledger, m_table);
+    const Status taken = co_await ledger->takeOver();
+    if (!isOk(taken)) {
+        logInfo("take-over-failed").with("error", errorOf(taken).message);
+        co_return;
+    }
+    m_directory.learn(ledger->epoch(), m_options.ledger.address);
+    auto term = std::make_shared<LeaderTerm>(
+        m_executor, m_options.term, std::move(ledger), m_table, m_directory, m_operators, m_caller);
+    m_term.store(term);
+    // A named object: GCC 12 destroys the captures of a lambda within a co_await expression twice.
+    asio::awaitable<void> leading = term->run();
+    co_await asio::co_spawn(term->strand(), std::move(leading), asio::use_awaitable);
+    m_term.store(nullptr);
+}
+
+asio::awaitable<void> Election::leave()
+{
+    m_leaving = true;
+    if (const auto term = m_term.load()) {
+        asio::post(term->strand(), [term] { term->resign(); });
+        while (m_term.load()) {
+            co_await sleepFor(Milliseconds(10));
+        }
+    }
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -0,0 +1,461 @@
+#include "carobflow/control/hostagent.h"
+
+#include "carobflow/control/conversion.h"
+#include "carobflow/core/clock.h"
+#include "carobflow/daemon/internal/identifiers.h"
+#include "carobflow/logging/log.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Carobflow
+{
+
+namespace asio = boost::asio;
+namespace wire = carobflow::control;
+using Scheduling::StartOutcome;
+using Scheduling::StopOutcome;
+
+namespace
+{
+
+/// A running list is at most this old; ends are returned at once.
+constexpr Milliseconds RenewWait{400};
+constexpr Milliseconds RenewPause{100};
+/// Three reports fit into the time after which a host gets no starts.
+constexpr Milliseconds ReportInterval{400};
+constexpr Milliseconds ReportTimeout{600};
+constexpr Milliseconds ReportPause{60};
+/// Upstream clocks may be 2% slow; the rest covers the way of a message.
+constexpr double LeaseClockFactor = 1.03;
+constexpr Milliseconds LeaseSlack{200};
+
+} // namespace
+
+HostAgent::HostAgent(const asio::any_io_executor &executor,
+                     Options options,
+                     UpstreamLink &link,
+                     LeaderDirectory &directory,
+                     OperatorSync &operators,
+                     ControlCaller &caller)
+    : m_strand(asio::make_strand(executor))
+    , m_options(std::move(options))
+    , m_link(link)
+    , m_directory(directory)
+    , m_operators(operators)
+    , m_caller(caller)
+    , m_incarnation(randomNumber())
+    , m_reportNow(m_strand)
+    , m_renewNow(m_strand)
+    , m_leaderAnsweredAt(suspendAwareNow())
+    , m_leaseFreeAt(suspendAwareNow() + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor)
+                    + LeaseSlack)
+{
+}
+
+void HostAgent::start()
+{
+    spawnLoop(m_strand, renewLoop());
+    spawnLoop(m_strand, reportLoop());
+}
+
+Duration HostAgent::leaderSilence() const
+{
+    return suspendAwareNow() - m_leaderAnsweredAt;
+}
+
+void HostAgent::resetUpstream(const Scheduling::UpstreamDescription &upstream)
+{
+    logInfo("upstream-known")
+        .with("upstream", upstream.identity.id)
+        .with("incarnation", upstream.identity.incarnation)
+        .with("service", upstream.service)
+        .with("before", m_upstream ? m_upstream->identity.id : "none");
+    // A new life holds no lease of the old one and has seen no leader.
+    m_upstream = upstream;
+    m_fencedEpoch = 0;
+    m_acknowledgedEnd = 0;
+    m_clockAt = {};
+    m_running.clear();
+    m_ended.clear();
+    m_descriptions.clear();
+    m_renewNow.notify();
+}
+
+void HostAgent::onAnnouncement(const Scheduling::UpstreamDescription &upstream, std::uint64_t sequence)
+{
+    const bool isNew = !m_upstream || upstream.identity.incarnation > m_upstream->identity.incarnation;
+    if (isNew) {
+        resetUpstream(upstream);
+    } else if (upstream.identity != m_upstream->identity || sequence <= m_sequence) {
+        logDebug("announcement-ignored").with("upstream", upstream.identity.id).with("sequence", sequence);
+        return;
+    }
+    const bool drainingNow = upstream.draining && (isNew || !m_upstream->draining);
+    m_sequence = sequence;
+    m_upstream = upstream;
+    if (drainingNow) {
+        logInfo("upstream-draining").with("upstream", upstream.identity.id);
+        m_reportDue = true;
+        m_reportNow.notify();
+    }
+}
+
+void HostAgent::onLeave(std::string_view upstreamId)
+{
+    if (m_upstream && m_upstream->identity.id == upstreamId && !m_upstream->draining) {
+        logInfo("upstream-leaves").with("upstream", upstreamId);
+        m_upstream->draining = true;
+        m_reportDue = true;
+        m_reportNow.notify();
+    }
+}
+
+bool HostAgent::holdsGrant(TimePoint now) const
+{
+    return now < m_grantUntil;
+}
+
+std::optional<std::int64_t> HostAgent::leaseUntil(TimePoint now) const
+{
+    if (!holdsGrant(now) || m_clockAt == TimePoint{}) {
+        return std::nullopt;
+    }
+    // The upstream's clock is at least this far: its answer left before it arrived here.
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - m_clockAt);
+    return m_clockMs + elapsed.count() + m_options.maxLease.count();
+}
+
+void HostAgent::noteLeaseSent(TimePoint now)
+{
+    m_leaseFreeAt = now + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
+}
+
+asio::awaitable<void> HostAgent::renewLoop()
+{
+    bool reachable = false;
+    for (;;) {
+        if (!m_upstream) {
+            co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewPause);
+            continue;
+        }
+        const bool answered = co_await renewOnce(m_fencedEpoch == m_epoch ? RenewWait : Milliseconds(0));
+        if (answered != reachable) {
+            reachable = answered;
+            logInfo(answered ? "upstream-regained" : "upstream-lost").with("upstream", m_upstream->identity.id);
+        }
+        if (!answered || m_epoch == 0) {
+            co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewPause);
+        }
+    }
+}
+
+asio::awaitable<bool> HostAgent::renewOnce(Milliseconds wait)
+{
+    const Epoch epoch = m_epoch;
+    const TimePoint sentAt = suspendAwareNow();
+    LeaseRequest request{.upstream = m_upstream->identity,
+                         .fencingToken = epoch,
+                         .acknowledgedEnd = m_acknowledgedEnd,
+                         .leaseUntilMs = leaseUntil(sentAt),
+                         .wait = wait};
+    const auto identity = request.upstream;
+    if (request.leaseUntilMs) {
+        noteLeaseSent(sentAt);
+    }
+    const LeaseOutcome outcome = co_await m_link.renew(std::move(request));
+    const auto *lists = std::get_if<UpstreamLists>(&outcome);
+    if (lists == nullptr || !m_upstream || m_upstream->identity != identity
+        || lists->incarnation != identity.incarnation) {
+        co_return false;
+    }
+    apply(*lists, epoch, suspendAwareNow());
+    co_return true;
+}
+
+void HostAgent::apply(const UpstreamLists &lists, Epoch epoch, TimePoint receivedAt)
+{
+    if (lists.clockMs < m_clockMs && m_clockAt != TimePoint{}) {
+        // Overtaken by a later answer on another connection.
+        return;
+    }
+    const bool wasKnown = m_clockAt != TimePoint{};
+    m_clockMs = lists.clockMs;
+    m_clockAt = receivedAt;
+    m_answeredAt = receivedAt;
+    const std::uint64_t newestBefore = m_ended.empty() ? m_acknowledgedEnd : m_ended.back().number;
+    m_running = lists.running;
+    m_ended.clear();
+    for (const Scheduling::EndedRun &ended : lists.ended) {
+        if (ended.number > m_acknowledgedEnd) {
+            m_ended.push_back(ended);
+        }
+    }
+    const bool newEnds = !m_ended.empty() && m_ended.back().number > newestBefore;
+    if (epoch > m_fencedEpoch) {
+        m_fencedEpoch = epoch;
+        m_reportDue = true;
+    }
+    if (newEnds || !wasKnown) {
+        m_reportDue = true;
+    }
+    if (m_reportDue) {
+        m_reportNow.notify();
+    }
+    applyPacing(receivedAt);
+}
+
+void HostAgent::applyPacing(TimePoint now)
+{
+    std::vector<Scheduling::PacedTask> tasks;
+    for (const Scheduling::RunningRun &running : m_running) {
+        const auto description = m_descriptions.find(running.run.task);
+        if (description != m_descriptions.end()) {
+            tasks.push_back({.run = running.run,
+                             .image = description->second.image,
+                             .tailTarget = description->second.tailTarget,
+                             .fillsLeftover = description->second.fillsLeftover,
+                             .tailMs = running.load});
+        }
+    }
+    const std::uint32_t before = m_pacer.share();
+    for (const Scheduling::Pacer::Command &command : m_pacer.update(tasks, now)) {
+        asio::co_spawn(m_strand, sendPace(command), asio::detached);
+    }
+    if (m_pacer.share() != before) {
+        logInfo("fillers-paced")
+            .with("share", m_pacer.share())
+            .with("before", before)
+            .with("tail_pressure", m_pacer.pressure());
+    }
+}
+
+asio::awaitable<void> HostAgent::sendPace(Scheduling::Pacer::Command command)
+{
+    if (!m_upstream) {
+        co_return;
+    }
+    // Awaited on its own: GCC 12 destroys arguments of a conditional co_await that were never made.
+    const bool paced = co_await m_link.pace(m_upstream->identity, command.run, command.percent, m_epoch);
+    if (!paced) {
+        m_pacer.forget(command.run);
+    }
+}
+
+bool HostAgent::isListed(const Scheduling::RunId &run) const
+{
+    return std::ranges::find(m_running, run, &Scheduling::RunningRun::run) != m_running.end()
+        || std::ranges::find(m_ended, run, &Scheduling::EndedRun::run) != m_ended.end();
+}
+
+Scheduling::HostReport HostAgent::makeReport() const
+{
+    const TimePoint now = suspendAwareNow();
+    Scheduling::HostReport report{.host = m_options.name,
+                                  .address = m_options.address,
+                                  .dataCentre = m_options.dataCentre,
+                                  .agentIncarnation = m_incarnation,
+                                  .fencedEpoch = m_fencedEpoch,
+                                  .upstream = m_upstream,
+                                  .silence = std::chrono::duration_cast<Milliseconds>(now - m_answeredAt),
+                                  .leaseLeft = std::chrono::duration_cast<Milliseconds>(m_leaseFreeAt - now),
+                                  .tailPressure = m_pacer.pressure(),
+                                  .running = m_running,
+                                  .ended = m_ended};
+    return report;
+}
+
+asio::awaitable<void> HostAgent::reportLoop()
+{
+    for (;;) {
+        m_reportDue = false;
+        const bool answered = co_await reportOnce();
+        if (!answered) {
+            co_await sleepFor(ReportPause);
+        } else if (!m_reportDue) {
+            co_await m_reportNow.waitUntil(std::chrono::steady_clock::now() + ReportInterval);
+        }
+    }
+}
+
+asio::awaitable<bool> HostAgent::reportOnce()
+{
+    const LeaderDirectory::Leader leader = m_directory.current();
+    if (leader.epoch > m_epoch) {
+        adopt(leader.epoch);
+    }
+    if (leader.address.empty()) {
+        co_return false;
+    }
+    wire::ReportRequest request = toMessage(makeReport());
+    for (const Scheduling::RunningRun &running : m_running) {
+        if (!m_descriptions.contains(running.run.task)) {
+            request.add_undescribed(running.run.task.toString());
+        }
+    }
+    const TimePoint sentAt = suspendAwareNow();
+    const auto reply = co_await m_caller.report(leader.address, std::move(request), ReportTimeout);
+    if (!reply) {
+        co_return false;
+    }
+    m_directory.learn(reply->leader());
+    if (!reply->is_leader()) {
+        co_return false;
+    }
+    applyReply(*reply, sentAt);
+    co_return true;
+}
+
+void HostAgent::applyReply(const wire::ReportReply &reply, TimePoint sentAt)
+{
+    if (reply.leader().epoch() < m_epoch) {
+        return;
+    }
+    adopt(reply.leader().epoch());
+    m_leaderAnsweredAt = suspendAwareNow();
+    m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grant_ms()));
+    const Scheduling::UpstreamIdentity acknowledged{.id = reply.upstream_id(),
+                                                    .incarnation = reply.upstream_incarnation()};
+    if (m_upstream && acknowledged == m_upstream->identity && reply.acknowledged_end() > m_acknowledgedEnd) {
+        m_acknowledgedEnd = reply.acknowledged_end();
+        std::erase_if(m_ended, [&](const auto &ended) { return ended.number <= m_acknowledgedEnd; });
+    }
+    for (const wire::TaskDescription &description : reply.descriptions()) {
+        if (const auto task = Scheduling::parseTaskId(description.task())) {
+            m_descriptions[*task] = {.image = description.image(),
+                                     .tailTarget = Milliseconds(description.tail_target_ms()),
+                                     .fillsLeftover = description.fills_leftover()};
+        }
+    }
+}
+
+void HostAgent::adopt(Epoch epoch)
+{
+    if (epoch <= m_epoch) {
+        return;
+    }
+    logInfo("leader-adopted").with("epoch", epoch).with("before", m_epoch);
+    m_epoch = epoch;
+    m_renewNow.notify();
+    if (m_upstream) {
+        // The call for changes may be held back for a while; this one makes the upstream refuse the earlier leader now.
+        asio::co_spawn(
+            m_strand, [this]() -> asio::awaitable<void> { co_await renewOnce(Milliseconds(0)); }, asio::detached);
+    }
+}
+
+bool HostAgent::mayStart(const Scheduling::StartOrder &order, Epoch epoch) const
+{
+    const auto view = m_operators.current();
+    return m_upstream && m_upstream->identity == order.upstream && !m_upstream->draining && m_epoch == epoch
+        && m_fencedEpoch == epoch && view && !view->isEvacuated(m_upstream->dataCentre);
+}
+
+asio::awaitable<StartOutcome> HostAgent::startRun(Scheduling::StartOrder order, Epoch epoch)
+{
+    if (!mayStart(order, epoch)) {
+        co_return epoch < m_epoch ? StartOutcome::Fenced : StartOutcome::NotAccepted;
+    }
+    const TimePoint now = suspendAwareNow();
+    const auto until = leaseUntil(now);
+    if (!until) {
+        co_return StartOutcome::LeaseOver;
+    }
+    noteLeaseSent(now);
+    m_descriptions[order.run.task] = {
+        .image = order.image, .tailTarget = order.tailTarget, .fillsLeftover = order.fillsLeftover};
+    co_return co_await m_link.start(std::move(order), epoch, *until);
+}
+
+asio::awaitable<StopOutcome> HostAgent::stopRun(Scheduling::StopOrder order, Epoch epoch)
+{
+    if (!m_upstream || m_upstream->identity != order.upstream || epoch < m_epoch) {
+        co_return StopOutcome::Unanswered;
+    }
+    const bool stopped = co_await m_link.stop(order.upstream, order.run, epoch);
+    if (!stopped || !m_upstream || m_upstream->identity != order.upstream) {
+        co_return StopOutcome::Unanswered;
+    }
+    const TimePoint answeredAt = suspendAwareNow();
+    const bool renewed = co_await renewOnce(Milliseconds(0));
+    if (!renewed || m_clockAt < answeredAt) {
+        co_return StopOutcome::Unanswered;
+    }
+    co_return isListed(order.run) ? StopOutcome::Ending : StopOutcome::Absent;
+}
+
+asio::awaitable<wire::ExecuteReply> HostAgent::execute(wire::ExecuteRequest request)
+{
+    m_directory.learn(request.leader());
+    wire::ExecuteReply reply;
+    const Epoch epoch = request.leader().epoch();
+    if (epoch < m_epoch) {
+        *reply.mutable_leader() = m_directory.hint();
+        co_return reply;
+    }
+    if (epoch > m_epoch) {
+        adopt(epoch);
+        m_reportDue = true;
+        m_reportNow.notify();
+    }
+    reply.set_accepted(true);
+    *reply.mutable_leader() = m_directory.hint();
+    // Calls to the upstream overlap: one that hangs must not delay the others.
+    auto pending = std::make_shared<std::size_t>(
+        static_cast<std::size_t>(request.starts_size() + request.stops_size()));
+    auto results = std::make_shared<wire::ExecuteReply>();
+    auto done = std::make_shared<Notifier>(m_strand);
+    for (const wire::StartOrder &message : request.starts()) {
+        asio::co_spawn(
+            m_strand,
+            [this, order = fromMessage(message, m_options.name), epoch, pending, results, done]() mutable
+            -> asio::awaitable<void> {
+                const Scheduling::RunId run = order.run;
+                const StartOutcome outcome = co_await startRun(std::move(order), epoch);
+                logInfo("start")
+                    .with("task", run.task.toString())
+                    .with("run", run.run)
+                    .with("epoch", epoch)
+                    .with("outcome", outcomeName(outcome));
+                wire::StartResult &result = *results->add_starts();
+                result.set_task(run.task.toString());
+                result.set_run(run.run);
+                result.set_outcome(static_cast<std::uint32_t>(outcome));
+                --*pending;
+                done->notify();
+            },
+            asio::detached);
+    }
+    for (const wire::StopOrder &message : request.stops()) {
+        asio::co_spawn(
+            m_strand,
+            [this, order = fromMessage(message, m_options.name), epoch, pending, results, done]() mutable
+            -> asio::awaitable<void> {
+                const Scheduling::RunId run = order.run;
+                const StopOutcome outcome = co_await stopRun(std::move(order), epoch);
+                logInfo("stop")
+                    .with("task", run.task.toString())
+                    .with("run", run.run)
+                    .with("epoch", epoch)
+                    .with("absent", outcome == StopOutcome::Absent)
+                    .with("answered", outcome != StopOutcome::Unanswered);
+                wire::StopResult &result = *results->add_stops();
+                result.set_task(run.task.toString());
+                result.set_run(run.run);
+                result.set_outcome(static_cast<std::uint32_t>(outcome));
+                --*pending;
+                done->notify();
+            },
+            asio::detached);
+    }
+    while (*pending > 0) {
+        co_await done->waitUntil(std::chrono::steady_clock::now() + Seconds(1));
+    }
+    reply.mutable_starts()->Swap(results->mutable_starts());
+    reply.mutable_stops()->Swap(results->mutable_stops());
+    co_return reply;
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "carobflow/control/controlcaller.h"
+#include "carobflow/control/leaderdirectory.h"
+#include "carobflow/control/operatorsync.h"
+#include "carobflow/control/upstreamlink.h"
+#include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/scheduler/host.h"
+#include "carobflow/scheduler/pacer.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace Carobflow
+{
+
+/// The agent beside an upstream, and the only one that speaks to it: renews its leases under the leader's grant,
+/// carries out the leader's orders, reports what runs and what has ended, and paces fillers.
+///
+/// All members but the constructor run on the agent's strand.
+class HostAgent
+{
+public:
+    struct Options {
+        std::string name;
+        /// Where the leader reaches this agent.
+        std::string address;
+        std::string dataCentre;
+        /// Longest lease that the upstream gives.
+        Milliseconds maxLease{6000};
+    };
+
+    HostAgent(const boost::asio::any_io_executor &executor,
+              Options options,
+              UpstreamLink &link,
+              LeaderDirectory &directory,
+              OperatorSync &operators,
+              ControlCaller &caller);
+
+    [[nodiscard]] const boost::asio::any_io_executor &strand() const
+    {
+        return m_strand;
+    }
+
+    void start();
+
+    /// The upstream has reported itself. `sequence` orders reports of one incarnation; late ones are ignored.
+    void onAnnouncement(const Scheduling::UpstreamDescription &upstream, std::uint64_t sequence);
+
+    /// The upstream is about to end.
+    void onLeave(std::string_view upstreamId);
+
+    /// Carries out a leader's orders.
+    boost::asio::awaitable<carobflow::control::ExecuteReply> execute(carobflow::control::ExecuteRequest request);
+
+    /// How long the leader has not answered reports.
+    [[nodiscard]] Duration leaderSilence() const;
+
+private:
+    boost::asio::awaitable<void> renewLoop();
+    boost::asio::awaitable<void> reportLoop();
+    boost::asio::awaitable<bool> renewOnce(Milliseconds wait);
+    boost::asio::awaitable<bool> reportOnce();
+    boost::asio::awaitable<Scheduling::StartOutcome> startRun(Scheduling::StartOrder order, Epoch epoch);
+    boost::asio::awaitable<Scheduling::StopOutcome> stopRun(Scheduling::StopOrder order, Epoch epoch);
+    boost::asio::awaitable<void> sendPace(Scheduling::Pacer::Command command);
+    void apply(const UpstreamLists &lists, Epoch epoch, TimePoint receivedAt);
+    void applyPacing(TimePoint now);
+    void applyReply(const carobflow::control::ReportReply &reply, TimePoint sentAt);
+    void adopt(Epoch epoch);
+    void resetUpstream(const Scheduling::UpstreamDescription &upstream);
+    [[nodiscard]] std::optional<std::int64_t> leaseUntil(TimePoint now) const;
+    void noteLeaseSent(TimePoint now);
+    [[nodiscard]] bool holdsGrant(TimePoint now) const;
+    [[nodiscard]] bool mayStart(const Scheduling::StartOrder &order, Epoch epoch) const;
+    [[nodiscard]] Scheduling::HostReport makeReport() const;
+    [[nodiscard]] bool isListed(const Scheduling::RunId &run) const;
+
+    struct Description {
+        std::string image;
+        Milliseconds tailTarget{0};
+        bool fillsLeftover = false;
+    };
+
+    boost::asio::any_io_executor m_strand;
+    Options m_options;
+    UpstreamLink &m_link;
+    LeaderDirectory &m_directory;
+    OperatorSync &m_operators;
+    ControlCaller &m_caller;
+    std::uint64_t m_incarnation;
+    Notifier m_reportNow;
+    Notifier m_renewNow;
+
+    std::optional<Scheduling::UpstreamDescription> m_upstream;
+    std::uint64_t m_sequence = 0;
+    Epoch m_epoch = 0;
+    Epoch m_fencedEpoch = 0;
+    TimePoint m_grantUntil;
+    TimePoint m_leaderAnsweredAt;
+    std::uint64_t m_acknowledgedEnd = 0;
+    /// The upstream's clock at the last answer, and when the answer came.
+    std::int64_t m_clockMs = 0;
+    TimePoint m_clockAt;
+    TimePoint m_answeredAt;
+    /// No lease that this agent has renewed lasts longer.
+    TimePoint m_leaseFreeAt;
+    std::vector<Scheduling::RunningRun> m_running;
+    std::vector<Scheduling::EndedRun> m_ended;
+    std::map<Scheduling::TaskId, Description> m_descriptions;
+    Scheduling::Pacer m_pacer{Scheduling::Pacer::Options{}};
+    bool m_reportDue = false;
+};
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -0,0 +1,256 @@
+#include "carobflow/control/jobrouter.h"
+
+#include "carobflow/control/conversion.h"
+#include "carobflow/control/storelayout.h"
+#include "carobflow/core/clock.h"
+#include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/logging/log.h"
+
+#include <algorithm>
+
+namespace Carobflow
+{
+
+namespace asio = boost::asio;
+namespace wire = carobflow::control;
+
+namespace
+{
+
+constexpr Milliseconds LeaderTimeout{700};
+constexpr Milliseconds ConnectLimit{40};
+constexpr Milliseconds RetryPause{25};
+/// A change of leader takes about this long after a planned stop; after it the store is used directly.
+constexpr Milliseconds LeaderPatience{350};
+/// A request that reached neither a leader nor the store is rejected after this time: the client then tries elsewhere.
+constexpr Milliseconds ReachPatience{900};
+/// Clients may be shown a count that is 2 s old.
+constexpr Milliseconds PendingAge{1000};
+
+Milliseconds remaining(TimePoint deadline)
+{
+    return std::chrono::duration_cast<Milliseconds>(deadline - suspendAwareNow());
+}
+
+Milliseconds callTimeout(TimePoint deadline)
+{
+    return std::clamp(remaining(deadline), Milliseconds(1), LeaderTimeout);
+}
+
+} // namespace
+
+JobRouter::JobRouter(WatchableTable &table, LeaderDirectory &directory, OperatorSync &operators, ControlCaller &caller)
+    : m_table(table)
+    , m_directory(directory)
+    , m_operators(operators)
+    , m_caller(caller)
+{
+}
+
+bool JobRouter::isUsable() const
+{
+    return m_operators.current() != nullptr && !m_directory.current().address.empty();
+}
+
+asio::awaitable<JobRouter::InboxOutcome> JobRouter::writeInbox(std::string key, std::string value)
+{
+    Transaction transaction;
+    transaction.conditions.push_back({.key = key, .version = 0});
+    transaction.mutations.push_back({.key = key, .value = std::move(value)});
+    const TransactOutcome outcome = co_await m_table.transact(transaction);
+    if (std::holds_alternative<Committed>(outcome) || std::holds_alternative<Conflict>(outcome)) {
+        // A row that is there already asks for the same.
+        co_return InboxOutcome::Written;
+    }
+    co_return std::holds_alternative<ReplyLost>(outcome) ? InboxOutcome::Unknown : InboxOutcome::Refused;
+}
+
+asio::awaitable<SubmitOutcome> JobRouter::submit(Scheduling::JobSpec job, TimePoint deadline)
+{
+    wire::SubmitRequest request;
+    *request.mutable_job() = toMessage(job);
+    const TimePoint began = suspendAwareNow();
+    bool maybeSent = false;
+    while (remaining(deadline) > RetryPause) {
+        const std::string leader = m_directory.current().address;
+        bool connected = false;
+        if (!leader.empty()) {
+            connected = co_await m_caller.waitConnected(leader, ConnectLimit);
+        }
+        if (connected) {
+            const auto reply = co_await m_caller.submit(leader, request, callTimeout(deadline));
+            if (reply) {
+                m_directory.learn(reply->leader());
+                if (reply->outcome() == wire::SubmitReply::STORED) {
+                    co_return JobStored{};
+                }
+                if (reply->outcome() == wire::SubmitReply::OVERLOADED && !maybeSent) {
+                    co_return JobNotTaken{.retryAfter = Milliseconds(reply->retry_after_ms()), .overloaded = true};
+                }
+                maybeSent = maybeSent || reply->outcome() == wire::SubmitReply::UNCERTAIN;
+            } else {
+                maybeSent = true;
+            }
+        }
+        if (suspendAwareNow() - began > LeaderPatience) {
+            request.mutable_job()->set_accepted_unix_ms(
+                std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+            const InboxOutcome written = co_await writeInbox(StoreLayout::keyOf(StoreLayout::InboxPrefix, job.id),
+                                                             request.job().SerializeAsString());
+            logInfo("inbox-written")
+                .with("job", job.id)
+                .with("stored", written == InboxOutcome::Written)
+                .with("leader", leader);
+            if (written == InboxOutcome::Written) {
+                co_return JobStored{};
+            }
+            maybeSent = maybeSent || written == InboxOutcome::Unknown;
+        }
+        if (!maybeSent && suspendAwareNow() - began > ReachPatience) {
+            co_return JobNotTaken{};
+        }
+        co_await sleepFor(RetryPause);
+    }
+    if (maybeSent) {
+        co_return JobOutcomeUnknown{};
+    }
+    co_return JobNotTaken{};
+}
+
+asio::awaitable<CancelOutcome> JobRouter::cancel(std::string id, TimePoint deadline)
+{
+    wire::CancelRequest request;
+    request.set_id(id);
+    const TimePoint began = suspendAwareNow();
+    while (remaining(deadline) > RetryPause) {
+        const std::string leader = m_directory.current().address;
+        if (!leader.empty()) {
+            const auto reply = co_await m_caller.cancel(leader, request, callTimeout(deadline));
+            if (reply) {
+                m_directory.learn(reply->leader());
+                if (reply->outcome() == wire::CancelReply::CANCELLED) {
+                    co_return JobCancelled{};
+                }
+            }
+            if (reply && reply->outcome() == wire::CancelReply::UNKNOWN_JOB) {
+                // It may be in the inbox, where an entry has put it while the leader could not be reached.
+                const QueryOutcome known = co_await readPhase(id);
+                if (std::holds_alternative<JobUnknown>(known)) {
+                    co_return JobUnknown{};
+                }
+            }
+        }
+        if (suspendAwareNow() - began > LeaderPatience) {
+            const QueryOutcome known = co_await readPhase(id);
+            if (std::holds_alternative<JobUnknown>(known)) {
+                co_return JobUnknown{};
+            }
+            if (std::holds_alternative<Scheduling::JobPhase>(known)) {
+                const InboxOutcome written = co_await writeInbox(StoreLayout::cancellationKey(id), "cancel");
+                logInfo("inbox-written").with("job", id).with("cancel", written == InboxOutcome::Written);
+                if (written == InboxOutcome::Written) {
+                    co_return JobCancelled{};
+                }
+            }
+        }
+        co_await sleepFor(RetryPause);
+    }
+    co_return JobOutcomeUnknown{};
+}
+
+asio::awaitable<QueryOutcome> JobRouter::readPhase(std::string id)
+{
+    // The leader moves a job from the inbox in one transaction, so a job that is not found here was not in either.
+    const std::string inboxKey = StoreLayout::keyOf(StoreLayout::InboxPrefix, id);
+    const std::string jobKey = StoreLayout::keyOf(StoreLayout::JobPrefix, id);
+    const std::string progressKey = StoreLayout::keyOf(StoreLayout::ProgressPrefix, id);
+    const std::vector<std::string> keys{inboxKey, jobKey, progressKey};
+    const auto rows = co_await m_table.read(keys);
+    if (!isOk(rows)) {
+        co_return JobOutcomeUnknown{};
+    }
+    wire::Job message;
+    wire::JobProgress progress;
+    bool inInbox = false;
+    bool stored = false;
+    for (const Row &row : valueOf(rows)) {
+        if (row.key == inboxKey) {
+            inInbox = true;
+        } else if (row.key == jobKey) {
+            stored = message.ParseFromString(row.value);
+        } else if (!progress.ParseFromString(row.value)) {
+            logError("progress-unreadable").with("job", id).with("remedy", "ask again; the leader knows the state");
+            co_return JobOutcomeUnknown{};
+        }
+    }
+    if (stored) {
+        Scheduling::Job job(fromMessage(message), {}, {});
+        job.restore(fromMessage(progress, id), {});
+        co_return job.phase();
+    }
+    if (inInbox) {
+        co_return Scheduling::JobPhase::Queued;
+    }
+    co_return JobUnknown{};
+}
+
+asio::awaitable<QueryOutcome> JobRouter::query(std::string id, TimePoint deadline)
+{
+    wire::QueryRequest request;
+    request.set_id(id);
+    const TimePoint began = suspendAwareNow();
+    while (remaining(deadline) > RetryPause) {
+        const std::string leader = m_directory.current().address;
+        bool unknown = false;
+        if (!leader.empty()) {
+            const auto reply = co_await m_caller.query(leader, request, callTimeout(deadline));
+            if (reply) {
+                m_directory.learn(reply->leader());
+                if (reply->outcome() == wire::QueryReply::FOUND) {
+                    co_return static_cast<Scheduling::JobPhase>(reply->phase());
+                }
+                unknown = reply->outcome() == wire::QueryReply::UNKNOWN_JOB;
+            }
+        }
+        if (unknown || suspendAwareNow() - began > LeaderPatience) {
+            QueryOutcome outcome = co_await readPhase(id);
+            if (!std::holds_alternative<JobOutcomeUnknown>(outcome)) {
+                co_return outcome;
+            }
+        }
+        co_await sleepFor(RetryPause);
+    }
+    co_return JobOutcomeUnknown{};
+}
+
+asio::awaitable<std::optional<std::uint32_t>> JobRouter::countPending(std::string queue, TimePoint deadline)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto known = m_pending.find(queue);
+        if (known != m_pending.end() && suspendAwareNow() - known->second.readAt < PendingAge) {
+            co_return known->second.count;
+        }
+    }
+    wire::CountPendingRequest request;
+    request.set_queue(queue);
+    while (remaining(deadline) > RetryPause) {
+        const std::string leader = m_directory.current().address;
+        const TimePoint sentAt = suspendAwareNow();
+        if (!leader.empty()) {
+            const auto reply = co_await m_caller.countPending(leader, request, callTimeout(deadline));
+            if (reply) {
+                m_directory.learn(reply->leader());
+            }
+            if (reply && reply->is_leader()) {
+                const std::lock_guard lock(m_mutex);
+                m_pending[queue] = {.count = reply->pending(), .readAt = sentAt};
+                co_return reply->pending();
+            }
+        }
+        co_await sleepFor(RetryPause);
+    }
+    co_return std::nullopt;
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/leaderdirectory.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "carobflow/core/types.h"
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <control.pb.h>
+
+namespace Carobflow
+{
+
+/// Who leads, as far as this process knows. Safe to call from several threads.
+class LeaderDirectory
+{
+public:
+    struct Leader {
+        Epoch epoch = 0;
+        /// Empty when the leader of this epoch has resigned.
+        std::string address;
+    };
+
+    /// Takes news; older epochs are ignored. Returns true when something changed.
+    bool learn(Epoch epoch, std::string_view address);
+
+    bool learn(const carobflow::control::LeaderHint &hint)
+    {
+        return hint.epoch() > 0 && learn(hint.epoch(), hint.address());
+    }
+
+    [[nodiscard]] Leader current() const;
+
+    /// For replies.
+    [[nodiscard]] carobflow::control::LeaderHint hint() const;
+
+    /// Other processes that may be asked when the leader is not known or does not answer.
+    void setPeers(std::vector<std::string> peers);
+    [[nodiscard]] std::vector<std::string> peers() const;
+
+private:
+    mutable std::mutex m_mutex;
+    Leader m_leader;
+    std::vector<std::string> m_peers;
+};
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -0,0 +1,673 @@
+#include "carobflow/control/leaderterm.h"
+
+#include "carobflow/control/conversion.h"
+#include "carobflow/control/storelayout.h"
+#include "carobflow/core/clock.h"
+#include "carobflow/logging/log.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace Carobflow
+{
+
+namespace asio = boost::asio;
+namespace wire = carobflow::control;
+
+namespace
+{
+
+/// A transaction holds at most 100 entries; each job needs up to four.
+constexpr std::size_t JobsPerCommit = 20;
+constexpr std::size_t RowsPerRead = 500;
+constexpr Milliseconds LoadPause{50};
+/// Others take over after 1.8 s without a renewal.
+constexpr Milliseconds RenewInterval{600};
+/// Longest time between two plans, for what only time changes.
+constexpr Milliseconds PlanInterval{50};
+/// Agents renew leases for this long after a report. It bounds how long an unreachable host keeps its tasks.
+constexpr Milliseconds Grant{1500};
+/// Without the store's word for this long the leader grants no more: a successor counts on it. Longer than the store's
+/// outages in the sites' records, so that running work survives them.
+constexpr Milliseconds UnconfirmedLimit{7000};
+constexpr Milliseconds ExecuteTimeout{700};
+constexpr Milliseconds GreetInterval{300};
+constexpr Milliseconds SweepInterval{5000};
+constexpr Milliseconds InboxWait{1500};
+constexpr Milliseconds InboxPause{200};
+/// A leader that hears from less than half of its hosts for this long leaves the lead to another.
+constexpr Milliseconds ContactLimit{2500};
+
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+LeaderTerm::LeaderTerm(const asio::any_io_executor &executor,
+                       Options options,
+                       std::unique_ptr<Ledger> ledger,
+                       WatchableTable &table,
+                       LeaderDirectory &directory,
+                       OperatorSync &operators,
+                       ControlCaller &caller)
+    : m_strand(asio::make_strand(executor))
+    , m_options(std::move(options))
+    , m_ledger(std::move(ledger))
+    , m_table(table)
+    , m_directory(directory)
+    , m_operators(operators)
+    , m_caller(caller)
+    , m_scheduler({.epoch = m_ledger->epoch(),
+                   .grant = Grant,
+                   .maxLease = m_options.maxLease,
+                   .predecessorGrant = UnconfirmedLimit,
+                   .onDecision =
+                       [](const Scheduling::RunId &run, std::string_view host, std::string_view event) {
+                           logInfo("run-ended")
+                               .with("task", run.task.toString())
+                               .with("run", run.run)
+                               .with("host", host)
+                               .with("how", event);
+                       }})
+    , m_wake(m_strand)
+    , m_startedAt(suspendAwareNow())
+    , m_renewedAt(m_startedAt)
+    , m_sweptAt(m_startedAt)
+    , m_contactAt(m_startedAt)
+{
+}
+
+asio::awaitable<void> LeaderTerm::run()
+{
+    const auto self = shared_from_this();
+    logInfo("leading").with("epoch", m_ledger->epoch());
+    while (!m_over && !m_loaded) {
+        m_loaded = co_await load();
+        m_over = m_over || m_directory.current().epoch > m_ledger->epoch();
+    }
+    if (!m_over) {
+        asio::co_spawn(
+            m_strand, [self]() -> asio::awaitable<void> { co_await self->followInbox(); }, asio::detached);
+        co_await lead();
+    }
+    m_over = true;
+    wakeWaiters();
+    logInfo("leading-ended").with("epoch", m_ledger->epoch()).with("resigned", m_resigning);
+}
+
+void LeaderTerm::resign()
+{
+    m_resigning = true;
+    m_wake.notify();
+}
+
+asio::awaitable<bool> LeaderTerm::loadRows(std::string_view prefix, std::vector<Row> &rows)
+{
+    std::string after;
+    for (;;) {
+        const auto page = co_await m_table.readRange(prefix, after, RowsPerRead);
+        if (!isOk(page)) {
+            logWarning("load-failed").with("rows", prefix).with("error", errorOf(page).message);
+            co_return false;
+        }
+        rows.insert(rows.end(), valueOf(page).begin(), valueOf(page).end());
+        if (valueOf(page).empty()) {
+            co_return true;
+        }
+        after = valueOf(page).back().key;
+    }
+}
+
+asio::awaitable<bool> LeaderTerm::load()
+{
+    m_view = m_operators.current();
+    std::vector<Row> jobs;
+    std::vector<Row> progress;
+    std::vector<Row> hosts;
+    bool complete = m_view != nullptr;
+    if (complete) {
+        complete = co_await loadRows(StoreLayout::JobPrefix, jobs);
+    }
+    if (complete) {
+        complete = co_await loadRows(StoreLayout::ProgressPrefix, progress);
+    }
+    if (complete) {
+        complete = co_await loadRows(StoreLayout::HostPrefix, hosts);
+    }
+    if (!complete) {
+        co_await sleepFor(LoadPause);
+        co_return false;
+    }
+    const TimePoint now = suspendAwareNow();
+    const std::int64_t unixNow = unixMilliseconds();
+    m_scheduler.setOperatorView(m_view);
+    for (const Row &row : hosts) {
+        const std::string name = row.key.substr(StoreLayout::HostPrefix.size());
+        m_contacts[name] = {.address = row.value, .stored = true};
+        m_scheduler.expectHost(name, now);
+    }
+    std::map<std::string, wire::JobProgress> progressOf;
+    for (const Row &row : progress) {
+        const std::string id = row.key.substr(StoreLayout::ProgressPrefix.size());
+        if (!progressOf[id].ParseFromString(row.value)) {
+            logError("progress-unreadable").with("job", id).with("remedy", "its tasks are started again");
+        }
+    }
+    for (const Row &row : jobs) {
+        wire::Job message;
+        if (!message.ParseFromString(row.value)) {
+            logError("job-unreadable").with("row", row.key).with("remedy", "remove the row; the job is not run");
+            continue;
+        }
+        const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - message.accepted_unix_ms(), 0, 3'600'000));
+        m_scheduler.restore(fromMessage(message), fromMessage(progressOf[message.id()], message.id()), now - age, now);
+    }
+    logInfo("state-loaded")
+        .with("epoch", m_ledger->epoch())
+        .with("jobs", jobs.size())
+        .with("hosts", hosts.size())
+        .with("configuration", m_view->configurationVersion)
+        .with("took_ms", std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - m_startedAt).count());
+    m_contactAt = now;
+    publishPeers();
+    co_return true;
+}
+
+void LeaderTerm::publishPeers()
+{
+    std::vector<std::string> peers;
+    for (const auto &[name, contact] : m_contacts) {
+        peers.push_back(contact.address);
+    }
+    m_directory.setPeers(std::move(peers));
+}
+
+bool LeaderTerm::isConfirmed(TimePoint now) const
+{
+    return now - m_ledger->confirmedAt() < UnconfirmedLimit;
+}
+
+asio::awaitable<void> LeaderTerm::lead()
+{
+    while (!m_over) {
+        const TimePoint now = suspendAwareNow();
+        if (m_directory.current().epoch > m_ledger->epoch()) {
+            logInfo("deposed").with("epoch", m_ledger->epoch()).with("by", m_directory.current().epoch);
+            co_return;
+        }
+        if (const auto view = m_operators.current(); view != m_view) {
+            m_view = view;
+            m_scheduler.setOperatorView(m_view);
+        }
+        greetHosts(now);
+        sweep(now);
+        checkContact(now);
+        m_changed = false;
+        m_scheduler.plan(now, unixMilliseconds());
+        const bool resigning = m_resigning;
+        if (!co_await commitChanges()) {
+            co_return;
+        }
+        sendOrders();
+        if (resigning) {
+            co_return;
+        }
+        if (!m_changed) {
+            co_await m_wake.waitUntil(std::chrono::steady_clock::now() + PlanInterval);
+        }
+    }
+}
+
+void LeaderTerm::addJobMutations(const std::string &id, std::vector<Mutation> &mutations)
+{
+    const Scheduling::Job *job = m_scheduler.find(id);
+    if (job == nullptr) {
+        return;
+    }
+    if (const auto unstored = m_unstored.find(id); unstored != m_unstored.end()) {
+        wire::Job message = toMessage(job->spec());
+        message.set_accepted_unix_ms(unstored->second);
+        mutations.push_back(
+            {.key = StoreLayout::keyOf(StoreLayout::JobPrefix, id), .value = message.SerializeAsString()});
+    }
+    mutations.push_back({.key = StoreLayout::keyOf(StoreLayout::ProgressPrefix, id),
+                         .value = toMessage(job->progress()).SerializeAsString()});
+    if (const auto inbox = m_inboxKeys.find(id); inbox != m_inboxKeys.end()) {
+        for (const std::string &key : inbox->second) {
+            mutations.push_back({.key = key, .value = std::nullopt});
+        }
+        m_inboxKeys.erase(inbox);
+    }
+}
+
+void LeaderTerm::addHostMutations(std::vector<Mutation> &mutations)
+{
+    for (const std::string &name : m_scheduler.takeNewHosts()) {
+        mutations.push_back(
+            {.key = StoreLayout::keyOf(StoreLayout::HostPrefix, name), .value = m_contacts[name].address});
+    }
+    for (std::string &key : m_deletions) {
+        mutations.push_back({.key = std::move(key), .value = std::nullopt});
+    }
+    m_deletions.clear();
+}
+
+asio::awaitable<bool> LeaderTerm::commitChanges()
+{
+    std::vector<Mutation> mutations;
+    const std::vector<std::string> ids = m_scheduler.takeDirtyJobs(JobsPerCommit);
+    if (ids.size() == JobsPerCommit) {
+        m_changed = true;
+    }
+    for (const std::string &id : ids) {
+        addJobMutations(id, mutations);
+    }
+    addHostMutations(mutations);
+    const TimePoint now = suspendAwareNow();
+    if (m_resigning) {
+        mutations.push_back(m_ledger->resignation());
+    } else if (now - m_renewedAt >= RenewInterval) {
+        m_renewedAt = now;
+        mutations.push_back(m_ledger->renewal());
+    }
+    if (mutations.empty()) {
+        co_return true;
+    }
+    const std::uint64_t round = ++m_round;
+    const Status committed = co_await m_ledger->commit(std::move(mutations));
+    if (!isOk(committed)) {
+        logInfo("deposed").with("epoch", m_ledger->epoch()).with("reason", errorOf(committed).message);
+        co_return false;
+    }
+    const TimePoint committedAt = suspendAwareNow();
+    for (const std::string &id : ids) {
+        m_unstored.erase(id);
+        m_committedRound[id] = round;
+        m_scheduler.commitJob(id, committedAt);
+    }
+    wakeWaiters();
+    co_return true;
+}
+
+void LeaderTerm::wakeWaiters()
+{
+    for (const auto &waiter : m_waiters) {
+        waiter->cancel();
+    }
+    m_waiters.clear();
+}
+
+asio::awaitable<void> LeaderTerm::waitForCommit(std::string job)
+{
+    // The next round covers what has just changed; a round in progress does not.
+    const std::uint64_t needed = m_round + 1;
+    m_changed = true;
+    m_wake.notify();
+    while (!m_over) {
+        const auto committed = m_committedRound.find(job);
+        if (committed != m_committedRound.end() && committed->second >= needed) {
+            co_return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(m_strand, Seconds(10));
+        m_waiters.push_back(timer);
+        boost::system::error_code cancelled;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+}
+
+asio::awaitable<wire::SubmitReply> LeaderTerm::submit(wire::SubmitRequest request)
+{
+    const auto self = shared_from_this();
+    wire::SubmitReply reply;
+    *reply.mutable_leader() = m_directory.hint();
+    if (!m_loaded || m_over || m_resigning) {
+        co_return reply;
+    }
+    const std::string id = request.job().id();
+    const auto outcome = m_scheduler.submit(fromMessage(request.job()), suspendAwareNow());
+    if (outcome == Scheduling::Scheduler::Submission::Accepted) {
+        m_unstored[id] = unixMilliseconds();
+        logInfo("job-taken")
+            .with("job", id)
+            .with("queue", request.job().queue())
+            .with("configuration", m_view->configurationVersion);
+    }
+    if (m_unstored.contains(id)) {
+        const TimePoint began = suspendAwareNow();
+        if (outcome == Scheduling::Scheduler::Submission::Accepted) {
+            co_await waitForCommit(id);
+        } else {
+            // Another request with the same id waits for the same write.
+            while (!m_over && m_unstored.contains(id)) {
+                co_await sleepFor(Milliseconds(5));
+            }
+        }
+        if (m_unstored.contains(id)) {
+            reply.set_outcome(wire::SubmitReply::UNCERTAIN);
+            co_return reply;
+        }
+        logInfo("job-stored")
+            .with("job", id)
+            .with("round", m_committedRound[id])
+            .with("took_ms", std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - began).count());
+    }
+    reply.set_outcome(wire::SubmitReply::STORED);
+    co_return reply;
+}
+
+asio::awaitable<wire::CancelReply> LeaderTerm::cancel(wire::CancelRequest request)
+{
+    const auto self = shared_from_this();
+    wire::CancelReply reply;
+    *reply.mutable_leader() = m_directory.hint();
+    if (!m_loaded || m_over || m_resigning) {
+        co_return reply;
+    }
+    const Scheduling::Job *job = m_scheduler.find(request.id());
+    if (job == nullptr) {
+        reply.set_outcome(wire::CancelReply::UNKNOWN_JOB);
+        co_return reply;
+    }
+    if (!job->isOver()) {
+        m_scheduler.cancel(request.id());
+        logInfo("job-cancelled").with("job", request.id());
+        co_await waitForCommit(request.id());
+        if (m_over) {
+            co_return reply;
+        }
+    }
+    reply.set_outcome(wire::CancelReply::CANCELLED);
+    co_return reply;
+}
+
+asio::awaitable<wire::QueryReply> LeaderTerm::query(wire::QueryRequest request)
+{
+    const auto self = shared_from_this();
+    wire::QueryReply reply;
+    *reply.mutable_leader() = m_directory.hint();
+    if (!m_loaded || m_over) {
+        co_return reply;
+    }
+    const Scheduling::Job *job = m_scheduler.find(request.id());
+    if (job == nullptr) {
+        reply.set_outcome(wire::QueryReply::UNKNOWN_JOB);
+        co_return reply;
+    }
+    reply.set_outcome(wire::QueryReply::FOUND);
+    // An end that is not in the store yet could be undone by a crash, so nobody is told of it.
+    const Scheduling::JobPhase phase = job->phase();
+    const bool final = phase != Scheduling::JobPhase::Queued && phase != Scheduling::JobPhase::Running;
+    reply.set_phase(
+        static_cast<std::uint32_t>(final && m_scheduler.isDirty(request.id()) ? Scheduling::JobPhase::Running : phase));
+    co_return reply;
+}
+
+wire::CountPendingReply LeaderTerm::countPending(const wire::CountPendingRequest &request) const
+{
+    wire::CountPendingReply reply;
+    *reply.mutable_leader() = m_directory.hint();
+    if (m_loaded && !m_over) {
+        reply.set_is_leader(true);
+        reply.set_pending(static_cast<std::uint32_t>(m_scheduler.countPending(request.queue())));
+    }
+    return reply;
+}
+
+wire::ReportReply LeaderTerm::report(const wire::ReportRequest &request)
+{
+    wire::ReportReply reply;
+    *reply.mutable_leader() = m_directory.hint();
+    if (!m_loaded || m_over) {
+        return reply;
+    }
+    const TimePoint now = suspendAwareNow();
+    const Scheduling::HostReport report = fromMessage(request);
+    HostContact &contact = m_contacts[report.host];
+    if (contact.address != report.address) {
+        logInfo("host-reports")
+            .with("host", report.host)
+            .with("address", report.address)
+            .with("before", contact.address);
+        contact.address = report.address;
+        publishPeers();
+    }
+    m_scheduler.onReport(report, now);
+    reply.set_is_leader(true);
+    reply.set_grant_ms(isConfirmed(now) ? Grant.count() : 0);
+    reply.set_acknowledged_end(m_scheduler.acknowledgedEnd(report.host));
+    if (report.upstream) {
+        reply.set_upstream_id(report.upstream->identity.id);
+        reply.set_upstream_incarnation(report.upstream->identity.incarnation);
+    }
+    for (const std::string &task : request.undescribed()) {
+        const auto id = Scheduling::parseTaskId(task);
+        const Scheduling::Job *job = id ? m_scheduler.find(id->job) : nullptr;
+        if (job == nullptr || job->findTask(*id) == nullptr) {
+            continue;
+        }
+        const Scheduling::StepSpec &step = job->step(*id);
+        wire::TaskDescription &description = *reply.add_descriptions();
+        description.set_task(task);
+        description.set_image(step.image);
+        description.set_tail_target_ms(step.tailTarget.count());
+        description.set_fills_leftover(step.fillsLeftover);
+    }
+    if (!report.ended.empty()) {
+        m_changed = true;
+        m_wake.notify();
+    }
+    return reply;
+}
+
+void LeaderTerm::sendOrders()
+{
+    std::map<std::string, wire::ExecuteRequest> requests;
+    for (const Scheduling::StartOrder &order : m_scheduler.takeStarts()) {
+        logInfo("start-ordered")
+            .with("task", order.run.task.toString())
+            .with("run", order.run.run)
+            .with("host", order.host)
+            .with("upstream", order.upstream.id)
+            .with("epoch", m_ledger->epoch())
+            .with("configuration", m_view->configurationVersion)
+            .with("checkpoint", order.checkpoint);
+        *requests[order.host].add_starts() = toMessage(order);
+    }
+    for (const Scheduling::StopOrder &order : m_scheduler.takeStops()) {
+        logInfo("stop-ordered")
+            .with("task", order.run.task.toString())
+            .with("run", order.run.run)
+            .with("host", order.host)
+            .with("reason", order.reason)
+            .with("epoch", m_ledger->epoch());
+        *requests[order.host].add_stops() = toMessage(order);
+    }
+    for (auto &[host, request] : requests) {
+        asio::co_spawn(
+            m_strand,
+            [self = shared_from_this(), host = host, request = std::move(request)]() mutable -> asio::awaitable<void> {
+                co_await self->deliver(std::move(host), std::move(request));
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> LeaderTerm::deliver(std::string host, wire::ExecuteRequest request)
+{
+    request.mutable_leader()->set_epoch(m_ledger->epoch());
+    request.mutable_leader()->set_address(m_options.address);
+    const auto reply = co_await m_caller.execute(m_contacts[host].address, request, ExecuteTimeout);
+    if (m_over) {
+        co_return;
+    }
+    const TimePoint now = suspendAwareNow();
+    if (reply) {
+        m_directory.learn(reply->leader());
+    }
+    if (!reply || !reply->accepted()) {
+        for (const wire::StartOrder &order : request.starts()) {
+            m_scheduler.onStartOutcome(
+                host, runOf(order.task(), order.run()), Scheduling::StartOutcome::Unanswered, now);
+        }
+        m_changed = true;
+        m_wake.notify();
+        co_return;
+    }
+    for (const wire::StartResult &result : reply->starts()) {
+        const auto outcome = static_cast<Scheduling::StartOutcome>(result.outcome());
+        m_scheduler.onStartOutcome(host, runOf(result.task(), result.run()), outcome, now);
+        m_changed = m_changed || outcome != Scheduling::StartOutcome::Started;
+    }
+    for (const wire::StopResult &result : reply->stops()) {
+        m_scheduler.onStopOutcome(
+            host, runOf(result.task(), result.run()), static_cast<Scheduling::StopOutcome>(result.outcome()), now);
+        m_changed = true;
+    }
+    if (m_changed) {
+        m_wake.notify();
+    }
+}
+
+void LeaderTerm::greetHosts(TimePoint now)
+{
+    for (const Scheduling::Host *host : m_scheduler.hosts()) {
+        const bool follows = host->hasReported() && host->report().fencedEpoch == m_ledger->epoch();
+        HostContact &contact = m_contacts[host->name()];
+        if (follows || contact.address.empty() || now - contact.greetedAt < GreetInterval) {
+            continue;
+        }
+        // An agent that cannot reach the store learns of the new leader from this.
+        contact.greetedAt = now;
+        asio::co_spawn(
+            m_strand,
+            [self = shared_from_this(), name = host->name()]() -> asio::awaitable<void> {
+                co_await self->deliver(name, wire::ExecuteRequest());
+            },
+            asio::detached);
+    }
+}
+
+void LeaderTerm::sweep(TimePoint now)
+{
+    if (now - m_sweptAt < SweepInterval) {
+        return;
+    }
+    m_sweptAt = now;
+    std::vector<std::string> forgotten;
+    for (const auto &[id, job] : m_scheduler.jobs()) {
+        if (job->isOver() && job->isIdle()
+            && now - m_overSince.try_emplace(id, now).first->second > m_options.retention) {
+            forgotten.push_back(id);
+        }
+    }
+    for (const std::string &id : forgotten) {
+        m_scheduler.forget(id);
+        m_overSince.erase(id);
+        m_committedRound.erase(id);
+        m_deletions.push_back(StoreLayout::keyOf(StoreLayout::JobPrefix, id));
+        m_deletions.push_back(StoreLayout::keyOf(StoreLayout::ProgressPrefix, id));
+        if (m_deletions.size() > JobsPerCommit) {
+            break;
+        }
+    }
+}
+
+void LeaderTerm::checkContact(TimePoint now)
+{
+    std::size_t heard = 0;
+    const auto hosts = m_scheduler.hosts();
+    for (const Scheduling::Host *host : hosts) {
+        heard += host->hasReported() && now - host->reportedAt() < ContactLimit ? 1 : 0;
+    }
+    if (heard * 2 >= hosts.size()) {
+        m_contactAt = now;
+    } else if (now - m_contactAt > ContactLimit && !m_resigning) {
+        logWarning("contact-lost").with("heard", heard).with("hosts", hosts.size());
+        m_resigning = true;
+    }
+}
+
+void LeaderTerm::takeInboxRow(const Row &row)
+{
+    wire::Job message;
+    const std::string name = row.key.substr(StoreLayout::InboxPrefix.size());
+    const auto dot = name.find('.');
+    const std::string id = name.substr(0, dot);
+    if (dot != std::string::npos) {
+        if (!m_scheduler.cancel(id)) {
+            m_deletions.push_back(row.key);
+            return;
+        }
+    } else if (message.ParseFromString(row.value)) {
+        if (m_scheduler.submit(fromMessage(message), suspendAwareNow())
+            == Scheduling::Scheduler::Submission::Accepted) {
+            m_unstored[id] = message.accepted_unix_ms();
+        }
+    } else {
+        logError("inbox-unreadable").with("row", row.key).with("remedy", "the row is removed");
+        m_deletions.push_back(row.key);
+        return;
+    }
+    logInfo("inbox-taken").with("row", row.key);
+    // The row goes with the next write of the job, or at once when the job is stored already.
+    if (m_scheduler.isDirty(id)) {
+        m_inboxKeys[id].push_back(row.key);
+    } else {
+        m_deletions.push_back(row.key);
+    }
+    m_changed = true;
+    m_wake.notify();
+}
+
+asio::awaitable<void> LeaderTerm::followInbox()
+{
+    std::uint64_t version = 0;
+    std::set<std::string> seen;
+    while (!m_over) {
+        std::vector<Row> rows;
+        bool answered = false;
+        if (version == 0) {
+            const auto snapshot = co_await m_table.snapshot(StoreLayout::InboxPrefix);
+            if (isOk(snapshot)) {
+                rows = valueOf(snapshot).rows;
+                version = valueOf(snapshot).version;
+                answered = true;
+            }
+        } else {
+            const ChangesOutcome outcome = co_await m_table.changes(StoreLayout::InboxPrefix, version, InboxWait);
+            if (const auto *changes = std::get_if<TableChanges>(&outcome)) {
+                for (const TableChange &change : changes->changes) {
+                    if (change.value) {
+                        rows.push_back({.key = change.key, .value = *change.value, .version = change.version});
+                    } else {
+                        seen.erase(change.key);
+                    }
+                }
+                version = changes->version;
+                answered = true;
+            } else if (std::holds_alternative<HistoryGone>(outcome)) {
+                version = 0;
+                answered = true;
+            }
+        }
+        if (m_over) {
+            co_return;
+        }
+        // Submissions come before cancellations of the same job, by the order of their keys within one moment.
+        for (const Row &row : rows) {
+            if (seen.insert(row.key).second) {
+                takeInboxRow(row);
+            }
+        }
+        if (!answered) {
+            co_await sleepFor(InboxPause);
+        }
+    }
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "carobflow/control/controlcaller.h"
+#include "carobflow/control/leaderdirectory.h"
+#include "carobflow/control/ledger.h"
+#include "carobflow/control/operatorsync.h"
+#include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/scheduler/scheduler.h"
+
+#include <atomic>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Carobflow
+{
+
+/// One term of leadership: loads the state from the store, answers clients, drives the scheduler, writes its changes in
+/// group commits, and sends orders whose decision is in the store.
+///
+/// All members but the constructor run on the term's strand.
+class LeaderTerm : public std::enable_shared_from_this<LeaderTerm>
+{
+public:
+    struct Options {
+        std::string name;
+        std::string address;
+        Milliseconds maxLease{6000};
+        /// How long the state of a finished job can be asked for.
+        Seconds retention{150};
+    };
+
+    LeaderTerm(const boost::asio::any_io_executor &executor,
+               Options options,
+               std::unique_ptr<Ledger> ledger,
+               WatchableTable &table,
+               LeaderDirectory &directory,
+               OperatorSync &operators,
+               ControlCaller &caller);
+
+    [[nodiscard]] const boost::asio::any_io_executor &strand() const
+    {
+        return m_strand;
+    }
+
+    /// Leads until another process does or resign() is called.
+    boost::asio::awaitable<void> run();
+
+    /// Gives leadership up after the write in progress, so that another process takes over at once.
+    void resign();
+
+    [[nodiscard]] bool isOver() const
+    {
+        return m_over;
+    }
+
+    boost::asio::awaitable<carobflow::control::SubmitReply> submit(carobflow::control::SubmitRequest request);
+    boost::asio::awaitable<carobflow::control::CancelReply> cancel(carobflow::control::CancelRequest request);
+    boost::asio::awaitable<carobflow::control::QueryReply> query(carobflow::control::QueryRequest request);
+    carobflow::control::CountPendingReply countPending(const carobflow::control::CountPendingRequest &request) const;
+    carobflow::control::ReportReply report(const carobflow::control::ReportRequest &request);
+
+private:
+    struct HostContact {
+        std::string address;
+        bool stored = false;
+        TimePoint greetedAt;
+    };
+
+    boost::asio::awaitable<bool> load();
+    boost::asio::awaitable<bool> loadRows(std::string_view prefix, std::vector<Row> &rows);
+    boost::asio::awaitable<void> lead();
+    boost::asio::awaitable<bool> commitChanges();
+    boost::asio::awaitable<void> followInbox();
+    boost::asio::awaitable<void> waitForCommit(std::string job);
+    void takeInboxRow(const Row &row);
+    void addJobMutations(const std::string &id, std::vector<Mutation> &mutations);
+    void addHostMutations(std::vector<Mutation> &mutations);
+    void sendOrders();
+    boost::asio::awaitable<void> deliver(std::string host, carobflow::control::ExecuteRequest request);
+    void greetHosts(TimePoint now);
+    void publishPeers();
+    void sweep(TimePoint now);
+    void checkContact(TimePoint now);
+    void wakeWaiters();
+    [[nodiscard]] bool isConfirmed(TimePoint now) const;
+
+    boost::asio::any_io_executor m_strand;
+    Options m_options;
+    std::unique_ptr<Ledger> m_ledger;
+    WatchableTable &m_table;
+    LeaderDirectory &m_directory;
+    OperatorSync &m_operators;
+    ControlCaller &m_caller;
+    Scheduling::Scheduler m_scheduler;
+    std::shared_ptr<const Scheduling::OperatorView> m_view;
+    Notifier m_wake;
+    bool m_changed = true;
+    bool m_loaded = false;
+    bool m_resigning = false;
+    std::atomic<bool> m_over{false};
+    TimePoint m_startedAt;
+    TimePoint m_renewedAt;
+    TimePoint m_sweptAt;
+    TimePoint m_contactAt;
+    /// Accept times, until the job's row is in the store.
+    std::map<std::string, std::int64_t, std::less<>> m_unstored;
+    /// Jobs that changed since their last commit began; commits in progress do not cover them.
+    std::map<std::string, std::uint64_t, std::less<>> m_committedRound;
+    std::uint64_t m_round = 0;
+    std::map<std::string, std::vector<std::string>> m_inboxKeys;
+    std::vector<std::string> m_deletions;
+    std::map<std::string, TimePoint> m_overSince;
+    std::map<std::string, HostContact> m_contacts;
+    std::list<std::shared_ptr<boost::asio::steady_timer>> m_waiters;
+};
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/operatorsync.cpp
@@ -0,0 +1,195 @@
+#include "carobflow/control/operatorsync.h"
+
+#include "carobflow/control/storelayout.h"
+#include "carobflow/core/clock.h"
+#include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/logging/log.h"
+
+namespace Carobflow
+{
+
+namespace asio = boost::asio;
+namespace wire = carobflow::control;
+
+namespace
+{
+
+constexpr Milliseconds StorePause{150};
+/// The wait of a call for changes, the time-out of its connection and one retry.
+constexpr Milliseconds StoreSilenceLimit{1800};
+constexpr Milliseconds PeerInterval{300};
+constexpr Milliseconds PeerTimeout{400};
+/// While the store answers, peers are asked only to learn the addresses of others.
+constexpr int IntervalsBetweenIntroductions = 10;
+
+} // namespace
+
+OperatorSync::OperatorSync(Options options, WatchableTable &table, LeaderDirectory &directory, ControlCaller &caller)
+    : m_options(std::move(options))
+    , m_table(table)
+    , m_directory(directory)
+    , m_caller(caller)
+{
+}
+
+bool OperatorSync::isStoreFresh() const
+{
+    const TimePoint answeredAt{Duration(m_storeAnsweredAt.load())};
+    return suspendAwareNow() - answeredAt < StoreSilenceLimit;
+}
+
+void OperatorSync::replace(std::map<std::string, Row> rows, std::uint64_t version, std::string_view source)
+{
+    const std::lock_guard lock(m_mutex);
+    if (version <= m_version) {
+        return;
+    }
+    m_version = version;
+    if (rows.size() == m_rows.size() && std::ranges::equal(rows, m_rows, [](const auto &left, const auto &right) {
+            return left.first == right.first && left.second.version == right.second.version;
+        })) {
+        return;
+    }
+    m_rows = std::move(rows);
+    const auto view = m_options.decode(m_rows);
+    if (!view) {
+        logWarning("operator-rows-without-configuration").with("version", version).with("source", source);
+        return;
+    }
+    const auto before = m_current.load();
+    if (before && view->configurationVersion < before->configurationVersion) {
+        logError("configuration-older-than-known")
+            .with("version", view->configurationVersion)
+            .with("known", before->configurationVersion)
+            .with("source", source);
+        return;
+    }
+    logInfo("operator-view")
+        .with("configuration", view->configurationVersion)
+        .with("row_version", version)
+        .with("queues", view->queues.size())
+        .with("evacuated", view->evacuated.size())
+        .with("source", source);
+    m_current.store(view);
+}
+
+asio::awaitable<void> OperatorSync::followStore()
+{
+    bool reachable = true;
+    for (;;) {
+        const bool answered = co_await followOnce();
+        if (answered) {
+            m_storeAnsweredAt = suspendAwareNow().time_since_epoch().count();
+        }
+        if (answered != reachable) {
+            logInfo(answered ? "store-regained" : "store-lost").with("part", "operators");
+            reachable = answered;
+        }
+        if (!answered) {
+            co_await sleepFor(StorePause);
+        }
+    }
+}
+
+asio::awaitable<bool> OperatorSync::followOnce()
+{
+    std::uint64_t version = 0;
+    std::map<std::string, Row> rows;
+    {
+        const std::lock_guard lock(m_mutex);
+        version = m_version;
+        rows = m_rows;
+    }
+    if (version > 0) {
+        const ChangesOutcome outcome = co_await m_table.changes(StoreLayout::OperatorPrefix, version, m_options.wait);
+        if (const auto *changes = std::get_if<TableChanges>(&outcome)) {
+            for (const TableChange &change : changes->changes) {
+                if (change.value) {
+                    rows[change.key] = {.key = change.key, .value = *change.value, .version = change.version};
+                } else {
+                    rows.erase(change.key);
+                }
+            }
+            replace(std::move(rows), changes->version, "store");
+            co_return true;
+        }
+        if (!std::holds_alternative<HistoryGone>(outcome)) {
+            co_return false;
+        }
+        logInfo("operator-history-gone").with("after", version);
+    }
+    const auto snapshot = co_await m_table.snapshot(StoreLayout::OperatorPrefix);
+    if (!isOk(snapshot)) {
+        co_return false;
+    }
+    rows.clear();
+    for (const Row &row : valueOf(snapshot).rows) {
+        rows[row.key] = row;
+    }
+    replace(std::move(rows), valueOf(snapshot).version, "store");
+    co_return true;
+}
+
+asio::awaitable<void> OperatorSync::followPeers()
+{
+    std::size_t next = 0;
+    for (int interval = 0;; ++interval) {
+        co_await sleepFor(PeerInterval);
+        if (isStoreFresh() && interval % IntervalsBetweenIntroductions != 0) {
+            continue;
+        }
+        const std::string leader = m_directory.current().address;
+        if (!leader.empty()) {
+            co_await ask(leader);
+        }
+        const auto peers = m_directory.peers();
+        if (!isStoreFresh() && !peers.empty()) {
+            co_await ask(peers[next++ % peers.size()]);
+        }
+    }
+}
+
+asio::awaitable<void> OperatorSync::ask(std::string address)
+{
+    wire::ExchangeRequest request;
+    {
+        const std::lock_guard lock(m_mutex);
+        request.set_operator_version(m_version);
+    }
+    *request.mutable_leader() = m_directory.hint();
+    const auto answer = co_await m_caller.exchange(address, std::move(request), PeerTimeout);
+    if (!answer) {
+        co_return;
+    }
+    const wire::ExchangeReply &reply = *answer;
+    m_directory.learn(reply.leader());
+    if (reply.peers_size() > 0) {
+        m_directory.setPeers({reply.peers().begin(), reply.peers().end()});
+    }
+    if (reply.operator_version() > 0) {
+        std::map<std::string, Row> rows;
+        for (const wire::OperatorRow &row : reply.rows()) {
+            rows[row.key()] = {.key = row.key(), .value = row.value(), .version = row.version()};
+        }
+        replace(std::move(rows), reply.operator_version(), address);
+    }
+}
+
+wire::ExchangeReply OperatorSync::answer(const wire::ExchangeRequest &request) const
+{
+    wire::ExchangeReply reply;
+    *reply.mutable_leader() = m_directory.hint();
+    const std::lock_guard lock(m_mutex);
+    if (m_version > request.operator_version()) {
+        reply.set_operator_version(m_version);
+        for (const auto &[key, row] : m_rows) {
+            wire::OperatorRow &entry = *reply.add_rows();
+            entry.set_key(key);
+            entry.set_value(row.value);
+            entry.set_version(row.version);
+        }
+    }
+    return reply;
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/src/carobflow/control/storelayout.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Carobflow::StoreLayout
+{
+
+/// Rows of this system in the store. Keys are "table/key".
+inline constexpr std::string_view LeaderKey = "control/leader";
+inline constexpr std::string_view LedgerHeadKey = "ledger/head";
+inline constexpr std::string_view ControlPrefix = "control/";
+/// What clients submitted; written once for each job.
+inline constexpr std::string_view JobPrefix = "jobs/";
+/// How far each job has come; written by the leader only.
+inline constexpr std::string_view ProgressPrefix = "progress/";
+/// Hosts on which runs may have been placed; the value is the agent's address.
+inline constexpr std::string_view HostPrefix = "hosts/";
+/// Submissions and cancellations that entries wrote while no leader could be reached.
+inline constexpr std::string_view InboxPrefix = "inbox/";
+/// Rows that operators write.
+inline constexpr std::string_view OperatorPrefix = "operators/";
+
+inline std::string keyOf(std::string_view prefix, std::string_view name)
+{
+    return std::string(prefix).append(name);
+}
+
+/// The inbox row that asks for the cancellation of a job.
+inline std::string cancellationKey(std::string_view job)
+{
+    return keyOf(InboxPrefix, job).append(".cancel");
+}
+
+} // namespace Carobflow::StoreLayout
--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -1,5 +1,8 @@
 #include "carobflow/daemon/agentprocess.h"
 
+#include "carobflow/connectors/httpobjectstore.h"
+#include "carobflow/connectors/httptableservice.h"
+#include "carobflow/connectors/httpworkerruntime.h"
 #include "carobflow/daemon/agentservice.h"
 #include "carobflow/daemon/announcer.h"
 #include "carobflow/daemon/httpserver.h"
@@ -16,9 +19,6 @@
 #include "carobflow/daemon/shardrunner.h"
 #include "carobflow/daemon/taskrunner.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/connectors/httpobjectstore.h"
-#include "carobflow/connectors/httptableservice.h"
-#include "carobflow/connectors/httpworkerruntime.h"
 
 #include <algorithm>
 #include <optional>
--- a/packages/daemon/src/carobflow/daemon/announcer.cpp
+++ b/packages/daemon/src/carobflow/daemon/announcer.cpp
@@ -1,9 +1,9 @@
 #include "carobflow/daemon/announcer.h"
 
+#include "carobflow/connectors/tableservice.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/rpc.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/connectors/tableservice.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/daemon/src/carobflow/daemon/burnrecorder.cpp
+++ b/packages/daemon/src/carobflow/daemon/burnrecorder.cpp
@@ -1,8 +1,8 @@
 #include "carobflow/daemon/burnrecorder.h"
 
+#include "carobflow/connectors/tableservice.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/internal/identifiers.h"
-#include "carobflow/connectors/tableservice.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
--- a/packages/daemon/src/carobflow/daemon/chargeservice.cpp
+++ b/packages/daemon/src/carobflow/daemon/chargeservice.cpp
@@ -1,11 +1,11 @@
 #include "carobflow/daemon/chargeservice.h"
 
+#include "carobflow/connectors/tableservice.h"
 #include "carobflow/core/sheet.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/internal/identifiers.h"
 #include "carobflow/daemon/metrics.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/connectors/tableservice.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/daemon/src/carobflow/daemon/clusterview.cpp
+++ b/packages/daemon/src/carobflow/daemon/clusterview.cpp
@@ -1,8 +1,8 @@
 #include "carobflow/daemon/clusterview.h"
 
+#include "carobflow/connectors/tableservice.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/internal/identifiers.h"
-#include "carobflow/connectors/tableservice.h"
 
 #include <algorithm>
 #include <charconv>
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -1,5 +1,7 @@
 #include "carobflow/daemon/entryprocess.h"
 
+#include "carobflow/connectors/httpobjectstore.h"
+#include "carobflow/connectors/httptableservice.h"
 #include "carobflow/core/retrybudget.h"
 #include "carobflow/core/routing.h"
 #include "carobflow/daemon/burnrecorder.h"
@@ -20,8 +22,6 @@
 #include "carobflow/daemon/shardcountcheck.h"
 #include "carobflow/daemon/sheetrepository.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/connectors/httpobjectstore.h"
-#include "carobflow/connectors/httptableservice.h"
 
 #include <boost/asio/strand.hpp>
 
--- a/packages/daemon/src/carobflow/daemon/main.cpp
+++ b/packages/daemon/src/carobflow/daemon/main.cpp
@@ -2,10 +2,11 @@
 #include "carobflow/daemon/entryprocess.h"
 #include "carobflow/daemon/settings.h"
 #include "carobflow/logging/log.h"
+#include "carobflow/platform/nodes.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
-#include <map>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -19,33 +20,46 @@
 constexpr int ExitOk = 0;
 constexpr int ExitUsage = 2;
 
-LogLevel levelOf(const std::string &name)
+std::unique_ptr<Process> makeProcess(boost::asio::io_context &context, const Settings &settings)
 {
-    static const std::map<std::string, LogLevel> Levels{{"debug", LogLevel::Debug},
-                                                        {"info", LogLevel::Info},
-                                                        {"warning", LogLevel::Warning},
-                                                        {"error", LogLevel::Error}};
-    return Levels.at(name);
+    if (settings.deployment == Deployment::Hosted) {
+        return Platform::makeNode(context, settings);
+    }
+    return settings.role == Role::Entry ? makeEntryProcess(context, settings) : makeAgentProcess(context, settings);
 }
 
 int runDaemon(const Settings &settings)
 {
-    configureLog(settings.name, levelOf(settings.logLevel));
+    configureLog(settings.name, logLevelOf(settings.logLevel));
     // Writing to a connection that the other side has closed is reported as an error of the write.
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context context(static_cast<int>(settings.threads));
-    const std::unique_ptr<Process> process = settings.role == Role::Entry ? makeEntryProcess(context, settings)
-                                                                          : makeAgentProcess(context, settings);
+    const std::unique_ptr<Process> process = makeProcess(context, settings);
     const int code = runProcess(context, settings, *process);
     // Suspended coroutines refer to the process object, so the program ends without destroying either.
     std::cout.flush();
     std::_Exit(code);
 }
 
+/// The path of the settings from the command line or from the variable that it names; empty for none.
+std::string settingsPath(const cxxopts::ParseResult &arguments)
+{
+    if (arguments.count("settings") != 0) {
+        return arguments["settings"].as<std::string>();
+    }
+    if (arguments.count("settings-variable") != 0) {
+        const char *path = std::getenv(arguments["settings-variable"].as<std::string>().c_str());
+        return path == nullptr ? std::string() : path;
+    }
+    return {};
+}
+
 int runMain(int argc, char **argv)
 {
     cxxopts::Options options("carobflowd", "Runs an entry or an agent of carobflow.");
     options.add_options()("settings", "INI file with the settings", cxxopts::value<std::string>());
+    options.add_options()(
+        "settings-variable", "environment variable that holds the path of the settings", cxxopts::value<std::string>());
     options.add_options()("check-settings", "check the settings and exit");
     options.add_options()("h,help", "print this help");
     options.add_options()("version", "print the version");
@@ -58,11 +72,12 @@
         std::cout << "carobflowd " << CAROBFLOW_VERSION << "\n";
         return ExitOk;
     }
-    if (arguments.count("settings") == 0) {
+    const std::string path = settingsPath(arguments);
+    if (path.empty()) {
         std::cerr << "carobflowd: no settings; name an INI file with --settings FILE\n";
         return ExitUsage;
     }
-    const auto settings = loadSettings(arguments["settings"].as<std::string>());
+    const auto settings = loadSettings(path);
     if (!isOk(settings)) {
         std::cerr << errorOf(settings).message;
         return ExitUsage;
--- a/packages/daemon/src/carobflow/daemon/process.cpp
+++ b/packages/daemon/src/carobflow/daemon/process.cpp
@@ -1,9 +1,12 @@
 #include "carobflow/daemon/process.h"
 
+#include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/logging/log.h"
 
 #include <atomic>
 #include <csignal>
+#include <fstream>
+#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -12,12 +15,86 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace Carobflow
 {
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// A change of the file without a signal takes effect within this time.
+constexpr Seconds FileCheckInterval{1};
+
+std::string contentOf(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Applies changes of the settings file.
+class SettingsWatch
+{
+public:
+    SettingsWatch(const Settings &settings, Process &process)
+        : m_path(settings.path)
+        , m_process(process)
+        , m_content(contentOf(m_path))
+    {
+    }
+
+    void check(std::string_view cause)
+    {
+        std::string content = contentOf(m_path);
+        if (content == m_content || content.empty()) {
+            if (cause == "signal") {
+                logInfo("settings-unchanged").with("path", m_path);
+            }
+            return;
+        }
+        m_content = std::move(content);
+        const auto settings = parseSettings(m_content, m_path);
+        if (!isOk(settings)) {
+            logError("settings-refused")
+                .with("path", m_path)
+                .with("error", errorOf(settings).message)
+                .with("remedy", "the settings from before stay in force; correct the file");
+            return;
+        }
+        configureLog(valueOf(settings).name, logLevelOf(valueOf(settings).logLevel));
+        m_process.reload(valueOf(settings));
+        logInfo("settings-reloaded").with("path", m_path).with("cause", cause);
+    }
+
+private:
+    std::string m_path;
+    Process &m_process;
+    std::string m_content;
+};
+
+asio::awaitable<void> watchSignal(asio::signal_set &hangUps, SettingsWatch &watch)
+{
+    for (;;) {
+        co_await hangUps.async_wait(asio::use_awaitable);
+        watch.check("signal");
+    }
+}
+
+asio::awaitable<void> watchFile(SettingsWatch &watch)
+{
+    for (;;) {
+        co_await sleepFor(FileCheckInterval);
+        watch.check("file");
+    }
+}
+
+} // namespace
+
 int runProcess(asio::io_context &context, const Settings &settings, Process &process)
 {
     if (const Status started = process.start(); !isOk(started)) {
@@ -51,6 +128,11 @@
             },
             asio::detached);
     });
+    asio::signal_set hangUps(context, SIGHUP);
+    SettingsWatch watch(settings, process);
+    const auto strand = asio::make_strand(context.get_executor());
+    spawnLoop(strand, watchSignal(hangUps, watch));
+    spawnLoop(strand, watchFile(watch));
     std::vector<std::thread> threads;
     for (std::int64_t index = 1; index < settings.threads; ++index) {
         threads.emplace_back([&context] { context.run(); });
--- a/packages/daemon/src/carobflow/daemon/requestexecutor.h
+++ b/packages/daemon/src/carobflow/daemon/requestexecutor.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "carobflow/connectors/httpclient.h"
 #include "carobflow/core/admission.h"
 #include "carobflow/core/hostmessages.h"
 #include "carobflow/daemon/internal/windowrecorder.h"
-#include "carobflow/connectors/httpclient.h"
 
 #include <atomic>
 #include <functional>
--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -27,9 +27,11 @@
                            Milliseconds Settings::*,
                            Endpoint Settings::*,
                            std::vector<Endpoint> Settings::*,
-                           Role Settings::*>;
+                           Role Settings::*,
+                           Deployment Settings::*>;
 
-enum class Need { Always, EntryOnly, AgentOnly, Optional };
+/// Who needs a key. Standalone and hosted processes need different ones.
+enum class Need { Always, Standalone, StandaloneEntry, StandaloneAgent, Hosted, HostedEntry, HostedAgent, Optional };
 
 struct Key {
     std::string_view section;
@@ -44,6 +46,7 @@
 
 const std::array Keys{
     Key{"process", "role", &Settings::role, Need::Always, 0, 0, "entry"},
+    Key{"process", "deployment", &Settings::deployment, Need::Optional, 0, 0, "hosted"},
     Key{"process", "name", &Settings::name, Need::Always, 0, 0, "entry-1"},
     Key{"process", "data_centre", &Settings::dataCentre, Need::Always, 0, 0, "hanoi"},
     Key{"process", "rack", &Settings::rack, Need::Optional, 0, 0, "rack-1"},
@@ -55,18 +58,23 @@
     Key{"listen", "http", &Settings::http, Need::Always, 0, 0, "127.0.0.1:8080"},
     Key{"listen", "grpc", &Settings::grpc, Need::Always, 0, 0, "127.0.0.1:9090"},
     Key{"listen", "advertise", &Settings::advertise, Need::Optional, 0, 0, "127.0.0.1:9090"},
-    Key{"platform", "table", &Settings::table, Need::Always, 0, 0, "127.0.0.1:7000"},
-    Key{"platform", "objects", &Settings::objects, Need::Always, 0, 0, "127.0.0.1:7000"},
-    Key{"platform", "worker", &Settings::worker, Need::AgentOnly, 0, 0, "127.0.0.1:7100"},
+    Key{"listen", "ready", &Settings::ready, Need::HostedEntry, 0, 0, "127.0.0.1:8081"},
+    Key{"listen", "metrics", &Settings::metrics, Need::Optional, 0, 0, "127.0.0.1:9100"},
+    Key{"hosted", "store", &Settings::store, Need::Hosted, 0, 0, "127.0.0.1:7000"},
+    Key{"hosted", "upstream", &Settings::upstream, Need::HostedAgent, 0, 0, "127.0.0.1:7100"},
+    Key{"hosted", "max_lease_ms", &Settings::maxLease, Need::Optional, 500, 600000, "6000"},
+    Key{"platform", "table", &Settings::table, Need::Standalone, 0, 0, "127.0.0.1:7000"},
+    Key{"platform", "objects", &Settings::objects, Need::Standalone, 0, 0, "127.0.0.1:7000"},
+    Key{"platform", "worker", &Settings::worker, Need::StandaloneAgent, 0, 0, "127.0.0.1:7100"},
     Key{"platform", "timeout_ms", &Settings::platformTimeout, Need::Optional, 10, 60000, "1000"},
-    Key{"entry", "operator_token", &Settings::operatorToken, Need::EntryOnly, 0, 0, "a-long-random-text"},
+    Key{"entry", "operator_token", &Settings::operatorToken, Need::StandaloneEntry, 0, 0, "a-long-random-text"},
     Key{"entry", "max_body_bytes", &Settings::maxBodyBytes, Need::Optional, 1024, 16777216, "1048576"},
     Key{"entry", "default_timeout_ms", &Settings::defaultTimeout, Need::Optional, 10, 25000, "2000"},
     Key{"entry", "max_timeout_ms", &Settings::maxTimeout, Need::Optional, 10, 25000, "25000"},
     Key{"entry", "retry_ratio", &Settings::retryRatio, Need::Optional, 0, 1, "0.2"},
     Key{"entry", "max_charge_flows", &Settings::maxChargeFlows, Need::Optional, 1, 100000, "1000"},
-    Key{"agent", "cpu_millis", &Settings::cpuMillis, Need::AgentOnly, 1, 1e9, "32000"},
-    Key{"agent", "memory_mib", &Settings::memoryMiB, Need::AgentOnly, 1, 1e9, "128000"},
+    Key{"agent", "cpu_millis", &Settings::cpuMillis, Need::StandaloneAgent, 1, 1e9, "32000"},
+    Key{"agent", "memory_mib", &Settings::memoryMiB, Need::StandaloneAgent, 1, 1e9, "128000"},
     Key{"agent", "accelerators", &Settings::accelerators, Need::Optional, 0, 1000, "0"},
     Key{"agent", "entries", &Settings::knownEntries, Need::Optional, 0, 0, "127.0.0.1:9090, 127.0.0.1:9091"},
     Key{"agent", "queue_limit", &Settings::queueLimit, Need::Optional, 0, 10000, "16"},
@@ -194,6 +202,40 @@
     return {};
 }
 
+Expectation assign(Settings &settings, const Key & /*key*/, Deployment Settings::*field, const std::string &text)
+{
+    if (text != "standalone" && text != "hosted") {
+        return "standalone or hosted";
+    }
+    settings.*field = text == "hosted" ? Deployment::Hosted : Deployment::Standalone;
+    return {};
+}
+
+bool isNeeded(Need need, const Settings &settings)
+{
+    const bool hosted = settings.deployment == Deployment::Hosted;
+    const bool entry = settings.role == Role::Entry;
+    switch (need) {
+    case Need::Always:
+        return true;
+    case Need::Standalone:
+        return !hosted;
+    case Need::StandaloneEntry:
+        return !hosted && entry;
+    case Need::StandaloneAgent:
+        return !hosted && !entry;
+    case Need::Hosted:
+        return hosted;
+    case Need::HostedEntry:
+        return hosted && entry;
+    case Need::HostedAgent:
+        return hosted && !entry;
+    case Need::Optional:
+        return false;
+    }
+    return false;
+}
+
 /// The values of an INI text by section and key.
 using IniValues = std::map<std::pair<std::string, std::string>, std::string>;
 
@@ -270,8 +312,7 @@
 
     void reportMissing(const Key &key)
     {
-        const bool needed = key.need == Need::Always || (key.need == Need::EntryOnly && m_settings.role == Role::Entry)
-            || (key.need == Need::AgentOnly && m_settings.role == Role::Agent);
+        const bool needed = isNeeded(key.need, m_settings);
         if (needed && find(key) == m_values.end()) {
             fault(key.section, key.name) << "missing; write for example '" << key.name << " = " << key.example << "'\n";
         }
@@ -305,6 +346,15 @@
                                                   : "[" + address + "]:" + std::to_string(port);
 }
 
+LogLevel logLevelOf(std::string_view name)
+{
+    static const std::map<std::string_view, LogLevel> Levels{{"debug", LogLevel::Debug},
+                                                             {"info", LogLevel::Info},
+                                                             {"warning", LogLevel::Warning},
+                                                             {"error", LogLevel::Error}};
+    return Levels.at(name);
+}
+
 Result<Endpoint> parseEndpoint(std::string_view text)
 {
     const Error error{ErrorKind::InvalidArgument,
--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/core/result.h"
 #include "carobflow/core/types.h"
+#include "carobflow/logging/log.h"
 
 #include <cstdint>
 #include <string>
@@ -13,6 +14,9 @@
 
 enum class Role { Entry, Agent };
 
+/// Standalone processes speak to the services of `connectors`; hosted ones run on the users' platform.
+enum class Deployment { Standalone, Hosted };
+
 /// An IP address and a port. Port 0 lets the system choose.
 struct Endpoint {
     std::string address;
@@ -28,6 +32,7 @@
 
     // [process]
     Role role = Role::Entry;
+    Deployment deployment = Deployment::Standalone;
     std::string name;
     std::string dataCentre;
     std::string rack;
@@ -43,6 +48,18 @@
     /// The address under which other processes reach the gRPC port; empty for the listening address.
     std::string advertise;
 
+    /// Where the balancer asks whether a hosted entry is ready.
+    Endpoint ready;
+    /// Where a hosted process serves its metrics; port 0 for nowhere.
+    Endpoint metrics;
+
+    // [hosted]
+    Endpoint store;
+    /// Where the agent reaches the upstream on its host.
+    Endpoint upstream;
+    /// Longest lease that the upstream gives to what runs on it.
+    Milliseconds maxLease{6000};
+
     // [platform]
     Endpoint table;
     Endpoint objects;
@@ -86,6 +103,9 @@
 /// The same for text that is already in memory; `path` appears in messages only.
 Result<Settings> parseSettings(std::string_view text, std::string_view path);
 
+/// The level that [process] log_level names.
+LogLevel logLevelOf(std::string_view name);
+
 /// Parses "address:port". Errors: InvalidArgument.
 Result<Endpoint> parseEndpoint(std::string_view text);
 
--- a/packages/daemon/src/carobflow/daemon/shardcountcheck.cpp
+++ b/packages/daemon/src/carobflow/daemon/shardcountcheck.cpp
@@ -1,9 +1,9 @@
 #include "carobflow/daemon/shardcountcheck.h"
 
+#include "carobflow/connectors/tableservice.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/internal/identifiers.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/connectors/tableservice.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
+++ b/packages/daemon/src/carobflow/daemon/sheetrepository.cpp
@@ -1,10 +1,10 @@
 #include "carobflow/daemon/sheetrepository.h"
 
+#include "carobflow/connectors/objectstore.h"
+#include "carobflow/connectors/tableservice.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/internal/identifiers.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/connectors/objectstore.h"
-#include "carobflow/connectors/tableservice.h"
 
 #include <array>
 
--- a/packages/daemon/src/carobflow/daemon/taskrunner.cpp
+++ b/packages/daemon/src/carobflow/daemon/taskrunner.cpp
@@ -1,12 +1,12 @@
 #include "carobflow/daemon/taskrunner.h"
 
+#include "carobflow/connectors/tableservice.h"
+#include "carobflow/connectors/workerruntime.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/daemon/metrics.h"
 #include "carobflow/daemon/protocolconversion.h"
 #include "carobflow/daemon/rpc.h"
 #include "carobflow/logging/log.h"
-#include "carobflow/connectors/tableservice.h"
-#include "carobflow/connectors/workerruntime.h"
 
 #include <array>
 
--- a/packages/daemon/tests/shardcountcheck_test.cpp
+++ b/packages/daemon/tests/shardcountcheck_test.cpp
@@ -1,5 +1,5 @@
-#include "carobflow/daemon/shardcountcheck.h"
 #include "carobflow/connectors/tableservice.h"
+#include "carobflow/daemon/shardcountcheck.h"
 
 #include <map>
 
--- /dev/null
+++ b/packages/scheduler/src/carobflow/scheduler/candidacy.cpp
@@ -0,0 +1,32 @@
+#include "carobflow/scheduler/candidacy.h"
+
+namespace Carobflow::Scheduling
+{
+
+void Candidacy::onRow(std::uint64_t version, bool resigned, TimePoint now)
+{
+    if (!m_known || version != m_version) {
+        m_unchangedSince = now;
+    }
+    m_known = true;
+    m_version = version;
+    m_resigned = resigned;
+    m_readAt = now;
+}
+
+void Candidacy::onSilence()
+{
+    m_known = false;
+}
+
+bool Candidacy::shouldTakeOver(TimePoint now) const
+{
+    if (!m_known || now < m_notBefore || now - m_readAt > m_options.freshness) {
+        return false;
+    }
+    const bool vacant = m_version == 0 || m_resigned;
+    const Milliseconds patience = vacant ? Milliseconds(0) : m_options.renewalTimeout;
+    return m_readAt - m_unchangedSince >= patience && now - m_unchangedSince >= patience + m_options.delay;
+}
+
+} // namespace Carobflow::Scheduling
--- /dev/null
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -0,0 +1,172 @@
+#include "carobflow/scheduler/job.h"
+
+#include <algorithm>
+
+namespace Carobflow::Scheduling
+{
+
+Job::Job(JobSpec spec, Queue queue, TimePoint acceptedAt)
+    : m_spec(std::move(spec))
+    , m_queue(std::move(queue))
+    , m_acceptedAt(acceptedAt)
+{
+    std::size_t count = 0;
+    for (const StepSpec &step : m_spec.steps) {
+        m_offsets.push_back(count);
+        count += step.count;
+    }
+    m_offsets.push_back(count);
+    m_tasks.resize(count * m_spec.occurrences);
+    m_remaining = m_tasks.size();
+}
+
+std::size_t Job::firstIndex(std::uint32_t occurrence, std::uint32_t step) const
+{
+    return occurrence * m_offsets.back() + m_offsets[step];
+}
+
+const Task *Job::findTask(const TaskId &id) const
+{
+    if (id.occurrence >= m_spec.occurrences || id.step >= m_spec.steps.size()
+        || id.index >= m_spec.steps[id.step].count) {
+        return nullptr;
+    }
+    return &m_tasks[firstIndex(id.occurrence, id.step) + id.index];
+}
+
+Task *Job::findTask(const TaskId &id)
+{
+    return const_cast<Task *>(std::as_const(*this).findTask(id));
+}
+
+std::span<Task> Job::stepTasks(std::uint32_t occurrence, std::uint32_t step)
+{
+    return std::span(m_tasks).subspan(firstIndex(occurrence, step), m_spec.steps[step].count);
+}
+
+std::span<const Task> Job::stepTasks(std::uint32_t occurrence, std::uint32_t step) const
+{
+    return std::span(m_tasks).subspan(firstIndex(occurrence, step), m_spec.steps[step].count);
+}
+
+bool Job::isStepOpen(std::uint32_t occurrence, std::uint32_t step, std::int64_t unixMs) const
+{
+    if (m_spec.scheduled && unixMs < m_spec.firstDueUnixMs + m_spec.interval.count() * occurrence) {
+        return false;
+    }
+    return std::ranges::all_of(m_spec.steps[step].after, [&](std::uint32_t earlier) {
+        return std::ranges::all_of(stepTasks(occurrence, earlier), &Task::done);
+    });
+}
+
+JobPhase Job::phase() const
+{
+    if (m_remaining == 0) {
+        return JobPhase::Completed;
+    }
+    if (m_cancelled) {
+        return JobPhase::Cancelled;
+    }
+    if (m_failed) {
+        return JobPhase::Failed;
+    }
+    return m_started ? JobPhase::Running : JobPhase::Queued;
+}
+
+bool Job::isIdle() const
+{
+    return std::ranges::all_of(m_tasks, [](const Task &task) { return task.attempts.empty(); });
+}
+
+void Job::finish(Task &task)
+{
+    if (!task.done) {
+        task.done = true;
+        --m_remaining;
+    }
+}
+
+Milliseconds Job::chain(bool unfinishedOnly) const
+{
+    // Steps only depend on earlier ones, so that one pass in their order suffices.
+    std::vector<Milliseconds> ends(m_spec.steps.size(), Milliseconds(0));
+    Milliseconds longest{0};
+    for (std::uint32_t step = 0; step < m_spec.steps.size(); ++step) {
+        Milliseconds begin{0};
+        for (const std::uint32_t earlier : m_spec.steps[step].after) {
+            begin = std::max(begin, ends[earlier]);
+        }
+        const bool counts = !unfinishedOnly || !std::ranges::all_of(stepTasks(0, step), &Task::done);
+        ends[step] = begin + (counts ? m_spec.steps[step].estimate : Milliseconds(0));
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+Milliseconds Job::remainingChain() const
+{
+    return chain(true);
+}
+
+Milliseconds Job::wholeChain() const
+{
+    return chain(false);
+}
+
+TimePoint Job::objectiveEnd() const
+{
+    const auto work = std::chrono::duration<double, std::milli>(wholeChain()) * m_queue.stretch;
+    return m_acceptedAt + std::chrono::duration_cast<Duration>(work) + m_queue.latencyAllowance;
+}
+
+JobProgress Job::progress() const
+{
+    JobProgress progress{.cancelled = m_cancelled, .failed = m_failed, .tasks = {}};
+    const_cast<Job *>(this)->forEachTask([&](const TaskId &id, const Task &task) {
+        if (task.lastRun == 0) {
+            return;
+        }
+        TaskProgress entry{.id = id,
+                           .lastRun = task.lastRun,
+                           .failures = task.failures,
+                           .done = task.done,
+                           .checkpoint = task.done ? std::string() : task.checkpoint,
+                           .placements = {}};
+        for (const Attempt &attempt : task.attempts) {
+            entry.placements.emplace_back(attempt.host, attempt.run);
+        }
+        progress.tasks.push_back(std::move(entry));
+    });
+    return progress;
+}
+
+void Job::restore(const JobProgress &progress, TimePoint now)
+{
+    m_cancelled = progress.cancelled;
+    m_failed = progress.failed;
+    for (const TaskProgress &entry : progress.tasks) {
+        Task *task = findTask(entry.id);
+        if (task == nullptr) {
+            continue;
+        }
+        m_started = true;
+        task->lastRun = entry.lastRun;
+        task->failures = entry.failures;
+        task->checkpoint = entry.checkpoint;
+        if (entry.done) {
+            finish(*task);
+        }
+        for (const auto &[host, run] : entry.placements) {
+            task->attempts.push_back({.run = run,
+                                      .host = host,
+                                      .upstream = {},
+                                      .phase = AttemptPhase::Sent,
+                                      .restored = true,
+                                      .since = now,
+                                      .startedAt = now,
+                                      .progressedAt = now});
+        }
+    }
+}
+
+} // namespace Carobflow::Scheduling
--- /dev/null
+++ b/packages/scheduler/src/carobflow/scheduler/joborder.cpp
@@ -0,0 +1,41 @@
+#include "carobflow/scheduler/joborder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Carobflow::Scheduling
+{
+namespace
+{
+
+/// After this multiple of its latency objective the result of a job has lost its value to the client.
+constexpr int WorthlessAfterObjectives = 3;
+
+} // namespace
+
+JobOrder::Rank JobOrder::rankOf(const Job &job) const
+{
+    const Duration objective = job.objectiveEnd() - job.acceptedAt();
+    const TimePoint earliestEnd = m_now + job.remainingChain();
+    const Duration slack = job.objectiveEnd() - earliestEnd;
+    int lateness = 0;
+    if (earliestEnd > job.acceptedAt() + objective * WorthlessAfterObjectives) {
+        lateness = 2;
+    } else if (slack.count() < 0) {
+        lateness = 1;
+    }
+    return {.priority = job.queue().priority, .lateness = lateness, .slack = slack, .acceptedAt = job.acceptedAt()};
+}
+
+void JobOrder::sort(std::vector<Job *> &jobs) const
+{
+    std::vector<std::pair<Rank, Job *>> ranked;
+    ranked.reserve(jobs.size());
+    for (Job *job : jobs) {
+        ranked.emplace_back(rankOf(*job), job);
+    }
+    std::ranges::stable_sort(ranked, {}, &std::pair<Rank, Job *>::first);
+    std::ranges::transform(ranked, jobs.begin(), &std::pair<Rank, Job *>::second);
+}
+
+} // namespace Carobflow::Scheduling
--- /dev/null
+++ b/packages/scheduler/src/carobflow/scheduler/operatorview.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "carobflow/scheduler/workload.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Carobflow::Scheduling
+{
+
+/// Leads requests of clients to a queue: the host must be equal and the longest prefix of the path decides.
+struct Route {
+    std::string host;
+    std::string pathPrefix;
+    std::string queue;
+};
+
+/// What operators have configured, as one process knows it. The version only grows.
+struct OperatorView {
+    std::uint64_t configurationVersion = 0;
+    /// Version of the newest row that was read; orders two views of the same configuration.
+    std::uint64_t rowVersion = 0;
+    std::map<std::string, Queue, std::less<>> queues;
+    std::vector<Route> routes;
+    /// Data centres that operators have taken out of service.
+    std::set<std::string, std::less<>> evacuated;
+
+    [[nodiscard]] const Queue *findQueue(std::string_view name) const
+    {
+        const auto found = queues.find(name);
+        return found == queues.end() ? nullptr : &found->second;
+    }
+
+    [[nodiscard]] bool isEvacuated(std::string_view dataCentre) const
+    {
+        return evacuated.contains(dataCentre);
+    }
+};
+
+} // namespace Carobflow::Scheduling
--- /dev/null
+++ b/packages/scheduler/src/carobflow/scheduler/placement.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "carobflow/scheduler/host.h"
+#include "carobflow/scheduler/job.h"
+#include "carobflow/scheduler/operatorview.h"
+
+#include <span>
+
+namespace Carobflow::Scheduling
+{
+
+/// Chooses the host for a task. Answers the question "where", not "which task next".
+///
+/// Services are packed onto few hosts, together with short work, so that fillers find hosts where they disturb nobody.
+/// Fillers go where most processor time is left over, and never where there is less than they ask for: two fillers
+/// that share one share of a processor both finish late.
+class Placement
+{
+public:
+    struct Options {
+        /// Fillers avoid hosts whose serving tasks use more than this part of their tail latency target.
+        double maxTailPressure = 0.8;
+        /// Memory in MiB that fillers leave free on each host for tasks that serve waiting clients; about four of the
+        /// largest quick tasks of both sites.
+        std::int64_t fillerMemoryReserve = 8000;
+    };
+
+    Placement(Options options, const OperatorView &view, std::span<Host *const> hosts)
+        : m_options(options)
+        , m_view(view)
+        , m_hosts(hosts)
+    {
+    }
+
+    /// The host for one more run of the task, or null when none can take it now.
+    [[nodiscard]] Host *choose(const Job &job, const TaskId &id, TimePoint now) const;
+
+private:
+    [[nodiscard]] bool isEligible(const Host &host, const Job &job, const TaskId &id) const;
+    [[nodiscard]] double score(const Host &host, const Job &job, const TaskId &id, TimePoint now) const;
+
+    Options m_options;
+    const OperatorView &m_view;
+    std::span<Host *const> m_hosts;
+};
+
+} // namespace Carobflow::Scheduling
--- /dev/null
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -0,0 +1,766 @@
+#include "carobflow/scheduler/scheduler.h"
+
+#include "carobflow/core/invariant.h"
+#include "carobflow/scheduler/joborder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Carobflow::Scheduling
+{
+namespace
+{
+
+/// Upstream clocks may be 2% slow; the rest covers the way of a message.
+constexpr double LeaseClockFactor = 1.03;
+constexpr Milliseconds LeaseSlack{300};
+/// An upstream that has not answered its agent for this long gets no starts.
+constexpr Milliseconds UpstreamSilenceLimit{1000};
+/// A rejected start is tried again after this time, at first on another host.
+constexpr Milliseconds RejectionDelay{150};
+/// An order without an answer is sent again after this time; an agent answers within 500 ms unless it is gone.
+constexpr Milliseconds ResendDelay{1200};
+/// A run whose percentage has not moved for this long, and for half of its estimate, stands still. Reports come every
+/// 400 ms and figures lag by 500 ms.
+constexpr Milliseconds StallTime{2000};
+/// A task that lasts is at work shortly after its start; one that is not by then is started elsewhere.
+constexpr Milliseconds StartupLimit{3000};
+constexpr std::uint32_t AtWorkPercent = 100;
+/// Orders for one run before the upstream counts as hung; each waits 400 ms for its answer.
+constexpr std::uint32_t SendsBeforeStop = 3;
+
+bool isWanted(const Job &job, const Task &task)
+{
+    return !job.isOver() && !task.done;
+}
+
+} // namespace
+
+struct Scheduler::HostState {
+    explicit HostState(std::string name)
+        : host(std::move(name))
+    {
+    }
+
+    struct PendingEnd {
+        std::string job;
+        bool committing = false;
+    };
+
+    Host host;
+    /// No run can hold a lease here after this time unless a report arrives.
+    TimePoint leaseFreeAt;
+    bool stored = false;
+    UpstreamIdentity endsOf;
+    std::uint64_t highestEnd = 0;
+    std::map<std::uint64_t, PendingEnd> pendingEnds;
+    std::string lastFailedJob;
+};
+
+Scheduler::Scheduler(Options options)
+    : m_options(std::move(options))
+    , m_view(std::make_shared<const OperatorView>())
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+void Scheduler::report(const RunId &run, std::string_view host, std::string_view event) const
+{
+    if (m_options.onDecision) {
+        m_options.onDecision(run, host, event);
+    }
+}
+
+void Scheduler::markDirty(const Job &job)
+{
+    m_dirty.insert(job.spec().id);
+    m_active.insert(job.spec().id);
+}
+
+Scheduler::HostState &Scheduler::hostState(std::string_view name)
+{
+    auto found = m_hosts.find(name);
+    if (found == m_hosts.end()) {
+        found = m_hosts.emplace(std::string(name), std::make_unique<HostState>(std::string(name))).first;
+    }
+    return *found->second;
+}
+
+std::vector<const Host *> Scheduler::hosts() const
+{
+    std::vector<const Host *> hosts;
+    for (const auto &[name, state] : m_hosts) {
+        hosts.push_back(&state->host);
+    }
+    return hosts;
+}
+
+void Scheduler::setOperatorView(std::shared_ptr<const OperatorView> view)
+{
+    m_view = std::move(view);
+    for (const auto &[id, job] : m_jobs) {
+        // A queue that is gone keeps serving its accepted jobs as it did.
+        if (const Queue *queue = m_view->findQueue(job->spec().queue)) {
+            job->setQueue(*queue);
+        }
+    }
+}
+
+Scheduler::Submission Scheduler::submit(JobSpec spec, TimePoint now)
+{
+    if (m_jobs.contains(spec.id)) {
+        return Submission::Known;
+    }
+    const Queue *queue = m_view->findQueue(spec.queue);
+    auto job = std::make_unique<Job>(std::move(spec), queue != nullptr ? *queue : Queue{}, now);
+    markDirty(*job);
+    const std::string id = job->spec().id;
+    m_jobs.emplace(id, std::move(job));
+    return Submission::Accepted;
+}
+
+bool Scheduler::cancel(std::string_view id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return false;
+    }
+    if (!found->second->isOver()) {
+        found->second->cancel();
+        markDirty(*found->second);
+    }
+    return true;
+}
+
+const Job *Scheduler::find(std::string_view id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+std::size_t Scheduler::countPending(std::string_view queue) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_jobs, [&](const auto &entry) {
+        const Job &job = *entry.second;
+        return job.spec().queue == queue && !job.spec().scheduled && !job.isOver() && !job.hasStarted();
+    }));
+}
+
+void Scheduler::restore(JobSpec spec, const JobProgress &progress, TimePoint acceptedAt, TimePoint now)
+{
+    const Queue *queue = m_view->findQueue(spec.queue);
+    auto job = std::make_unique<Job>(std::move(spec), queue != nullptr ? *queue : Queue{}, acceptedAt);
+    job->restore(progress, now);
+    job->forEachTask([&](const TaskId &id, const Task &task) {
+        for (const Attempt &attempt : task.attempts) {
+            expectHost(attempt.host, now);
+            hostState(attempt.host).host.hold(job->step(id));
+        }
+    });
+    m_active.insert(job->spec().id);
+    const std::string id = job->spec().id;
+    m_jobs.insert_or_assign(id, std::move(job));
+}
+
+void Scheduler::expectHost(std::string_view name, TimePoint now)
+{
+    HostState &state = hostState(name);
+    state.stored = true;
+    if (!state.host.hasReported()) {
+        state.leaseFreeAt = now + m_options.predecessorGrant + m_options.grant
+            + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
+    }
+}
+
+void Scheduler::onReport(const HostReport &report, TimePoint now)
+{
+    HostState &state = hostState(report.host);
+    const bool fenced = report.fencedEpoch == m_options.epoch;
+    const bool replaced = state.host.apply(report, now);
+    state.leaseFreeAt = now + m_options.grant
+        + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
+    if (replaced) {
+        // A new life runs nothing of the old one, whoever it has heard of as leader.
+        dropAttempts(state, "upstream-replaced", [&](const Attempt &attempt) {
+            return !attempt.restored && attempt.upstream != report.upstream->identity;
+        });
+    }
+    if (!fenced || !report.upstream) {
+        return;
+    }
+    applyEnds(state, report, now);
+    applyRunning(state, report, now);
+    settleRestored(state, report);
+    if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0) {
+        dropAttempts(state, "upstream-silent", [](const Attempt & /*attempt*/) { return true; });
+    }
+}
+
+void Scheduler::applyEnds(HostState &host, const HostReport &report, TimePoint now)
+{
+    if (host.endsOf != report.upstream->identity) {
+        host.endsOf = report.upstream->identity;
+        host.highestEnd = 0;
+        host.pendingEnds.clear();
+    }
+    for (const EndedRun &ended : report.ended) {
+        if (ended.number > host.highestEnd) {
+            host.highestEnd = ended.number;
+            applyEnd(host, ended, now);
+        }
+    }
+}
+
+void Scheduler::applyEnd(HostState &host, const EndedRun &ended, TimePoint now)
+{
+    const auto found = m_jobs.find(ended.run.task.job);
+    Task *task = found == m_jobs.end() ? nullptr : found->second->findTask(ended.run.task);
+    if (task == nullptr) {
+        return;
+    }
+    Job &job = *found->second;
+    const bool known = std::ranges::any_of(task->attempts, [&](const Attempt &attempt) {
+        return attempt.run == ended.run.run && attempt.host == host.host.name();
+    });
+    if (!known) {
+        // The run was given up after its lease; the task has moved on.
+        return;
+    }
+    report(ended.run, host.host.name(), endName(ended.end));
+    job.noteStarted();
+    if (!ended.checkpoint.empty()) {
+        task->checkpoint = ended.checkpoint;
+    }
+    if (ended.end == RunEnd::Done && !job.isOver()) {
+        job.finish(*task);
+        host.host.noteSuccess();
+        if (job.step(ended.run.task).gang) {
+            finishGang(job, ended.run.task);
+        }
+    } else if (ended.end == RunEnd::Failed) {
+        countFailure(job, *task, host, ended.run, now);
+    }
+    dropAttempt(job, ended.run.task, ended.run.run, host.host.name());
+    host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
+}
+
+void Scheduler::finishGang(Job &job, const TaskId &id)
+{
+    for (Task &member : job.stepTasks(id.occurrence, id.step)) {
+        job.finish(member);
+    }
+}
+
+void Scheduler::countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now)
+{
+    // A task that fails wherever it runs says nothing about its hosts.
+    if (task.failures == 0 && host.lastFailedJob != job.spec().id) {
+        host.lastFailedJob = job.spec().id;
+        host.host.noteFailure(now);
+    }
+    ++task.failures;
+    task.failedOn.push_back(host.host.name());
+    const StepSpec &step = job.step(run.task);
+    if (step.gang) {
+        for (Task &member : job.stepTasks(run.task.occurrence, run.task.step)) {
+            member.failures = std::max(member.failures, task.failures);
+        }
+    }
+    if (!step.longRunning && task.failures >= job.queue().maxAttempts && !task.done) {
+        job.fail();
+        report(run, host.host.name(), "job-failed");
+    }
+}
+
+void Scheduler::applyRunning(HostState &host, const HostReport &report, TimePoint now)
+{
+    for (const RunningRun &running : report.running) {
+        const auto found = m_jobs.find(running.run.task.job);
+        Task *task = found == m_jobs.end() ? nullptr : found->second->findTask(running.run.task);
+        Attempt *attempt = nullptr;
+        if (task != nullptr) {
+            const auto match = std::ranges::find_if(task->attempts, [&](const Attempt &candidate) {
+                return candidate.run == running.run.run && candidate.host == host.host.name();
+            });
+            attempt = match == task->attempts.end() ? nullptr : &*match;
+        }
+        if (attempt == nullptr) {
+            m_stops.push_back({.run = running.run,
+                               .host = host.host.name(),
+                               .upstream = report.upstream->identity,
+                               .reason = "unknown-run"});
+            continue;
+        }
+        if (attempt->phase == AttemptPhase::Sent) {
+            attempt->phase = AttemptPhase::Running;
+            attempt->progressedAt = now;
+        }
+        attempt->upstream = report.upstream->identity;
+        attempt->restored = false;
+        attempt->resend = false;
+        if (attempt->percent != running.percent) {
+            attempt->percent = running.percent;
+            attempt->progressedAt = now;
+        }
+        if (!running.checkpoint.empty() && running.checkpoint != task->checkpoint) {
+            // Written with the next change of the job; until then only some work would be lost.
+            task->checkpoint = running.checkpoint;
+        }
+        found->second->noteStarted();
+    }
+}
+
+void Scheduler::settleRestored(HostState &host, const HostReport & /*report*/)
+{
+    // The upstream has refused orders of earlier leaders since before it made this list.
+    dropAttempts(host, "not-running-after-takeover", [](const Attempt &attempt) { return attempt.restored; });
+}
+
+template<typename Predicate>
+void Scheduler::dropAttempts(const HostState &host, std::string_view event, Predicate &&predicate)
+{
+    const std::string &name = host.host.name();
+    std::vector<RunId> dropped;
+    for (const std::string &id : m_active) {
+        m_jobs.at(id)->forEachTask([&](const TaskId &task, const Task &state) {
+            for (const Attempt &attempt : state.attempts) {
+                if (attempt.host == name && predicate(attempt)) {
+                    dropped.push_back({.task = task, .run = attempt.run});
+                }
+            }
+        });
+    }
+    for (const RunId &run : dropped) {
+        report(run, name, event);
+        dropAttempt(*m_jobs.at(run.task.job), run.task, run.run, name);
+    }
+}
+
+void Scheduler::dropAttempt(Job &job, const TaskId &id, std::uint32_t run, std::string_view host)
+{
+    Task &task = *job.findTask(id);
+    const auto removed = std::erase_if(
+        task.attempts, [&](const Attempt &attempt) { return attempt.run == run && attempt.host == host; });
+    if (removed > 0) {
+        hostState(host).host.free(job.step(id));
+        markDirty(job);
+    }
+}
+
+void Scheduler::onStartOutcome(std::string_view host, const RunId &run, StartOutcome outcome, TimePoint now)
+{
+    const auto found = m_jobs.find(run.task.job);
+    Task *task = found == m_jobs.end() ? nullptr : found->second->findTask(run.task);
+    if (task == nullptr) {
+        return;
+    }
+    const auto attempt = std::ranges::find_if(
+        task->attempts, [&](const Attempt &candidate) { return candidate.run == run.run && candidate.host == host; });
+    if (attempt == task->attempts.end()) {
+        return;
+    }
+    Job &job = *found->second;
+    switch (outcome) {
+    case StartOutcome::Started:
+        job.noteStarted();
+        if (attempt->phase == AttemptPhase::Sent) {
+            attempt->phase = AttemptPhase::Running;
+            attempt->startedAt = now;
+            attempt->progressedAt = now;
+        }
+        return;
+    case StartOutcome::Unanswered:
+    case StartOutcome::Fenced:
+        attempt->resend = true;
+        if (attempt->phase == AttemptPhase::Sent && attempt->sends >= SendsBeforeStop) {
+            hostState(host).host.noteStall(now);
+            stop(run.task, *attempt, "unanswered", now);
+        }
+        return;
+    case StartOutcome::Superseded:
+    case StartOutcome::NoRoom:
+    case StartOutcome::LeaseOver:
+    case StartOutcome::NoPermit:
+    case StartOutcome::NotAccepted:
+    case StartOutcome::Unhealthy:
+    case StartOutcome::Malformed:
+        onRejected(job, run, *attempt, outcome, now);
+        return;
+    }
+}
+
+void Scheduler::onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now)
+{
+    if (attempt.phase != AttemptPhase::Sent) {
+        return;
+    }
+    report(run, attempt.host, outcomeName(outcome));
+    job.findTask(run.task)->notBefore = now + RejectionDelay;
+    if (outcome == StartOutcome::Unhealthy) {
+        hostState(attempt.host).host.noteStall(now);
+    }
+    if (attempt.sends > 1 || outcome == StartOutcome::Superseded) {
+        // An earlier copy of the order may have been carried out, or will be; a stop settles it.
+        stop(run.task, attempt, "rejected", now);
+        return;
+    }
+    const std::string host = attempt.host;
+    dropAttempt(job, run.task, run.run, host);
+}
+
+void Scheduler::onStopOutcome(std::string_view host, const RunId &run, StopOutcome outcome, TimePoint /*now*/)
+{
+    const auto found = m_jobs.find(run.task.job);
+    if (outcome != StopOutcome::Absent || found == m_jobs.end() || found->second->findTask(run.task) == nullptr) {
+        return;
+    }
+    report(run, host, "absent");
+    dropAttempt(*found->second, run.task, run.run, host);
+}
+
+void Scheduler::releaseLostHosts(TimePoint now)
+{
+    for (const auto &[name, state] : m_hosts) {
+        if (now > state->leaseFreeAt) {
+            dropAttempts(*state, "host-lost", [](const Attempt & /*attempt*/) { return true; });
+        }
+    }
+}
+
+bool Scheduler::isUsable(const HostState &host, TimePoint now) const
+{
+    const HostReport &report = host.host.report();
+    return host.host.hasReported() && report.fencedEpoch == m_options.epoch && host.host.upstream() != nullptr
+        && now - host.host.reportedAt() < m_options.reportTimeout && report.silence < UpstreamSilenceLimit;
+}
+
+std::vector<Host *> Scheduler::usableHosts(TimePoint now) const
+{
+    std::vector<Host *> usable;
+    for (const auto &[name, state] : m_hosts) {
+        if (isUsable(*state, now)) {
+            usable.push_back(&state->host);
+        }
+    }
+    return usable;
+}
+
+void Scheduler::plan(TimePoint now, std::int64_t unixMs)
+{
+    releaseLostHosts(now);
+    std::vector<Job *> open;
+    for (auto next = m_active.begin(); next != m_active.end();) {
+        Job &job = *m_jobs.at(*next);
+        if (job.isOver() && job.isIdle()) {
+            next = m_active.erase(next);
+            continue;
+        }
+        superviseAttempts(job, now);
+        if (!job.isOver()) {
+            open.push_back(&job);
+        }
+        ++next;
+    }
+    const std::vector<Host *> hosts = usableHosts(now);
+    if (hosts.empty()) {
+        return;
+    }
+    JobOrder(now).sort(open);
+    const Placement placement({}, *m_view, hosts);
+    for (Job *job : open) {
+        planJob(*job, placement, now, unixMs);
+    }
+}
+
+void Scheduler::planJob(Job &job, const Placement &placement, TimePoint now, std::int64_t unixMs)
+{
+    if (job.queue().service.empty() || job.queue().needsPermit) {
+        return;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < job.spec().occurrences; ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec().steps.size(); ++step) {
+            if (job.isStepOpen(occurrence, step, unixMs)) {
+                planStep(job, occurrence, step, placement, now);
+            }
+        }
+    }
+}
+
+void Scheduler::planStep(
+    Job &job, std::uint32_t occurrence, std::uint32_t step, const Placement &placement, TimePoint now)
+{
+    TaskId id{.job = job.spec().id, .occurrence = occurrence, .step = step, .index = 0};
+    if (job.step(id).gang) {
+        placeGang(job, id, placement, now);
+        return;
+    }
+    for (Task &task : job.stepTasks(occurrence, step)) {
+        if (!task.done && task.attempts.empty() && task.notBefore <= now) {
+            Host *host = placement.choose(job, id, now);
+            if (host == nullptr && task.failedOn.empty()) {
+                // What does not fit for one task fits for none of its equals.
+                return;
+            }
+            if (host != nullptr) {
+                place(job, id, *host, task.lastRun + 1, now);
+            }
+        }
+        ++id.index;
+    }
+}
+
+void Scheduler::placeGang(Job &job, const TaskId &first, const Placement &placement, TimePoint now)
+{
+    const auto tasks = job.stepTasks(first.occurrence, first.step);
+    const bool waiting = std::ranges::all_of(
+        tasks, [&](const Task &task) { return !task.done && task.attempts.empty() && task.notBefore <= now; });
+    if (!waiting) {
+        return;
+    }
+    const std::uint32_t run = std::ranges::max(tasks, {}, &Task::lastRun).lastRun + 1;
+    TaskId id = first;
+    for (; id.index < tasks.size(); ++id.index) {
+        Host *host = placement.choose(job, id, now);
+        if (host == nullptr) {
+            break;
+        }
+        place(job, id, *host, run, now);
+    }
+    if (id.index == tasks.size()) {
+        return;
+    }
+    // Not all members fit: a part of a gang would only hold room.
+    for (TaskId placed = first; placed.index < id.index; ++placed.index) {
+        const std::string host = tasks[placed.index].attempts.front().host;
+        dropAttempt(job, placed, run, host);
+        tasks[placed.index].lastRun = run - 1;
+    }
+}
+
+void Scheduler::place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now)
+{
+    Task &task = *job.findTask(id);
+    requireInvariant(run > task.lastRun, "run-numbers-grow", id.toString());
+    requireInvariant(!task.done, "finished-task-not-started", id.toString());
+    requireInvariant(task.attempts.empty() || job.step(id).speculative, "one-run-at-a-time", id.toString());
+    requireInvariant(host.fits(job.step(id)), "host-not-overcommitted", host.name());
+    host.hold(job.step(id));
+    task.lastRun = run;
+    task.attempts.push_back({.run = run,
+                             .host = host.name(),
+                             .upstream = host.upstream()->identity,
+                             .phase = AttemptPhase::Planned,
+                             .since = now,
+                             .startedAt = now,
+                             .progressedAt = now});
+    markDirty(job);
+}
+
+void Scheduler::superviseAttempts(Job &job, TimePoint now)
+{
+    std::vector<RunId> unsent;
+    job.forEachTask([&](const TaskId &id, Task &task) {
+        for (Attempt &attempt : task.attempts) {
+            if (attempt.phase == AttemptPhase::Planned && !isWanted(job, task)) {
+                unsent.push_back({.task = id, .run = attempt.run});
+            } else {
+                supervise(job, id, task, attempt, now);
+            }
+        }
+    });
+    for (const RunId &run : unsent) {
+        const Task &task = *job.findTask(run.task);
+        const auto attempt = std::ranges::find(task.attempts, run.run, &Attempt::run);
+        const std::string host = attempt->host;
+        dropAttempt(job, run.task, run.run, host);
+    }
+}
+
+void Scheduler::supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now)
+{
+    if (attempt.phase == AttemptPhase::Planned || attempt.phase == AttemptPhase::Committing || attempt.restored) {
+        return;
+    }
+    const HostState &host = hostState(attempt.host);
+    if (!isUsable(host, now)) {
+        return;
+    }
+    if (attempt.phase == AttemptPhase::Stopping) {
+        if (now - attempt.since > ResendDelay) {
+            stop(id, attempt, "repeated", now);
+        }
+        return;
+    }
+    if (!isWanted(job, task)) {
+        stop(id, attempt, job.isCancelled() ? "cancelled" : "not-needed", now);
+        return;
+    }
+    const StepSpec &step = job.step(id);
+    if (attempt.phase == AttemptPhase::Sent) {
+        if (attempt.resend || now - attempt.since > ResendDelay) {
+            attempt.resend = false;
+            if (!canStillStart(job, id, attempt)) {
+                stop(id, attempt, "no-longer-allowed", now);
+                return;
+            }
+            attempt.since = now;
+            ++attempt.sends;
+            m_starts.push_back({.run = {.task = id, .run = attempt.run},
+                                .host = attempt.host,
+                                .upstream = attempt.upstream,
+                                .payload = job.spec().payload,
+                                .checkpoint = task.checkpoint,
+                                .permit = {},
+                                .image = step.image,
+                                .tailTarget = step.tailTarget,
+                                .fillsLeftover = step.fillsLeftover});
+        }
+        return;
+    }
+    const UpstreamDescription &upstream = *host.host.upstream();
+    if (step.longRunning) {
+        if (upstream.draining) {
+            stop(id, attempt, "upstream-leaves", now);
+        } else if (attempt.percent < AtWorkPercent && now - attempt.startedAt > StartupLimit
+                   && now - attempt.progressedAt > StartupLimit) {
+            hostState(attempt.host).host.noteStall(now);
+            stop(id, attempt, "not-at-work", now);
+        }
+        return;
+    }
+    const Duration stallLimit = std::max<Duration>(StallTime, step.estimate / 2);
+    if (now - attempt.progressedAt > stallLimit) {
+        hostState(attempt.host).host.noteStall(now);
+        stop(id, attempt, "stalled", now);
+    }
+}
+
+void Scheduler::stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now)
+{
+    attempt.phase = AttemptPhase::Stopping;
+    attempt.since = now;
+    m_stops.push_back({.run = {.task = id, .run = attempt.run},
+                       .host = attempt.host,
+                       .upstream = attempt.upstream,
+                       .reason = reason});
+}
+
+bool Scheduler::canStillStart(const Job &job, const TaskId &id, const Attempt &attempt) const
+{
+    const Task &task = *job.findTask(id);
+    const auto host = m_hosts.find(attempt.host);
+    if (!isWanted(job, task) || host == m_hosts.end()) {
+        return false;
+    }
+    const UpstreamDescription *upstream = host->second->host.upstream();
+    return upstream != nullptr && upstream->identity == attempt.upstream && !upstream->draining
+        && !m_view->isEvacuated(upstream->dataCentre);
+}
+
+std::vector<std::string> Scheduler::takeDirtyJobs(std::size_t limit)
+{
+    std::vector<std::string> taken;
+    while (!m_dirty.empty() && taken.size() < limit) {
+        std::string id = std::move(m_dirty.extract(m_dirty.begin()).value());
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        found->second->forEachTask([](const TaskId & /*id*/, Task &task) {
+            for (Attempt &attempt : task.attempts) {
+                if (attempt.phase == AttemptPhase::Planned) {
+                    attempt.phase = AttemptPhase::Committing;
+                }
+            }
+        });
+        for (const auto &[name, host] : m_hosts) {
+            for (auto &[number, end] : host->pendingEnds) {
+                end.committing = end.committing || end.job == id;
+            }
+        }
+        m_committing.insert(id);
+        taken.push_back(std::move(id));
+    }
+    return taken;
+}
+
+void Scheduler::commitJob(std::string_view id, TimePoint now)
+{
+    m_committing.erase(std::string(id));
+    for (const auto &[name, host] : m_hosts) {
+        std::erase_if(host->pendingEnds,
+                      [&](const auto &entry) { return entry.second.committing && entry.second.job == id; });
+    }
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    Job &job = *found->second;
+    std::vector<std::pair<RunId, std::string>> withdrawn;
+    job.forEachTask([&](const TaskId &taskId, Task &task) {
+        for (Attempt &attempt : task.attempts) {
+            if (attempt.phase != AttemptPhase::Committing) {
+                continue;
+            }
+            if (!canStillStart(job, taskId, attempt)) {
+                withdrawn.push_back({{.task = taskId, .run = attempt.run}, attempt.host});
+                continue;
+            }
+            attempt.phase = AttemptPhase::Sent;
+            attempt.resend = true;
+            attempt.since = now;
+        }
+    });
+    for (const auto &[run, host] : withdrawn) {
+        report(run, host, "withdrawn");
+        dropAttempt(job, run.task, run.run, host);
+    }
+    superviseAttempts(job, now);
+}
+
+std::vector<std::string> Scheduler::takeNewHosts()
+{
+    std::vector<std::string> names;
+    for (const auto &[name, state] : m_hosts) {
+        if (!state->stored && state->host.hasReported()) {
+            state->stored = true;
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::vector<StartOrder> Scheduler::takeStarts()
+{
+    return std::exchange(m_starts, {});
+}
+
+std::vector<StopOrder> Scheduler::takeStops()
+{
+    return std::exchange(m_stops, {});
+}
+
+std::uint64_t Scheduler::acknowledgedEnd(std::string_view host) const
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end()) {
+        return 0;
+    }
+    const HostState &state = *found->second;
+    return state.pendingEnds.empty() ? state.highestEnd : state.pendingEnds.begin()->first - 1;
+}
+
+bool Scheduler::forget(std::string_view id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || !found->second->isOver() || !found->second->isIdle()) {
+        return false;
+    }
+    m_dirty.erase(std::string(id));
+    m_active.erase(std::string(id));
+    m_jobs.erase(found);
+    return true;
+}
+
+} // namespace Carobflow::Scheduling
--- /dev/null
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -0,0 +1,288 @@
+#include "schedulerfixture.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+namespace Carobflow::Scheduling
+{
+
+TEST_CASE("A job runs step by step", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    JobSpec spec = SchedulerFixture::quickJob("job", 2);
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().after = {0};
+    REQUIRE(fixture.scheduler->submit(spec, fixture.now) == Scheduler::Submission::Accepted);
+
+    SECTION("A second submission of the same id is the same job")
+    {
+        // Guards against running a job twice when a client repeats a request whose answer it lost.
+        CHECK(fixture.scheduler->submit(spec, fixture.now) == Scheduler::Submission::Known);
+        CHECK(fixture.step().size() == 2);
+    }
+    SECTION("The first step starts at once")
+    {
+        const auto first = fixture.step();
+        REQUIRE(first.size() == 2);
+        CHECK(first[0].run.run == 1);
+
+        SECTION("The second step waits for every task of the first")
+        {
+            // Guards against a start before all tasks of an earlier step have ended.
+            fixture.end(first[0], RunEnd::Done, 1);
+            CHECK(fixture.step().empty());
+
+            SECTION("And starts when the last one is done")
+            {
+                fixture.end(first[1], RunEnd::Done, first[0].host == first[1].host ? 2 : 1);
+                const auto second = fixture.step();
+                REQUIRE(second.size() == 2);
+                CHECK(second[0].run.task.step == 1);
+                CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Running);
+                fixture.end(second[0], RunEnd::Done, 10);
+                fixture.end(second[1], RunEnd::Done, 11);
+                CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Completed);
+            }
+        }
+    }
+}
+
+TEST_CASE("No start order leaves before its decision is in the store", "[scheduler]")
+{
+    // Guards against a successor that does not know where a task may run.
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    fixture.scheduler->plan(fixture.now, fixture.unixMs);
+    CHECK(fixture.scheduler->takeStarts().empty());
+    const auto dirty = fixture.scheduler->takeDirtyJobs(10);
+    REQUIRE(dirty == std::vector<std::string>{"job"});
+    CHECK(fixture.scheduler->find("job")->progress().tasks.front().placements.size() == 1);
+    CHECK(fixture.scheduler->takeStarts().empty());
+
+    SECTION("It leaves with the commit")
+    {
+        fixture.scheduler->commitJob("job", fixture.now);
+        CHECK(fixture.scheduler->takeStarts().size() == 1);
+    }
+    SECTION("It is withdrawn when the data centre was taken out meanwhile")
+    {
+        for (const std::string &name : fixture.hostNames) {
+            fixture.view->evacuated.insert("dc-" + name);
+        }
+        fixture.scheduler->commitJob("job", fixture.now);
+        CHECK(fixture.scheduler->takeStarts().empty());
+        CHECK(fixture.scheduler->find("job")->isIdle());
+    }
+}
+
+TEST_CASE("Ends are acknowledged only when they are in the store", "[scheduler]")
+{
+    // Guards against a finished task that is run again because its end was acknowledged and then forgotten.
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    fixture.end(starts[0], RunEnd::Done, 5);
+    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 4);
+    const auto dirty = fixture.scheduler->takeDirtyJobs(10);
+    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 4);
+    fixture.scheduler->commitJob(dirty.front(), fixture.now);
+    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 5);
+}
+
+TEST_CASE("A start without an answer holds its room until it is settled", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    fixture.hostNames = {"host-1"};
+    fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
+    fixture.scheduler->setOperatorView(fixture.view);
+    fixture.reportAll();
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job", 1), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+
+    SECTION("The same run is ordered again, and stopped after three orders")
+    {
+        // Guards against a second run of the task while the first may still start late.
+        for (int send = 0; send < 2; ++send) {
+            fixture.scheduler->onStartOutcome("host-1", starts[0].run, StartOutcome::Unanswered, fixture.now);
+            const auto again = fixture.step();
+            REQUIRE(again.size() == 1);
+            CHECK(again[0].run == starts[0].run);
+        }
+        fixture.scheduler->onStartOutcome("host-1", starts[0].run, StartOutcome::Unanswered, fixture.now);
+        CHECK(fixture.step().empty());
+        REQUIRE(fixture.stops().size() == 1);
+        fixture.scheduler->onStopOutcome("host-1", starts[0].run, StopOutcome::Absent, fixture.now);
+        const auto next = fixture.step();
+        REQUIRE(next.size() == 1);
+        CHECK(next[0].run.run == 2);
+    }
+    SECTION("A rejection of the second order does not free it, because the first may be carried out late")
+    {
+        fixture.scheduler->onStartOutcome("host-1", starts[0].run, StartOutcome::Unanswered, fixture.now);
+        REQUIRE(fixture.step().size() == 1);
+        fixture.scheduler->onStartOutcome("host-1", starts[0].run, StartOutcome::Unhealthy, fixture.now);
+        CHECK(fixture.step(Milliseconds(200)).empty());
+        CHECK(fixture.stops().size() == 1);
+        CHECK(!fixture.scheduler->find("job")->isIdle());
+    }
+    SECTION("A rejection of the only order frees it")
+    {
+        fixture.scheduler->onStartOutcome("host-1", starts[0].run, StartOutcome::Unhealthy, fixture.now);
+        CHECK(fixture.scheduler->find("job")->isIdle());
+        CHECK(fixture.step(Milliseconds(200)).size() == 1);
+    }
+}
+
+TEST_CASE("A successor continues from the store", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    const JobProgress stored = fixture.scheduler->find("job")->progress();
+
+    ++fixture.epoch;
+    fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
+    fixture.scheduler->setOperatorView(fixture.view);
+    fixture.scheduler->restore(SchedulerFixture::quickJob("job"), stored, fixture.now, fixture.now);
+
+    SECTION("A run that its host lists is adopted")
+    {
+        // Guards against work that is thrown away at each change of leader.
+        fixture.reportAll(starts);
+        CHECK(fixture.step().empty());
+        CHECK(fixture.stops().empty());
+        CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Running);
+    }
+    SECTION("A run that its host does not list is started again under a higher number")
+    {
+        fixture.reportAll();
+        const auto again = fixture.step();
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].run.run == 2);
+    }
+    SECTION("While its host is silent the task is started nowhere else until every lease has ended")
+    {
+        // Guards against two runs of one task after a partition.
+        std::erase(fixture.hostNames, starts[0].host);
+        fixture.reportAll();
+        CHECK(fixture.step().empty());
+        fixture.advance(Milliseconds(13000));
+        fixture.reportAll();
+        CHECK(fixture.step().empty());
+        fixture.advance(Milliseconds(1500));
+        fixture.reportAll();
+        CHECK(fixture.step().size() == 1);
+    }
+    SECTION("A list from before the upstream refused the earlier leader settles nothing")
+    {
+        --fixture.epoch;
+        fixture.reportAll();
+        CHECK(fixture.step().empty());
+    }
+}
+
+TEST_CASE("A new life of an upstream runs nothing of the old one", "[scheduler]")
+{
+    // Guards against tasks that wait for ever for the end of a run in a process that is gone.
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    HostReport report = fixture.reportOf(starts[0].host);
+    report.upstream->identity.incarnation = 2;
+    report.fencedEpoch = 0;
+    fixture.scheduler->onReport(report, fixture.now);
+    const auto again = fixture.step();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run.run == 2);
+}
+
+TEST_CASE("A task that fails too often fails its job", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job", 2), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 2);
+    fixture.end(starts[0], RunEnd::Failed, 1);
+    const auto second = fixture.step();
+    REQUIRE(second.size() == 1);
+    // Guards against spending all attempts of a task on one faulty upstream.
+    CHECK(second[0].host != starts[0].host);
+    fixture.end(second[0], RunEnd::Failed, 9);
+    CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Failed);
+    fixture.scheduler->onStartOutcome(starts[1].host, starts[1].run, StartOutcome::Started, fixture.now);
+    CHECK(fixture.step().empty());
+    // Guards against tasks that go on running for a job that is over.
+    const auto stops = fixture.stops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == starts[1].run);
+}
+
+TEST_CASE("Cancelled jobs start nothing and stop what runs", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job", 1), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    REQUIRE(fixture.scheduler->cancel("job"));
+    CHECK_FALSE(fixture.scheduler->cancel("unknown"));
+    CHECK(fixture.step().empty());
+    CHECK(fixture.stops().size() == 1);
+    fixture.end(starts[0], RunEnd::Stopped, 1);
+    CHECK(fixture.step().empty());
+    CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Cancelled);
+    CHECK(fixture.scheduler->find("job")->isIdle());
+}
+
+TEST_CASE("A host never gets more than it can hold", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job", 20), fixture.now);
+    const auto starts = fixture.step();
+    CHECK(starts.size() == 12);
+
+    SECTION("What is being stopped still counts")
+    {
+        fixture.scheduler->cancel("job");
+        fixture.scheduler->submit(SchedulerFixture::quickJob("next"), fixture.now);
+        CHECK(fixture.step().empty());
+        fixture.end(starts[0], RunEnd::Stopped, 1);
+        CHECK(fixture.step().size() == 1);
+    }
+}
+
+TEST_CASE("Fillers take only what other tasks leave over", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    JobSpec filler = SchedulerFixture::quickJob("filler", 20);
+    filler.queue = "batch";
+    filler.steps[0].fillsLeftover = true;
+    fixture.scheduler->submit(filler, fixture.now);
+    CHECK(fixture.step().size() == 12);
+    // Guards against batch work that keeps services from starting.
+    fixture.scheduler->submit(SchedulerFixture::quickJob("quick", 2), fixture.now);
+    CHECK(fixture.step().size() == 2);
+}
+
+TEST_CASE("The members of a gang start together or not at all", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    JobSpec gang = SchedulerFixture::quickJob("gang", 13);
+    gang.steps[0].gang = true;
+    fixture.scheduler->submit(gang, fixture.now);
+    CHECK(fixture.step().empty());
+    gang = SchedulerFixture::quickJob("small", 12);
+    gang.steps[0].gang = true;
+    fixture.scheduler->submit(gang, fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 12);
+    CHECK(std::ranges::all_of(starts, [&](const StartOrder &start) { return start.run.run == starts[0].run.run; }));
+    fixture.end(starts[0], RunEnd::Done, 1);
+    CHECK(fixture.scheduler->find("small")->phase() == JobPhase::Completed);
+}
+
+} // namespace Carobflow::Scheduling
--- /dev/null
+++ b/tests/hosted/hostedsystem.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "carobflow/bench/childprocess.h"
+#include "carobflow/bench/httpcaller.h"
+#include "standins/serverstandin.h"
+#include "standins/storestandin.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+namespace Carobflow::Bench
+{
+
+/// Real daemons against stand-ins of the users' platform: a store, workers, and a configuration with one queue.
+class HostedSystem
+{
+public:
+    struct Options {
+        std::size_t entries = 1;
+        std::size_t agents = 3;
+    };
+
+    explicit HostedSystem(Options options);
+    ~HostedSystem();
+    HostedSystem(const HostedSystem &) = delete;
+    HostedSystem &operator=(const HostedSystem &) = delete;
+
+    /// Waits until a job can be submitted.
+    void waitUntilReady();
+
+    /// Submits a job of `tasks` tasks that each run for `work`; returns the status of the answer.
+    unsigned submit(const std::string &id, std::size_t tasks, Milliseconds work, std::size_t entry = 0);
+
+    /// The state that clients are shown; the status of the answer when it is not 200.
+    std::string state(const std::string &id, std::size_t entry = 0);
+    unsigned cancel(const std::string &id, std::size_t entry = 0);
+
+    /// Waits until a job is shown in this state; false when the time passes.
+    bool waitForState(const std::string &id, const std::string &state, Milliseconds limit);
+
+    /// Runs a function on the thread of the stand-ins.
+    void onStandIns(const std::function<void()> &function);
+
+    /// What the workers have been seen to run.
+    std::vector<StandIn::ObservedRun> runs();
+
+    /// Index of the agent that leads, by its log; none when no agent does.
+    std::optional<std::size_t> leader();
+
+    void startAgent(std::size_t index);
+    void startEntry(std::size_t index);
+
+    ChildProcess &agent(std::size_t index)
+    {
+        return *m_agents[index];
+    }
+
+    ChildProcess &entry(std::size_t index)
+    {
+        return *m_entries[index];
+    }
+
+    StandIn::StoreStandIn &store()
+    {
+        return *m_store;
+    }
+
+    StandIn::ServerStandIn &worker(std::size_t index)
+    {
+        return *m_workers[index];
+    }
+
+    /// Faults that any run of any test must not show: two runs of a task at once, or a run after a finished one.
+    std::vector<std::string> violations();
+
+private:
+    struct Ports {
+        std::uint16_t http = 0;
+        std::uint16_t ready = 0;
+        std::uint16_t grpc = 0;
+        std::uint16_t metrics = 0;
+    };
+
+    std::string
+    writeSettings(const std::string &name, const std::string &role, const Ports &ports, std::uint16_t upstream);
+    [[nodiscard]] HttpEndpoint front(std::size_t entry) const;
+
+    Options m_options;
+    std::string m_directory;
+    boost::asio::io_context m_io;
+    std::unique_ptr<StandIn::StoreStandIn> m_store;
+    std::vector<StandIn::ObservedRun> m_record;
+    std::vector<std::unique_ptr<StandIn::ServerStandIn>> m_workers;
+    std::vector<Ports> m_entryPorts;
+    std::vector<Ports> m_agentPorts;
+    std::vector<std::unique_ptr<ChildProcess>> m_entries;
+    std::vector<std::unique_ptr<ChildProcess>> m_agents;
+    HttpCaller m_caller;
+    std::thread m_thread;
+};
+
+} // namespace Carobflow::Bench
--- /dev/null
+++ b/tests/hosted/jobs_test.cpp
@@ -0,0 +1,155 @@
+#include "hostedsystem.h"
+
+#include <csignal>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+namespace Carobflow::Bench
+{
+
+namespace
+{
+
+/// A valid id that differs for each number.
+std::string jobId(unsigned number)
+{
+    std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), 'a') + digits;
+}
+
+} // namespace
+
+TEST_CASE("A calm morning is served through entry, leader, agents and workers", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    for (unsigned number = 0; number < 20; ++number) {
+        REQUIRE(system.submit(jobId(number), 3, Milliseconds(150)) == 200);
+    }
+    for (unsigned number = 0; number < 20; ++number) {
+        CHECK(system.waitForState(jobId(number), "completed", Milliseconds(10000)));
+    }
+    // Guards against tasks that are lost or started more than once.
+    CHECK(system.runs().size() == 60);
+    CHECK(system.violations().empty());
+    CHECK(system.state(jobId(999)) == "410");
+}
+
+TEST_CASE("A killed leader is replaced and running work goes on", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    for (unsigned number = 0; number < 6; ++number) {
+        REQUIRE(system.submit(jobId(number), 2, Milliseconds(4000)) == 200);
+    }
+    std::this_thread::sleep_for(Milliseconds(500));
+    const auto leader = system.leader();
+    REQUIRE(leader);
+    system.agent(*leader).signal(SIGKILL);
+    system.startAgent(*leader);
+    // Submissions go on through the change of leader.
+    CHECK(system.submit(jobId(100), 2, Milliseconds(100)) == 200);
+    for (unsigned number = 0; number < 6; ++number) {
+        CHECK(system.waitForState(jobId(number), "completed", Milliseconds(15000)));
+    }
+    CHECK(system.waitForState(jobId(100), "completed", Milliseconds(10000)));
+    // Guards against work that is thrown away or repeated at a change of leader.
+    CHECK(system.runs().size() == 14);
+    CHECK(system.violations().empty());
+}
+
+TEST_CASE("A write that the store performs late does not bring back old rows", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 4, Milliseconds(300)) == 200);
+    system.onStandIns([&] { system.store().lateWrites = 2; });
+    REQUIRE(system.submit(jobId(2), 2, Milliseconds(300)) == 200);
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(10000)));
+    CHECK(system.waitForState(jobId(2), "completed", Milliseconds(10000)));
+    std::this_thread::sleep_for(Milliseconds(2000));
+    const auto leader = system.leader();
+    REQUIRE(leader);
+    // A successor reads what the late writes would have left behind.
+    system.agent(*leader).signal(SIGTERM);
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(8000)));
+    CHECK(system.waitForState(jobId(2), "completed", Milliseconds(8000)));
+    CHECK(system.runs().size() == 6);
+    CHECK(system.violations().empty());
+}
+
+TEST_CASE("A start that the worker carries out late runs once", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    system.onStandIns([&] {
+        for (std::size_t index = 0; index < 3; ++index) {
+            system.worker(index).lateStarts = 2;
+            system.worker(index).lostStarts = 1;
+        }
+    });
+    for (unsigned number = 0; number < 4; ++number) {
+        REQUIRE(system.submit(jobId(number), 3, Milliseconds(400)) == 200);
+    }
+    for (unsigned number = 0; number < 4; ++number) {
+        CHECK(system.waitForState(jobId(number), "completed", Milliseconds(15000)));
+    }
+    CHECK(system.violations().empty());
+}
+
+TEST_CASE("A worker that starts again has lost what ran on it", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 6, Milliseconds(1500)) == 200);
+    std::this_thread::sleep_for(Milliseconds(500));
+    std::size_t lost = 0;
+    system.onStandIns([&] {
+        lost = system.worker(0).runningCount();
+        system.worker(0).restart();
+    });
+    REQUIRE(lost > 0);
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(15000)));
+    CHECK(system.runs().size() == 6 + lost);
+    CHECK(system.violations().empty());
+}
+
+TEST_CASE("A cancelled job stops and stays cancelled", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 3, Milliseconds(20000)) == 200);
+    std::this_thread::sleep_for(Milliseconds(300));
+    CHECK(system.cancel(jobId(1)) == 200);
+    CHECK(system.cancel(jobId(2)) == 410);
+    CHECK(system.state(jobId(1)) == "cancelled");
+    waitUntil("nothing runs", [&] {
+        std::size_t running = 0;
+        system.onStandIns([&] {
+            for (std::size_t index = 0; index < 3; ++index) {
+                running += system.worker(index).runningCount();
+            }
+        });
+        return running == 0;
+    });
+}
+
+TEST_CASE("While the store is away accepted work goes on and nothing is promised", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 4, Milliseconds(3000)) == 200);
+    std::this_thread::sleep_for(Milliseconds(300));
+    system.onStandIns([&] { system.store().refusing = true; });
+    const unsigned status = system.submit(jobId(2), 1, Milliseconds(100));
+    CHECK((status == 503 || status == 504));
+    std::this_thread::sleep_for(Milliseconds(3000));
+    system.onStandIns([&] { system.store().refusing = false; });
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(10000)));
+    // Guards against leases that end with an outage of the store.
+    CHECK(system.runs().size() == (status == 504 ? 5 : 4));
+    CHECK(system.violations().empty());
+}
+
+} // namespace Carobflow::Bench
