Reject jobs at once while the store is away, bound the log, explain failures

Change: after 0.5 s without an answer to its write the leader takes no job, and an entry that does not reach the store either answers 503 with Retry-After.

--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -71,6 +71,7 @@
     *request.mutable_job() = toMessage(job);
     const TimePoint began = suspendAwareNow();
     bool maybeSent = false;
+    bool storeAway = false;
     while (remaining(deadline) > RetryPause) {
         const std::string leader = m_directory.current().address;
         bool connected = false;
@@ -88,11 +89,16 @@
                     co_return JobNotTaken{.retryAfter = Milliseconds(reply->retry_after_ms()), .overloaded = true};
                 }
                 maybeSent = maybeSent || reply->outcome() == wire::SubmitReply::UNCERTAIN;
+                storeAway = reply->outcome() == wire::SubmitReply::STORE_AWAY && !m_operators.isStoreFresh();
+                if (storeAway && !maybeSent) {
+                    // Neither the leader nor this entry reaches the store: waiting would only hold the client.
+                    co_return JobNotTaken{};
+                }
             } else {
                 maybeSent = true;
             }
         }
-        if (suspendAwareNow() - began > LeaderPatience) {
+        if (suspendAwareNow() - began > LeaderPatience && !storeAway) {
             request.mutable_job()->set_accepted_unix_ms(
                 std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
             const InboxOutcome written = co_await writeInbox(StoreLayout::keyOf(StoreLayout::InboxPrefix, job.id),
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -33,6 +33,8 @@
 /// Without the store's word for this long the leader grants no more: a successor counts on it. Longer than the store's
 /// outages in the sites' records, so that running work survives them.
 constexpr Milliseconds UnconfirmedLimit{7000};
+/// The slowest store in the sites' records writes within 0.36 s.
+constexpr Milliseconds StoreAwayAfter{500};
 constexpr Milliseconds ExecuteTimeout{700};
 constexpr Milliseconds GreetInterval{300};
 constexpr Milliseconds SweepInterval{5000};
@@ -192,6 +194,11 @@
     return now - m_ledger->confirmedAt() < UnconfirmedLimit;
 }
 
+bool LeaderTerm::isStoreAway(TimePoint now) const
+{
+    return m_writingSince && now - *m_writingSince > StoreAwayAfter;
+}
+
 asio::awaitable<void> LeaderTerm::lead()
 {
     while (!m_over) {
@@ -279,7 +286,9 @@
         co_return true;
     }
     const std::uint64_t round = ++m_round;
+    m_writingSince = now;
     const Status committed = co_await m_ledger->commit(std::move(mutations));
+    m_writingSince.reset();
     if (!isOk(committed)) {
         logInfo("deposed").with("epoch", m_ledger->epoch()).with("reason", errorOf(committed).message);
         co_return false;
@@ -329,6 +338,11 @@
         co_return reply;
     }
     const std::string id = request.job().id();
+    if (isStoreAway(suspendAwareNow()) && m_scheduler.find(id) == nullptr) {
+        logInfo("job-refused").with("job", id).with("reason", "store-away");
+        reply.set_outcome(wire::SubmitReply::STORE_AWAY);
+        co_return reply;
+    }
     const auto outcome = m_scheduler.submit(fromMessage(request.job()), suspendAwareNow());
     if (outcome == Scheduling::Scheduler::Submission::Accepted) {
         m_unstored[id] = unixMilliseconds();
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -91,6 +92,8 @@
     void checkContact(TimePoint now);
     void wakeWaiters();
     [[nodiscard]] bool isConfirmed(TimePoint now) const;
+    /// True while a write has waited for the store for so long that new jobs are better rejected.
+    [[nodiscard]] bool isStoreAway(TimePoint now) const;
 
     boost::asio::any_io_executor m_strand;
     Options m_options;
@@ -108,6 +111,8 @@
     std::atomic<bool> m_over{false};
     TimePoint m_startedAt;
     TimePoint m_renewedAt;
+    /// When the write in progress began.
+    std::optional<TimePoint> m_writingSince;
     TimePoint m_sweptAt;
     TimePoint m_contactAt;
     /// Accept times, until the job's row is in the store.
--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -289,7 +289,7 @@
             const bool known = std::ranges::any_of(
                 Keys, [&](const Key &key) { return key.section == section && key.name == name; });
             if (!known) {
-                fault(section, name) << "unknown key; expected a key of docs/operations.md, so remove the line or "
+                fault(section, name) << "unknown key; expected a key of docs/OPERATIONS.md, so remove the line or "
                                         "correct its spelling\n";
             }
         }
--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -25,7 +25,7 @@
     [[nodiscard]] std::string toString() const;
 };
 
-/// All settings of the daemon, with their defaults. `docs/operations.md` describes each.
+/// All settings of the daemon, with their defaults. `docs/OPERATIONS.md` describes each.
 struct Settings {
     /// The file that they were read from.
     std::string path;
--- a/packages/daemon/src/carobflow/daemon/shardcountcheck.cpp
+++ b/packages/daemon/src/carobflow/daemon/shardcountcheck.cpp
@@ -91,14 +91,14 @@
         return Error{ErrorKind::Internal,
                      place + "'" + own + "' cannot be compared with the table's row " + RowKey + ", which is '"
                          + std::string(value)
-                         + "'; see 'Changing the number of shards' in docs/operations.md and write the row again"};
+                         + "'; see 'Changing the number of shards' in docs/OPERATIONS.md and write the row again"};
     }
     if (number->as_int64() != m_options.shards) {
         const std::string expected = std::to_string(number->as_int64());
         return Error{ErrorKind::InvalidArgument,
                      place + "'" + own + "' is not the number of this system; expected " + expected
                          + ", which is in the table's row " + RowKey + "; write 'shards = " + expected
-                         + "' and restart, or see 'Changing the number of shards' in docs/operations.md"};
+                         + "' and restart, or see 'Changing the number of shards' in docs/OPERATIONS.md"};
     }
     return std::monostate{};
 }
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -57,7 +57,7 @@
         {"role = entry", "role = leader", "[process] role: 'leader' is not valid; expected entry or agent; write for"},
         {"name = entry-1\n", "", "[process] name: missing; write for example 'name = entry-1'"},
         {"name = entry-1", "name =", "[process] name: '' is not valid; expected a text that is not empty"},
-        {"name =", "nam =", "[process] nam: unknown key; expected a key of docs/operations.md"},
+        {"name =", "nam =", "[process] nam: unknown key; expected a key of docs/OPERATIONS.md"},
         {"http = 127.0.0.1:8080", "http = localhost:8080", "expected an IP address and a port; write for example"},
         {"http = 127.0.0.1:8080", "http = 127.0.0.1:80800", "[listen] http: '127.0.0.1:80800' is not valid"},
         {"[entry]", "[process]\nthreads = 0\n[entry]", "[process] threads: '0' is not valid; expected a number from 1"},
--- a/packages/logging/src/carobflow/logging/log.cpp
+++ b/packages/logging/src/carobflow/logging/log.cpp
@@ -1,6 +1,9 @@
 #include "carobflow/logging/log.h"
 
+#include "carobflow/logging/internal/boundedlines.h"
+
 #include <atomic>
+#include <iostream>
 
 #include <easylogging++.h>
 
@@ -46,6 +49,9 @@
 void configureLog(std::string_view process, LogLevel lowest)
 {
     lowestLevel = lowest;
+    // Never destroyed: lines may be written until the process has ended.
+    static auto *lines = new BoundedLines(BoundedLines::Options{});
+    std::cout.rdbuf(lines);
     std::string name;
     for (const char character : process) {
         name += character == '%' ? '_' : character;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -23,6 +23,8 @@
 /// A run whose percentage has not moved for this long, and for half of its estimate, stands still. Reports come every
 /// 400 ms and figures lag by 500 ms.
 constexpr Milliseconds StallTime{2000};
+/// Fillers that are held to less than this share of their work may make no visible progress for seconds.
+constexpr std::uint32_t PacedShare = 60;
 /// A task that lasts is at work shortly after its start; one that is not by then is started elsewhere.
 constexpr Milliseconds StartupLimit{3000};
 constexpr std::uint32_t AtWorkPercent = 100;
@@ -652,6 +654,11 @@
         }
         return;
     }
+    if (step.fillsLeftover && host.host.report().fillerShare < PacedShare) {
+        // Held back by its host's agent: standing still is no fault of the upstream.
+        attempt.progressedAt = now;
+        return;
+    }
     const Duration stallLimit = std::max<Duration>(StallTime, step.estimate / 2);
     if (now - attempt.progressedAt > stallLimit) {
         hostState(attempt.host).host.noteStall(now);
--- /dev/null
+++ b/packages/scheduler/tests/policy_test.cpp
@@ -0,0 +1,156 @@
+#include "carobflow/scheduler/candidacy.h"
+#include "carobflow/scheduler/fillerguide.h"
+#include "carobflow/scheduler/joborder.h"
+#include "carobflow/scheduler/pacer.h"
+
+#include <catch2/catch.hpp>
+
+namespace Carobflow::Scheduling
+{
+
+TEST_CASE("Fillers are held back before a service misses its target and get their share back", "[pacer]")
+{
+    Pacer pacer{Pacer::Options{}};
+    TimePoint now{Seconds(100)};
+    PacedTask service{.run = {.task = {.job = "service"}, .run = 1}, .image = "web", .tailTarget = Milliseconds(100)};
+    const PacedTask filler{.run = {.task = {.job = "filler"}, .run = 1}, .image = "batch", .fillsLeftover = true};
+    const auto update = [&](std::int64_t tailMs) {
+        now += Milliseconds(700);
+        service.tailMs = tailMs;
+        return pacer.update(std::vector{service, filler}, now);
+    };
+    CHECK(update(50).empty());
+
+    // Guards against a tail over its target for longer than the four seconds that the sites allow.
+    SECTION("A tail over its target stops fillers within 3.5 s")
+    {
+        for (int step = 0; step < 5; ++step) {
+            update(150);
+        }
+        CHECK(pacer.share() == 0);
+        SECTION("And a low one gives everything back")
+        {
+            for (int step = 0; step < 8; ++step) {
+                update(20);
+            }
+            CHECK(pacer.share() == 100);
+        }
+    }
+    SECTION("A tail between the bounds changes nothing")
+    {
+        CHECK(update(80).empty());
+        CHECK(pacer.share() == 100);
+    }
+    SECTION("A command that did not arrive is sent again")
+    {
+        REQUIRE(update(90).size() == 1);
+        CHECK(update(80).empty());
+        pacer.forget(filler.run);
+        CHECK(update(80).size() == 1);
+    }
+}
+
+TEST_CASE("The effect of a filler's image on a service is learned", "[fillerguide]")
+{
+    FillerGuide guide{FillerGuide::Options{}};
+    const auto figures = [&](std::int64_t tailMs, const std::vector<std::string> &fillers, std::uint32_t share = 100) {
+        guide.observe("host", {{.image = "web", .tailTarget = Milliseconds(150), .tailMs = tailMs}}, fillers, share);
+    };
+    for (int window = 0; window < 30; ++window) {
+        figures(40, {});
+        figures(120, {"heavy"});
+        figures(44, {"gentle"});
+    }
+    const TimePoint now{Seconds(100)};
+    figures(40, {});
+    CHECK(guide.admits("host", "gentle", now));
+    // Guards against batch work that is placed where it pushes a service over its target.
+    CHECK_FALSE(guide.admits("host", "heavy", now));
+
+    SECTION("Fillers that the figures do not show yet count")
+    {
+        for (int count = 0; count < 12; ++count) {
+            guide.onPlaced("host", "gentle", now);
+        }
+        CHECK_FALSE(guide.admits("host", "gentle", now));
+        CHECK(guide.admits("host", "gentle", now + Seconds(2)));
+    }
+    SECTION("Where fillers are held back no more are added")
+    {
+        figures(40, {"gentle"}, 30);
+        CHECK_FALSE(guide.admits("host", "gentle", now));
+    }
+    SECTION("A host without services takes any filler")
+    {
+        CHECK(guide.admits("other", "heavy", now));
+    }
+}
+
+TEST_CASE("A process takes over only when the store shows that nobody leads", "[candidacy]")
+{
+    Candidacy candidacy({.delay = Milliseconds(100)});
+    TimePoint now{Seconds(100)};
+    const auto read = [&](std::uint64_t version, bool resigned, Milliseconds later) {
+        now += later;
+        candidacy.onRow(version, resigned, now);
+    };
+    CHECK_FALSE(candidacy.shouldTakeOver(now));
+
+    SECTION("At once when there is no row, after the delay of this process")
+    {
+        read(0, false, Milliseconds(0));
+        CHECK_FALSE(candidacy.shouldTakeOver(now));
+        CHECK(candidacy.shouldTakeOver(now + Milliseconds(150)));
+    }
+    SECTION("Not while the row is renewed")
+    {
+        for (std::uint64_t version = 1; version < 10; ++version) {
+            read(version, false, Milliseconds(700));
+            CHECK_FALSE(candidacy.shouldTakeOver(now));
+        }
+        SECTION("But when it has not changed for a while")
+        {
+            read(9, false, Milliseconds(1000));
+            read(9, false, Milliseconds(1000));
+            CHECK(candidacy.shouldTakeOver(now));
+        }
+        SECTION("Not after an outage of the store, in which no leader could renew")
+        {
+            // Guards against a change of leader after each outage.
+            candidacy.onSilence();
+            read(9, false, Milliseconds(5000));
+            CHECK_FALSE(candidacy.shouldTakeOver(now));
+        }
+        SECTION("At once when the leader has resigned")
+        {
+            read(10, true, Milliseconds(300));
+            CHECK(candidacy.shouldTakeOver(now + Milliseconds(150)));
+        }
+    }
+    SECTION("Not from news that are old")
+    {
+        read(0, false, Milliseconds(0));
+        CHECK_FALSE(candidacy.shouldTakeOver(now + Seconds(3)));
+    }
+}
+
+TEST_CASE("Jobs that can still be in time come before those that cannot", "[joborder]")
+{
+    const TimePoint now{Seconds(100)};
+    const auto job = [&](const std::string &id, std::uint32_t priority, Milliseconds age, Milliseconds work) {
+        return Job({.id = id, .queue = "q", .steps = {{.count = 1, .estimate = work}}},
+                   {.name = "q", .priority = priority, .stretch = 2, .latencyAllowance = Milliseconds(1000)},
+                   now - age);
+    };
+    // Guards against overload in which room is spent on results that nobody waits for any more.
+    Job fresh = job("fresh", 2, Milliseconds(100), Milliseconds(2000));
+    Job tight = job("tight", 2, Milliseconds(2000), Milliseconds(2000));
+    Job late = job("late", 2, Milliseconds(6000), Milliseconds(2000));
+    Job worthless = job("worthless", 2, Milliseconds(30000), Milliseconds(2000));
+    Job urgent = job("urgent", 0, Milliseconds(0), Milliseconds(1000));
+    std::vector<Job *> jobs{&worthless, &late, &fresh, &tight, &urgent};
+    JobOrder(now).sort(jobs);
+    CHECK(jobs == std::vector<Job *>{&urgent, &tight, &fresh, &late, &worthless});
+}
+
+} // namespace Carobflow::Scheduling
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -268,6 +268,32 @@
     CHECK(fixture.step().size() == 2);
 }
 
+TEST_CASE("A run that stands still is moved, unless its host holds it back", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    JobSpec filler = SchedulerFixture::quickJob("filler", 1);
+    filler.steps[0].fillsLeftover = true;
+    fixture.scheduler->submit(filler, fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    const auto reportFor = [&](std::uint32_t share, Milliseconds time) {
+        for (Milliseconds passed{0}; passed < time; passed += Milliseconds(400)) {
+            fixture.advance(Milliseconds(400));
+            HostReport report = fixture.reportOf(starts[0].host);
+            report.running.push_back({.run = starts[0].run, .percent = 30});
+            report.fillerShare = share;
+            fixture.scheduler->onReport(report, fixture.now);
+            fixture.step();
+        }
+    };
+    // Guards against throwing work away because fillers are paced for the sake of services.
+    reportFor(0, Milliseconds(6000));
+    CHECK(fixture.stops().empty());
+    // Guards against tasks that stand still for ever on a faulty upstream.
+    reportFor(100, Milliseconds(3000));
+    CHECK(fixture.stops().size() >= 1);
+}
+
 TEST_CASE("The members of a gang start together or not at all", "[scheduler]")
 {
     SchedulerFixture fixture;
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -144,7 +144,12 @@
     system.onStandIns([&] { system.store().refusing = true; });
     const unsigned status = system.submit(jobId(2), 1, Milliseconds(100));
     CHECK((status == 503 || status == 504));
-    std::this_thread::sleep_for(Milliseconds(3000));
+    // Once the outage is known new jobs are rejected at once, with the truth that they never run.
+    std::this_thread::sleep_for(Milliseconds(2000));
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(system.submit(jobId(3), 1, Milliseconds(100)) == 503);
+    CHECK(std::chrono::steady_clock::now() - began < Milliseconds(300));
+    std::this_thread::sleep_for(Milliseconds(1000));
     system.onStandIns([&] { system.store().refusing = false; });
     CHECK(system.waitForState(jobId(1), "completed", Milliseconds(10000)));
     // Guards against leases that end with an outage of the store.
--- a/tests/integration/shards_test.cpp
+++ b/tests/integration/shards_test.cpp
@@ -349,7 +349,7 @@
     waitUntilServes(cluster, 1, host);
 }
 
-// Guards against a procedure of docs/operations.md that loses the way between ledgers, epochs and the new number.
+// Guards against a procedure of docs/OPERATIONS.md that loses the way between ledgers, epochs and the new number.
 TEST_CASE("the number of shards changes while all processes are stopped and no job is recorded", "[shards]")
 {
     JobCluster jobs;
