Renew no leases of an upstream that does not answer

Change: after 1.2 s without an answer calls renew nothing. Ruled out: the leader's wait for the host, which reported all the time. Test: What ran on an upstream that falls silent for good starts elsewhere (failed before, passes after).

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -24,6 +24,8 @@
 /// A running list is at most this old; ends are returned at once.
 constexpr Milliseconds RenewWait{400};
 constexpr Milliseconds RenewPause{100};
+/// Longer than one call for lists with its time-out, 0.8 s.
+constexpr Milliseconds RenewalSilenceLimit{1200};
 /// Three reports fit into the time after which a host gets no starts.
 constexpr Milliseconds ReportInterval{400};
 constexpr Milliseconds ReportTimeout{600};
@@ -122,7 +124,9 @@
 
 std::optional<std::int64_t> HostAgent::leaseUntil(TimePoint now) const
 {
-    if (!holdsGrant(now) || m_clockAt == TimePoint{}) {
+    // A call without an answer may still renew the lease, so a silent upstream gets no renewals: otherwise nobody could
+    // ever say that its runs have ended.
+    if (!holdsGrant(now) || m_clockAt == TimePoint{} || now - m_answeredAt > RenewalSilenceLimit) {
         return std::nullopt;
     }
     // The upstream's clock is at least this far: its answer left before it arrived here.
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -143,6 +143,23 @@
     CHECK(system.violations().empty());
 }
 
+TEST_CASE("What ran on an upstream that falls silent for good starts elsewhere when its lease has ended", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 6, Milliseconds(1500)) == 200);
+    std::this_thread::sleep_for(Milliseconds(500));
+    std::size_t lost = 0;
+    system.onStandIns([&] {
+        lost = system.worker(0).runningCount();
+        system.worker(0).silent = true;
+    });
+    REQUIRE(lost > 0);
+    // Guards against an agent whose unanswered calls renew the lease for ever.
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(14000)));
+    CHECK(system.runs().size() == 6 + lost);
+}
+
 TEST_CASE("A cancelled job stops and stays cancelled", "[hosted]")
 {
     HostedSystem system({});
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -59,6 +59,8 @@
 {
     HttpClient client(m_io.get_executor());
     for (;;) {
+        // Leases end whether or not anybody calls.
+        advance();
         if (!silent) {
             const json::object body{{"service", m_options.service},
                                     {"address", "127.0.0.1:" + std::to_string(m_port)},
