Keep the leader's address known during its own take-over

Nobody reported, and leaders resigned for lack of contact every 5 s. Ruled out: the agents' way to the leader, since heard=0 came with answered calls. Test: A calm morning counts terms and lost contacts.

--- a/packages/control/src/carobflow/control/election.cpp
+++ b/packages/control/src/carobflow/control/election.cpp
@@ -59,9 +59,9 @@
         m_candidacy.onRow(0, false, now);
         return;
     }
-    // A row that names this process while it does not lead is from its life before a restart: nobody leads.
-    const bool isOwn = leadership.address() == m_options.ledger.address && !m_term.load();
-    m_directory.learn(leadership.epoch(), isOwn ? std::string() : leadership.address());
+    m_directory.learn(leadership.epoch(), leadership.address());
+    // A row that names this process, which neither leads nor is taking over, is from its life before a restart.
+    const bool isOwn = leadership.address() == m_options.ledger.address && !m_takingOver;
     m_candidacy.onRow(row->version, isOwn || leadership.address().empty(), now);
 }
 
@@ -113,7 +113,9 @@
     while (!m_leaving) {
         co_await sleepFor(CandidateInterval);
         if (m_candidacy.shouldTakeOver(suspendAwareNow()) && m_operators.current() && !m_leaving) {
+            m_takingOver = true;
             co_await tryToLead();
+            m_takingOver = false;
             m_candidacy.standBack(suspendAwareNow() + StandBackTime);
         }
     }
@@ -122,7 +124,7 @@
 asio::awaitable<void> Election::tryToLead()
 {
     auto ledger = std::make_unique<Ledger>(m_options.ledger, m_table);
-    const Status taken = co_await ledger->takeOver();
+    const Status taken = co_await ledger->takeOver(m_directory.current().epoch);
     if (!isOk(taken)) {
         logInfo("take-over-failed").with("error", errorOf(taken).message);
         co_return;
--- a/packages/control/src/carobflow/control/election.h
+++ b/packages/control/src/carobflow/control/election.h
@@ -60,6 +60,8 @@
     Scheduling::Candidacy m_candidacy;
     std::atomic<std::shared_ptr<LeaderTerm>> m_term;
     std::atomic<bool> m_leaving{false};
+    /// From the attempt to lead to the end of the term.
+    bool m_takingOver = false;
 };
 
 } // namespace Carobflow
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -69,7 +69,7 @@
     return {.key = std::string(StoreLayout::LeaderKey), .value = leaderValue({})};
 }
 
-asio::awaitable<Status> Ledger::takeOver()
+asio::awaitable<Status> Ledger::takeOver(Epoch lastKnown)
 {
     const std::vector<std::string> keys{std::string(StoreLayout::LedgerHeadKey)};
     const auto rows = co_await m_table.read(keys);
@@ -84,6 +84,9 @@
             co_return Error{ErrorKind::Internal, "the row ledger/head cannot be read; remove it while no leader runs"};
         }
     }
+    if (before.epoch() > lastKnown) {
+        co_return deposed();
+    }
     m_epoch = before.epoch() + 1;
     m_sequence = 0;
     const std::uint64_t token = randomNumber();
--- a/packages/control/src/carobflow/control/ledger.h
+++ b/packages/control/src/carobflow/control/ledger.h
@@ -29,9 +29,9 @@
 
     Ledger(Options options, WatchableTable &table);
 
-    /// Becomes the leader with the next epoch. Errors: Conflict when another process was faster, Unavailable when the
-    /// outcome is not known; the caller may try again.
-    boost::asio::awaitable<Status> takeOver();
+    /// Becomes the leader with the next epoch. `lastKnown` is the epoch of the leader that is to be replaced. Errors:
+    /// Conflict when another process was faster, Unavailable when the outcome is not known; the caller may try again.
+    boost::asio::awaitable<Status> takeOver(Epoch lastKnown);
 
     [[nodiscard]] Epoch epoch() const
     {
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -24,6 +24,8 @@
 {
     HostedSystem system({});
     system.waitUntilReady();
+    // Longer than it takes a leader without contact to resign.
+    std::this_thread::sleep_for(Milliseconds(3500));
     for (unsigned number = 0; number < 20; ++number) {
         REQUIRE(system.submit(jobId(number), 3, Milliseconds(150)) == 200);
     }
@@ -34,6 +36,17 @@
     CHECK(system.runs().size() == 60);
     CHECK(system.violations().empty());
     CHECK(system.state(jobId(999)) == "410");
+    std::size_t terms = 0;
+    for (std::size_t index = 0; index < 3; ++index) {
+        const std::string output = system.agent(index).output();
+        for (auto found = output.find("event=state-loaded"); found != std::string::npos;
+             found = output.find("event=state-loaded", found + 1)) {
+            ++terms;
+        }
+        CHECK(output.find("event=contact-lost") == std::string::npos);
+    }
+    // Guards against changes of leader without a cause.
+    CHECK(terms == 1);
 }
 
 TEST_CASE("A killed leader is replaced and running work goes on", "[hosted]")
