Free the runs of a silent upstream under a leader that it never answered

Change: a host that reports a silent upstream without any lease left frees its runs, fenced or not: only this agent renews leases there, and orders of earlier leaders carry a lease that is over.

--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -188,6 +188,10 @@
             return !attempt.restored && attempt.upstream != report.upstream->identity;
         });
     }
+    if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0) {
+        // Whatever ran there has lost its lease, also where the upstream never answered under this leader.
+        dropAttempts(state, "upstream-silent", [](const Attempt & /*attempt*/) { return true; });
+    }
     if (!fenced || !report.upstream) {
         return;
     }
@@ -195,9 +199,6 @@
     applyRunning(state, report, now);
     settleRestored(state);
     observeColocation(report);
-    if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0) {
-        dropAttempts(state, "upstream-silent", [](const Attempt & /*attempt*/) { return true; });
-    }
 }
 
 void Scheduler::applyEnds(HostState &host, const HostReport &report, TimePoint now)
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -177,6 +177,22 @@
         fixture.reportAll();
         CHECK(fixture.step().size() == 1);
     }
+    SECTION("A silent upstream whose leases have ended holds nothing, though it never answered this leader")
+    {
+        // Guards against tasks that are lost with an upstream that crashes shortly before a change of leader.
+        --fixture.epoch;
+        HostReport report = fixture.reportOf(starts[0].host);
+        report.silence = Milliseconds(6000);
+        report.leaseLeft = Milliseconds(100);
+        fixture.scheduler->onReport(report, fixture.now);
+        ++fixture.epoch;
+        std::erase(fixture.hostNames, starts[0].host);
+        fixture.reportAll();
+        CHECK(fixture.step().empty());
+        report.leaseLeft = Milliseconds(0);
+        fixture.scheduler->onReport(report, fixture.now);
+        CHECK(fixture.step().size() == 1);
+    }
     SECTION("A list from before the upstream refused the earlier leader settles nothing")
     {
         --fixture.epoch;
