Confirm a repeated cancellation only when the first is in the store

Change: every confirmation waits until the job has no change that is not in the store. Ruled out: the inbox, which no entry had written. Test: A repeated cancellation is confirmed only when the first one is in the store (failed before, passes after).

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -35,6 +35,8 @@
 constexpr Milliseconds UnconfirmedLimit{7000};
 /// The slowest store in the sites' records writes within 0.36 s.
 constexpr Milliseconds StoreAwayAfter{500};
+/// About the time of one write.
+constexpr Milliseconds CommitPollInterval{5};
 constexpr Milliseconds ExecuteTimeout{700};
 constexpr Milliseconds GreetInterval{300};
 constexpr Milliseconds SweepInterval{5000};
@@ -358,7 +360,7 @@
         } else {
             // Another request with the same id waits for the same write.
             while (!m_over && m_unstored.contains(id)) {
-                co_await sleepFor(Milliseconds(5));
+                co_await sleepFor(CommitPollInterval);
             }
         }
         if (m_unstored.contains(id)) {
@@ -391,11 +393,14 @@
         m_scheduler.cancel(request.id());
         logInfo("job-cancelled").with("job", request.id());
         co_await waitForCommit(request.id());
-        if (m_over) {
-            co_return reply;
-        }
     }
-    reply.set_outcome(wire::CancelReply::CANCELLED);
+    // A repeated request finds the job cancelled already; it too is answered only when that is in the store.
+    while (!m_over && m_scheduler.isDirty(request.id())) {
+        co_await sleepFor(CommitPollInterval);
+    }
+    if (!m_over) {
+        reply.set_outcome(wire::CancelReply::CANCELLED);
+    }
     co_return reply;
 }
 
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -193,6 +193,20 @@
     });
 }
 
+TEST_CASE("A repeated cancellation is confirmed only when the first one is in the store", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 2, Milliseconds(60000)) == 200);
+    system.onStandIns([&] { system.store().refusing = true; });
+    CHECK(system.cancel(jobId(1)) == 504);
+    // Guards against a confirmed cancellation that a loss of power undoes, after which the tasks start again.
+    CHECK(system.cancel(jobId(1)) == 504);
+    system.onStandIns([&] { system.store().refusing = false; });
+    CHECK(system.cancel(jobId(1)) == 200);
+    CHECK(system.state(jobId(1)) == "cancelled");
+}
+
 TEST_CASE("While the store is away accepted work goes on and nothing is promised", "[hosted]")
 {
     HostedSystem system({});
