Pace and place fillers by effects learned from changes

Cause: an agent held all fillers of its host to one share. A regression over the recorded figures shows an effect for two or three of nine images beside each service, none for the others. Ruled out: the absolute regression of the standalone model. The load of the services swings by half over 10 s and more and hides the effects: R2 0.04 to 0.2 against 0.22 to 0.45 for changes within 0.8 s. Change: HeadroomModel learns target over tail per core of each pair from changes; the leader tells agents the effects of the images on their host; Pacer has a share for each image and cuts those that cause the loss, and all after 1.2 s over a target; FillerGuide admits what takes next to nothing.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -1,5 +1,7 @@
 #include "carobflow/control/conversion.h"
 
+#include <algorithm>
+
 namespace Carobflow
 {
 
@@ -9,6 +11,8 @@
 namespace
 {
 
+constexpr std::uint32_t FullShare = 100;
+
 void fill(wire::Size &message, const Resources &resources)
 {
     message.set_cpu_millis(resources.cpuMillis);
@@ -175,7 +179,6 @@
     message.set_silence_ms(report.silence.count());
     message.set_lease_left_ms(report.leaseLeft.count());
     message.set_tail_pressure(report.tailPressure);
-    message.set_filler_share(report.fillerShare);
     for (const model::RunningRun &run : report.running) {
         wire::RunningRun &entry = *message.add_running();
         entry.set_task(run.run.task.toString());
@@ -183,6 +186,7 @@
         entry.set_checkpoint(run.checkpoint);
         entry.set_percent(run.percent);
         entry.set_load(run.load);
+        entry.set_withheld_percent(FullShare - std::min(run.share, FullShare));
     }
     for (const model::EndedRun &run : report.ended) {
         wire::EndedRun &entry = *message.add_ended();
@@ -211,7 +215,6 @@
                              .silence = Milliseconds(message.silence_ms()),
                              .leaseLeft = Milliseconds(message.lease_left_ms()),
                              .tailPressure = message.tail_pressure(),
-                             .fillerShare = message.filler_share(),
                              .running = {},
                              .ended = {}};
     if (message.has_upstream()) {
@@ -221,7 +224,8 @@
         report.running.push_back({.run = runOf(entry.task(), entry.run()),
                                   .checkpoint = entry.checkpoint(),
                                   .percent = entry.percent(),
-                                  .load = entry.load()});
+                                  .load = entry.load(),
+                                  .share = FullShare - std::min(entry.withheld_percent(), FullShare)});
     }
     for (const wire::EndedRun &entry : message.ended()) {
         report.ended.push_back({.number = entry.number(),
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -223,20 +223,20 @@
                              .image = description->second.image,
                              .tailTarget = description->second.tailTarget,
                              .fillsLeftover = description->second.fillsLeftover,
-                             .tailMs = running.load});
+                             .load = running.load});
         }
     }
     if (m_descriptions.size() > MaxDescriptions) {
         // Those of running tasks are asked for again with the next report.
         m_descriptions.clear();
     }
-    const std::uint32_t before = m_pacer.share();
+    const std::uint32_t before = m_pacer.leastShare();
     for (const Scheduling::Pacer::Command &command : m_pacer.update(tasks, now)) {
         asio::co_spawn(m_strand, sendPace(command), asio::detached);
     }
-    if (m_pacer.share() != before) {
+    if (m_pacer.leastShare() != before) {
         logInfo("fillers-paced")
-            .with("share", m_pacer.share())
+            .with("least_share", m_pacer.leastShare())
             .with("before", before)
             .with("tail_pressure", m_pacer.pressure());
     }
@@ -272,9 +272,14 @@
                                   .silence = std::chrono::duration_cast<Milliseconds>(now - m_answeredAt),
                                   .leaseLeft = std::chrono::duration_cast<Milliseconds>(m_leaseFreeAt - now),
                                   .tailPressure = m_pacer.pressure(),
-                                  .fillerShare = m_pacer.share(),
                                   .running = m_running,
                                   .ended = m_ended};
+    for (Scheduling::RunningRun &running : report.running) {
+        const auto description = m_descriptions.find(running.run.task);
+        if (description != m_descriptions.end() && description->second.fillsLeftover) {
+            running.share = m_pacer.share(description->second.image);
+        }
+    }
     return report;
 }
 
@@ -333,6 +338,11 @@
         m_acknowledgedEnd = reply.acknowledged_end();
         std::erase_if(m_ended, [&](const auto &ended) { return ended.number <= m_acknowledgedEnd; });
     }
+    Scheduling::Pacer::Effects effects;
+    for (const wire::InterferenceEffect &effect : reply.effects()) {
+        effects[{effect.service_image(), effect.filler_image()}] = effect.headroom_per_core();
+    }
+    m_pacer.setEffects(std::move(effects));
     for (const wire::TaskDescription &description : reply.descriptions()) {
         if (const auto task = Scheduling::parseTaskId(description.task())) {
             m_descriptions[*task] = {.image = description.image(),
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -476,6 +476,7 @@
         description.set_tail_target_ms(step.tailTarget.count());
         description.set_fills_leftover(step.fillsLeftover);
     }
+    addEffects(report, reply);
     if (!report.ended.empty()) {
         m_changed = true;
         m_wake.notify();
@@ -483,6 +484,32 @@
     return reply;
 }
 
+void LeaderTerm::addEffects(const Scheduling::HostReport &report, wire::ReportReply &reply) const
+{
+    std::set<std::string_view> services;
+    std::set<std::string_view> fillers;
+    for (const Scheduling::RunningRun &running : report.running) {
+        const Scheduling::Job *job = m_scheduler.find(running.run.task.job);
+        if (job == nullptr || job->findTask(running.run.task) == nullptr) {
+            continue;
+        }
+        const Scheduling::StepSpec &step = job->step(running.run.task);
+        if (step.serves()) {
+            services.insert(step.image);
+        } else if (step.fillsLeftover) {
+            fillers.insert(step.image);
+        }
+    }
+    for (const std::string_view service : services) {
+        for (const std::string_view filler : fillers) {
+            wire::InterferenceEffect &effect = *reply.add_effects();
+            effect.set_service_image(std::string(service));
+            effect.set_filler_image(std::string(filler));
+            effect.set_headroom_per_core(m_scheduler.effect(service, filler));
+        }
+    }
+}
+
 void LeaderTerm::sendOrders()
 {
     std::map<std::string, wire::ExecuteRequest> requests;
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -84,6 +84,8 @@
     void takeInboxRow(const Row &row);
     void addJobMutations(const std::string &id, std::vector<Mutation> &mutations);
     void addHostMutations(std::vector<Mutation> &mutations);
+    /// Tells the agent what is known of the effects between the images that run on its host.
+    void addEffects(const Scheduling::HostReport &report, carobflow::control::ReportReply &reply) const;
     void sendOrders();
     boost::asio::awaitable<void> deliver(std::string host, carobflow::control::ExecuteRequest request);
     void greetHosts(TimePoint now);
--- a/packages/core/src/carobflow/core/interference.cpp
+++ b/packages/core/src/carobflow/core/interference.cpp
@@ -1,6 +1,6 @@
 #include "carobflow/core/interference.h"
 
-#include "carobflow/core/internal/recursiveregression.h"
+#include "carobflow/core/recursiveregression.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/core/src/carobflow/core/internal/recursiveregression.cpp
+++ b/packages/core/src/carobflow/core/recursiveregression.cpp
@@ -1,7 +1,7 @@
 // The checks of uBLAS make an update several times as slow.
 #define BOOST_UBLAS_NDEBUG
 
-#include "carobflow/core/internal/recursiveregression.h"
+#include "carobflow/core/recursiveregression.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/scheduler/src/carobflow/scheduler/fillerguide.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/fillerguide.cpp
@@ -7,50 +7,31 @@
 namespace
 {
 
-/// Hosts report no load of single services; their effect on the tail is learned as part of its base.
-constexpr double AssumedLoad = 0.5;
-/// Weight of a figure: that of a window with this many requests.
-constexpr std::uint32_t AssumedRequests = 100;
-constexpr double FullShare = 100;
-/// A pressure that no host with fillers may have.
-constexpr double HeldBack = 10;
+/// Keeps the part of a headroom that is used up already finite.
+constexpr double LeastExpectedHeadroom = 0.1;
 
 } // namespace
 
 FillerGuide::FillerGuide(Options options)
     : m_options(options)
-    , m_model({.priorFactor = 1.3})
+    , m_model(HeadroomModel::Options{})
 {
 }
 
 void FillerGuide::observe(std::string_view host,
-                          std::vector<ServingTask> serving,
-                          std::span<const std::string> fillerImages,
-                          std::uint32_t share)
+                          std::vector<HeadroomModel::Service> services,
+                          std::span<const HeadroomModel::Filler> fillers,
+                          TimePoint now)
 {
+    m_model.observe(host, services, fillers, now);
     auto found = m_hosts.find(host);
     if (found == m_hosts.end()) {
         found = m_hosts.emplace(std::string(host), HostState{}).first;
     }
-    HostState &state = found->second;
-    state.share = fillerImages.empty() ? static_cast<std::uint32_t>(FullShare) : share;
-    const std::vector<double> shares(fillerImages.size(), share / FullShare);
-    for (const ServingTask &task : serving) {
-        if (task.tailMs <= 0) {
-            continue;
-        }
-        ServiceWindow window;
-        window.service = task.image;
-        window.completed = AssumedRequests;
-        window.p99Milliseconds = static_cast<double>(task.tailMs);
-        window.load = AssumedLoad;
-        window.jobClasses = {fillerImages.begin(), fillerImages.end()};
-        m_model.observe(window, shares);
-    }
-    state.serving = std::move(serving);
+    found->second.services = std::move(services);
 }
 
-void FillerGuide::onPlaced(std::string_view host, std::string_view image, TimePoint now)
+void FillerGuide::onPlaced(std::string_view host, std::string_view image, double cores, TimePoint now)
 {
     const auto found = m_hosts.find(host);
     if (found == m_hosts.end()) {
@@ -58,32 +39,42 @@
     }
     std::erase_if(found->second.recent,
                   [&](const RecentFiller &filler) { return now - filler.placedAt > m_options.figureLag; });
-    found->second.recent.push_back({.image = std::string(image), .placedAt = now});
+    found->second.recent.push_back({.image = std::string(image), .cores = cores, .placedAt = now});
 }
 
-double FillerGuide::pressureWith(std::string_view host, std::string_view image, TimePoint now) const
+double FillerGuide::expectedHeadroom(const HostState &host, const HeadroomModel::Service &service, TimePoint now) const
 {
-    const auto found = m_hosts.find(host);
-    if (found == m_hosts.end() || found->second.serving.empty()) {
-        return 0;
+    double headroom = HeadroomModel::headroom(service.tailTarget, service.tailMs);
+    for (const RecentFiller &filler : host.recent) {
+        if (now - filler.placedAt <= m_options.figureLag) {
+            headroom -= m_model.effect(service.image, filler.image) * filler.cores;
+        }
     }
-    const HostState &state = found->second;
-    if (state.share < m_options.leastShare) {
-        return HeldBack;
+    return headroom;
+}
+
+bool FillerGuide::admits(std::string_view host, std::string_view image, double cores, TimePoint now) const
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end()) {
+        return true;
     }
+    return std::ranges::all_of(found->second.services, [&](const HeadroomModel::Service &service) {
+        const double loss = m_model.effect(service.image, image) * cores;
+        return loss <= m_options.negligibleLoss
+            || expectedHeadroom(found->second, service, now) - loss >= m_options.leastHeadroom;
+    });
+}
+
+double FillerGuide::lossOn(std::string_view host, std::string_view image, double cores, TimePoint now) const
+{
+    const auto found = m_hosts.find(host);
     double worst = 0;
-    for (const ServingTask &task : state.serving) {
-        if (task.tailTarget.count() <= 0) {
-            continue;
-        }
-        double pressure = static_cast<double>(task.tailMs) / static_cast<double>(task.tailTarget.count())
-            * m_model.predict(task.image, image, AssumedLoad).factor;
-        for (const RecentFiller &filler : state.recent) {
-            if (now - filler.placedAt <= m_options.figureLag) {
-                pressure *= m_model.predict(task.image, filler.image, AssumedLoad).factor;
-            }
+    if (found != m_hosts.end()) {
+        for (const HeadroomModel::Service &service : found->second.services) {
+            const double headroom = std::max(LeastExpectedHeadroom, expectedHeadroom(found->second, service, now));
+            worst = std::max(worst, m_model.effect(service.image, image) * cores / headroom);
         }
-        worst = std::max(worst, pressure);
     }
     return worst;
 }
--- a/packages/scheduler/src/carobflow/scheduler/fillerguide.h
+++ b/packages/scheduler/src/carobflow/scheduler/fillerguide.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "carobflow/core/interference.h"
-#include "carobflow/scheduler/workload.h"
+#include "carobflow/scheduler/headroommodel.h"
 
-#include <cstdint>
 #include <map>
 #include <span>
 #include <string>
@@ -13,62 +11,60 @@
 namespace Carobflow::Scheduling
 {
 
-/// Says on which hosts fillers disturb the services there too much. It learns the effect of each pair of images from
-/// the tails that hosts report, and expects the same of the next filler.
+/// Says on which hosts fillers disturb the services there too much, by what a model has learned of each pair of images.
 class FillerGuide
 {
 public:
-    /// A task that serves, with its newest figure.
-    struct ServingTask {
-        std::string image;
-        Milliseconds tailTarget{0};
-        std::int64_t tailMs = 0;
-    };
-
     struct Options {
-        /// Part of a target up to which a tail may be expected to rise. The load of the services swings by half, and
-        /// the figures lag by half a second.
-        double maxPressure = 0.62;
-        /// Fillers are added only where those that run are not held back by more than this share.
-        std::uint32_t leastShare = 85;
+        /// Headroom that a service keeps beside a new filler: a tail of 0.62 of its target. The load of the services
+        /// swings by half, and the figures lag by half a second.
+        double leastHeadroom = 1.6;
+        /// A loss of headroom below this is no reason to keep a filler away, however little headroom there is.
+        double negligibleLoss = 0.15;
         /// Until the figures show a new filler, its expected effect counts in full.
         Milliseconds figureLag{1200};
     };
 
     explicit FillerGuide(Options options);
 
-    /// Takes a host's figures. `share` is the share of their work that its fillers are held to.
+    /// Takes a host's figures.
     void observe(std::string_view host,
-                 std::vector<ServingTask> serving,
-                 std::span<const std::string> fillerImages,
-                 std::uint32_t share);
+                 std::vector<HeadroomModel::Service> services,
+                 std::span<const HeadroomModel::Filler> fillers,
+                 TimePoint now);
+
+    /// A filler that asks for this many cores was placed on a host.
+    void onPlaced(std::string_view host, std::string_view image, double cores, TimePoint now);
 
-    /// A filler was placed on a host.
-    void onPlaced(std::string_view host, std::string_view image, TimePoint now);
+    /// True when one more filler is expected to leave enough headroom to every service on the host that it slows down.
+    [[nodiscard]] bool admits(std::string_view host, std::string_view image, double cores, TimePoint now) const;
 
-    /// True when one more filler of this image is expected to leave every tail on the host below its target.
-    [[nodiscard]] bool admits(std::string_view host, std::string_view image, TimePoint now) const
+    /// The part of a service's headroom that the filler is expected to take, for the service that loses most.
+    [[nodiscard]] double lossOn(std::string_view host, std::string_view image, double cores, TimePoint now) const;
+
+    /// Headroom that the service loses per core of the filler.
+    [[nodiscard]] double effect(std::string_view service, std::string_view filler) const
     {
-        return pressureWith(host, image, now) <= m_options.maxPressure;
+        return m_model.effect(service, filler);
     }
 
-    /// The largest expected ratio of tail to target on the host with one more filler of this image.
-    [[nodiscard]] double pressureWith(std::string_view host, std::string_view image, TimePoint now) const;
-
 private:
     struct RecentFiller {
         std::string image;
+        double cores = 0;
         TimePoint placedAt;
     };
 
     struct HostState {
-        std::vector<ServingTask> serving;
+        std::vector<HeadroomModel::Service> services;
         std::vector<RecentFiller> recent;
-        std::uint32_t share = 100;
     };
 
+    [[nodiscard]] double
+    expectedHeadroom(const HostState &host, const HeadroomModel::Service &service, TimePoint now) const;
+
     Options m_options;
-    InterferenceModel m_model;
+    HeadroomModel m_model;
     std::map<std::string, HostState, std::less<>> m_hosts;
 };
 
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -26,8 +26,6 @@
     Milliseconds leaseLeft{0};
     /// Largest ratio of tail latency to its target among the tasks that serve.
     double tailPressure = 0;
-    /// Share of their work in percent that the host's fillers are held to.
-    std::uint32_t fillerShare = 100;
     std::vector<RunningRun> running;
     /// Ends that the leader has not acknowledged.
     std::vector<EndedRun> ended;
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -41,6 +41,8 @@
     TimePoint since;
     TimePoint startedAt;
     std::uint32_t percent = 0;
+    /// Share of its work in percent that pacing holds the run to.
+    std::uint32_t share = 100;
     /// When the reported percentage last changed.
     TimePoint progressedAt;
 };
--- a/packages/scheduler/src/carobflow/scheduler/pacer.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/pacer.cpp
@@ -8,28 +8,115 @@
 namespace
 {
 
-constexpr std::uint32_t FullShare = 100;
+constexpr double FullShare = 100;
+/// Loss of headroom per core that is assumed until the leader has told what it learned.
+constexpr double UnknownEffect = 0.08;
+/// Keeps the use of a filler that is held back to nothing from counting as no effect.
+constexpr double LeastShareCounted = 10;
+/// An image that causes less than this part of a service's whole loss is not cut for it.
+constexpr double MinorCause = 0.15;
+
+double pressureOf(const PacedTask &service)
+{
+    return static_cast<double>(service.load) / static_cast<double>(service.tailTarget.count());
+}
+
+bool serves(const PacedTask &task)
+{
+    return task.tailTarget.count() > 0;
+}
 
 } // namespace
 
-void Pacer::adjustShare(TimePoint now)
+std::uint32_t Pacer::share(std::string_view image) const
 {
-    if (now - m_changedAt < m_options.interval) {
+    const auto found = m_images.find(image);
+    return static_cast<std::uint32_t>(found == m_images.end() ? FullShare : found->second.share);
+}
+
+std::uint32_t Pacer::leastShare() const
+{
+    double least = FullShare;
+    for (const auto &[name, image] : m_images) {
+        least = std::min(least, image.share);
+    }
+    return static_cast<std::uint32_t>(least);
+}
+
+double Pacer::lossFrom(const PacedTask &service, std::string_view filler, const Image &image) const
+{
+    const auto known = m_effects.find({service.image, std::string(filler)});
+    return (known == m_effects.end() ? UnknownEffect : known->second) * image.cores;
+}
+
+void Pacer::cutFor(const PacedTask &service, std::map<std::string, double, std::less<>> &factors) const
+{
+    double whole = 0;
+    for (const auto &[name, image] : m_images) {
+        whole += lossFrom(service, name, image);
+    }
+    if (whole <= m_options.negligibleLoss) {
         return;
     }
-    const std::uint32_t before = m_share;
-    if (m_pressure > m_options.cutHardAbove) {
-        m_share = static_cast<std::uint32_t>(m_share * m_options.hardCutFactor);
-    } else if (m_pressure > m_options.cutAbove) {
-        m_share = static_cast<std::uint32_t>(m_share * m_options.cutFactor);
-    } else if (m_pressure < m_options.raiseBelow) {
-        m_share = std::min(FullShare, m_share + m_options.raiseStep);
+    const double headroom = HeadroomModel::headroom(service.tailTarget, service.load);
+    const double missing = 1 / m_options.aim - headroom;
+    const double gentlest = pressureOf(service) > 1 ? m_options.overTargetCut : m_options.gentlestCut;
+    const double factor = std::clamp(1 - missing / whole, m_options.hardestCut, gentlest);
+    for (const auto &[name, image] : m_images) {
+        if (lossFrom(service, name, image) >= MinorCause * whole) {
+            const auto known = factors.find(name);
+            factors[name] = known == factors.end() ? factor : std::min(known->second, factor);
+        }
     }
-    if (m_share < before && m_share < m_options.leastShare) {
-        m_share = 0;
+}
+
+bool Pacer::mayRaise(std::string_view filler, const Image &image, std::span<const PacedTask> tasks) const
+{
+    // What the image would take at its full share.
+    const Image unlimited{.share = FullShare,
+                          .cores = image.cores * FullShare / std::max(image.share, LeastShareCounted)};
+    return std::ranges::all_of(tasks, [&](const PacedTask &task) {
+        return !serves(task) || pressureOf(task) < m_options.raiseBelow
+            || lossFrom(task, filler, unlimited) <= m_options.negligibleLoss;
+    });
+}
+
+void Pacer::adjustShares(std::span<const PacedTask> tasks, TimePoint now)
+{
+    if (m_pressure <= 1) {
+        m_overSince = {};
+    } else if (m_overSince == TimePoint{}) {
+        m_overSince = now;
     }
-    if (m_share != before) {
-        m_changedAt = now;
+    if (now - m_changedAt < m_options.interval) {
+        return;
+    }
+    const bool cutAll = m_overSince != TimePoint{} && now - m_overSince >= m_options.patience;
+    std::map<std::string, double, std::less<>> factors;
+    for (const PacedTask &task : tasks) {
+        if (serves(task) && pressureOf(task) > m_options.cutAbove) {
+            cutFor(task, factors);
+        }
+    }
+    for (auto &[name, image] : m_images) {
+        const double before = image.share;
+        const auto factor = factors.find(name);
+        if (cutAll) {
+            image.share *= factor == factors.end() ? m_options.commonCut
+                                                   : std::min(factor->second, m_options.commonCut);
+        } else if (factor != factors.end()) {
+            image.share *= factor->second;
+        } else if (mayRaise(name, image, tasks)) {
+            const bool harmless = m_pressure >= m_options.raiseBelow;
+            image.share = std::min(FullShare,
+                                   image.share + (harmless ? m_options.harmlessRaiseStep : m_options.raiseStep));
+        }
+        if (image.share < before && image.share < m_options.leastShare) {
+            image.share = 0;
+        }
+        if (image.share != before) {
+            m_changedAt = now;
+        }
     }
 }
 
@@ -37,25 +124,33 @@
 {
     m_pressure = 0;
     std::set<RunId> present;
+    std::map<std::string, double, std::less<>> cores;
     for (const PacedTask &task : tasks) {
         present.insert(task.run);
-        if (task.tailTarget.count() > 0) {
-            const double ratio = static_cast<double>(task.tailMs) / static_cast<double>(task.tailTarget.count());
-            m_pressure = std::max(m_pressure, ratio);
+        if (serves(task)) {
+            m_pressure = std::max(m_pressure, pressureOf(task));
+        } else if (task.fillsLeftover) {
+            cores[task.image] += coresOf(task.load);
         }
     }
     std::erase_if(m_applied, [&](const auto &entry) { return !present.contains(entry.first); });
-    adjustShare(now);
+    std::erase_if(m_images, [&](const auto &entry) { return !cores.contains(entry.first); });
+    for (const auto &[name, used] : cores) {
+        m_images[name].cores = used;
+    }
+    adjustShares(tasks, now);
     std::vector<Command> commands;
     for (const PacedTask &task : tasks) {
         if (!task.fillsLeftover) {
             continue;
         }
+        const std::uint32_t wanted = share(task.image);
         const auto applied = m_applied.find(task.run);
-        const std::uint32_t current = applied == m_applied.end() ? FullShare : applied->second;
-        if (current != m_share) {
-            m_applied[task.run] = m_share;
-            commands.push_back({.run = task.run, .percent = m_share});
+        const std::uint32_t current = applied == m_applied.end() ? static_cast<std::uint32_t>(FullShare)
+                                                                 : applied->second;
+        if (current != wanted) {
+            m_applied[task.run] = wanted;
+            commands.push_back({.run = task.run, .percent = wanted});
         }
     }
     return commands;
--- a/packages/scheduler/src/carobflow/scheduler/pacer.h
+++ b/packages/scheduler/src/carobflow/scheduler/pacer.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "carobflow/scheduler/headroommodel.h"
 #include "carobflow/scheduler/workload.h"
 
 #include <cstdint>
 #include <map>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Carobflow::Scheduling
@@ -18,29 +20,41 @@
     /// Of a task that serves; 0 for others.
     Milliseconds tailTarget{0};
     bool fillsLeftover = false;
-    /// Tail latency in milliseconds of a task that serves.
-    std::int64_t tailMs = 0;
+    /// Tail latency in milliseconds of a task that serves, else processor use in thousandths of a core.
+    std::int64_t load = 0;
 };
 
 /// Limits fillers on one host so that the tasks that serve stay below their tail latency targets.
 ///
-/// The figures are those of the last half second and swing, so the share of the fillers is cut by factors when a tail
-/// comes near its target and is given back in small steps once it is well below.
+/// Each image of fillers has its own share. Where a tail comes near its target, the images that slow that service down
+/// most are cut, by as much as the learned effects say is needed; images without an effect keep working. Effects may be
+/// wrong or may have changed, so a tail that stays over its target although they were cut makes all fillers give way.
 class Pacer
 {
 public:
     struct Options {
         /// Part of the target above which fillers are cut.
         double cutAbove = 0.85;
-        /// Part of the target above which fillers are cut hard.
-        double cutHardAbove = 1.0;
         /// Part of the target below which share is given back.
         double raiseBelow = 0.7;
-        double cutFactor = 0.75;
-        double hardCutFactor = 0.4;
+        /// Part of the target that a cut aims at.
+        double aim = 0.75;
+        /// Least and largest factor of one cut.
+        double hardestCut = 0.2;
+        double gentlestCut = 0.85;
+        /// Largest factor of a cut while a tail is over its target.
+        double overTargetCut = 0.5;
+        /// Factor for all fillers while a tail stays over its target.
+        double commonCut = 0.4;
+        /// After this time over a target every filler is cut. The sites allow four seconds.
+        Milliseconds patience{1200};
         std::uint32_t raiseStep = 15;
+        /// Step for an image that slows down no service here.
+        std::uint32_t harmlessRaiseStep = 50;
         /// Shares below this count as none.
         std::uint32_t leastShare = 8;
+        /// A smaller loss of headroom from all fillers of an image is no reason to limit it.
+        double negligibleLoss = 0.15;
         /// Time between changes: pacing takes effect after 100 ms and the figures cover half a second.
         Milliseconds interval{600};
     };
@@ -55,6 +69,14 @@
     {
     }
 
+    /// Headroom that services of the first image lose per core of fillers of the second one.
+    using Effects = std::map<std::pair<std::string, std::string>, double>;
+
+    void setEffects(Effects effects)
+    {
+        m_effects = std::move(effects);
+    }
+
     /// Takes the newest figures and returns the limits that have to change.
     std::vector<Command> update(std::span<const PacedTask> tasks, TimePoint now);
 
@@ -70,18 +92,31 @@
         return m_pressure;
     }
 
-    [[nodiscard]] std::uint32_t share() const
-    {
-        return m_share;
-    }
+    /// The share in percent that fillers of the image are held to.
+    [[nodiscard]] std::uint32_t share(std::string_view image) const;
+
+    /// The smallest share of all images here.
+    [[nodiscard]] std::uint32_t leastShare() const;
 
 private:
-    void adjustShare(TimePoint now);
+    struct Image {
+        double share = 100;
+        /// Cores in use by the fillers of the image.
+        double cores = 0;
+    };
+
+    void adjustShares(std::span<const PacedTask> tasks, TimePoint now);
+    void cutFor(const PacedTask &service, std::map<std::string, double, std::less<>> &factors) const;
+    [[nodiscard]] double lossFrom(const PacedTask &service, std::string_view filler, const Image &image) const;
+    [[nodiscard]] bool mayRaise(std::string_view filler, const Image &image, std::span<const PacedTask> tasks) const;
 
     Options m_options;
-    std::uint32_t m_share = 100;
+    Effects m_effects;
+    std::map<std::string, Image, std::less<>> m_images;
     double m_pressure = 0;
     TimePoint m_changedAt;
+    /// Since when a tail has been over its target without a break; zero when none is.
+    TimePoint m_overSince;
     /// Limits that the upstream has; runs start without one.
     std::map<RunId, std::uint32_t> m_applied;
 };
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -14,8 +14,8 @@
 /// A task on a far rack runs up to three times as long, which outweighs any difference in free room.
 constexpr double FarRackPenalty = 10;
 
-/// Fillers take a host with services only when no other has room.
-constexpr double ServingHostPenalty = 5;
+/// Taking the whole headroom of a service outweighs the free part of a host, which is at most 1.
+constexpr double LossPenalty = 5;
 /// Outweighs the free part of a host, which is at most 1.
 constexpr double ServingHostBonus = 2;
 constexpr std::uint32_t MostServingCounted = 4;
@@ -47,7 +47,7 @@
     }
     if (step.fillsLeftover
         && (host.leftoverCpu() < step.request.cpuMillis || host.freeMemory() < m_options.fillerMemoryReserve
-            || !m_guide.admits(host.name(), step.image, now))) {
+            || !m_guide.admits(host.name(), step.image, coresOf(step.request.cpuMillis), now))) {
         return false;
     }
     const auto tasks = job.stepTasks(id.occurrence, id.step);
@@ -65,7 +65,7 @@
     double score = static_cast<double>(host.leftoverCpu())
         / static_cast<double>(std::max<std::int64_t>(1, capacity.cpuMillis));
     if (step.fillsLeftover) {
-        score -= host.servingTasks() > 0 ? ServingHostPenalty + m_guide.pressureWith(host.name(), step.image, now) : 0;
+        score -= m_guide.lossOn(host.name(), step.image, coresOf(step.request.cpuMillis), now) * LossPenalty;
     } else {
         // Services share hosts with each other and with short work, so that fillers find hosts without services.
         score += std::min(host.servingTasks(), MostServingCounted) * ServingHostBonus;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -198,7 +198,7 @@
     applyEnds(state, report, now);
     applyRunning(state, report, now);
     settleRestored(state);
-    observeColocation(report);
+    observeColocation(report, now);
 }
 
 void Scheduler::applyEnds(HostState &host, const HostReport &report, TimePoint now)
@@ -303,6 +303,7 @@
         attempt->upstream = report.upstream->identity;
         attempt->restored = false;
         attempt->resend = false;
+        attempt->share = running.share;
         if (attempt->percent != running.percent) {
             attempt->percent = running.percent;
             attempt->progressedAt = now;
@@ -315,10 +316,10 @@
     }
 }
 
-void Scheduler::observeColocation(const HostReport &report)
+void Scheduler::observeColocation(const HostReport &report, TimePoint now)
 {
-    std::vector<FillerGuide::ServingTask> serving;
-    std::vector<std::string> fillers;
+    std::vector<HeadroomModel::Service> services;
+    std::vector<HeadroomModel::Filler> fillers;
     for (const RunningRun &running : report.running) {
         const Job *job = find(running.run.task.job);
         if (job == nullptr || job->findTask(running.run.task) == nullptr) {
@@ -326,12 +327,13 @@
         }
         const StepSpec &step = job->step(running.run.task);
         if (step.serves()) {
-            serving.push_back({.image = step.image, .tailTarget = step.tailTarget, .tailMs = running.load});
+            services.push_back(
+                {.run = running.run, .image = step.image, .tailTarget = step.tailTarget, .tailMs = running.load});
         } else if (step.fillsLeftover) {
-            fillers.push_back(step.image);
+            fillers.push_back({.image = step.image, .cores = coresOf(running.load)});
         }
     }
-    m_guide.observe(report.host, std::move(serving), fillers, report.fillerShare);
+    m_guide.observe(report.host, std::move(services), fillers, now);
 }
 
 void Scheduler::settleRestored(HostState &host)
@@ -570,7 +572,7 @@
     requireInvariant(host.fits(job.step(id)), "host-not-overcommitted", host.name());
     host.hold(job.step(id));
     if (job.step(id).fillsLeftover) {
-        m_guide.onPlaced(host.name(), job.step(id).image, now);
+        m_guide.onPlaced(host.name(), job.step(id).image, coresOf(job.step(id).request.cpuMillis), now);
     }
     task.lastRun = run;
     task.attempts.push_back({.run = run,
@@ -655,7 +657,7 @@
         }
         return;
     }
-    if (step.fillsLeftover && host.host.report().fillerShare < PacedShare) {
+    if (attempt.share < PacedShare) {
         // Held back by its host's agent: standing still is no fault of the upstream.
         attempt.progressedAt = now;
         return;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -111,6 +111,12 @@
 
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
+    /// Headroom that services of an image lose per core of fillers of another one.
+    [[nodiscard]] double effect(std::string_view serviceImage, std::string_view fillerImage) const
+    {
+        return m_guide.effect(serviceImage, fillerImage);
+    }
+
 private:
     struct HostState;
 
@@ -119,7 +125,7 @@
     void applyEnd(HostState &host, const EndedRun &ended, TimePoint now);
     void applyRunning(HostState &host, const HostReport &report, TimePoint now);
     void settleRestored(HostState &host);
-    void observeColocation(const HostReport &report);
+    void observeColocation(const HostReport &report, TimePoint now);
     void countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now);
     void finishGang(Job &job, const TaskId &id);
     void onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now);
--- a/packages/scheduler/src/carobflow/scheduler/workload.h
+++ b/packages/scheduler/src/carobflow/scheduler/workload.h
@@ -11,6 +11,12 @@
 namespace Carobflow::Scheduling
 {
 
+/// Converts thousandths of a core, as they are requested and reported, to cores.
+constexpr double coresOf(std::int64_t cpuMillis)
+{
+    return static_cast<double>(cpuMillis) / 1000;
+}
+
 /// A set of equal tasks of a job.
 struct StepSpec {
     std::uint32_t count = 1;
@@ -157,6 +163,8 @@
     std::uint32_t percent = 0;
     /// Tail latency in milliseconds for a task that serves, else processor use in thousandths of a core.
     std::int64_t load = 0;
+    /// Share of its work in percent that pacing holds the run to.
+    std::uint32_t share = 100;
 };
 
 /// A run that an upstream lists as ended. Numbers start at 1 in each incarnation and grow.
