Wait between calls while ends are not acknowledged

Cause: an upstream answers a call for its lists at once while it holds ends that are not acknowledged, and acknowledgements came with reports 400 ms apart. Change: 25 ms between calls and 60 ms between reports while ends are pending; an acknowledgement ends the wait. The frequent calls had also kept the figures fresh for pacing, so calls wait 100 ms at most where fillers run beside services.

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -24,6 +24,12 @@
 /// A running list is at most this old; ends are returned at once.
 constexpr Milliseconds RenewWait{400};
 constexpr Milliseconds RenewPause{100};
+/// The same where fillers run beside services, whose tails can pass their targets within a second.
+constexpr Milliseconds PacedRenewWait{100};
+/// An upstream answers at once while it lists ends that are not acknowledged. New ends are seen this much later then.
+constexpr Milliseconds PendingEndsPause{25};
+/// Acknowledgements come with the answers to reports; the write that they wait for takes about 10 ms.
+constexpr Milliseconds PendingEndsReportInterval{60};
 /// Longer than one call for lists with its time-out, 0.8 s.
 constexpr Milliseconds RenewalSilenceLimit{1200};
 /// Three reports fit into the time after which a host gets no starts.
@@ -147,17 +153,24 @@
             co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewPause);
             continue;
         }
-        const bool answered = co_await renewOnce(m_fencedEpoch == m_epoch ? RenewWait : Milliseconds(0));
+        const bool answered = co_await renewOnce(m_fencedEpoch == m_epoch ? listWait() : Milliseconds(0));
         if (answered != reachable) {
             reachable = answered;
             logInfo(answered ? "upstream-regained" : "upstream-lost").with("upstream", m_upstream->identity.id);
         }
         if (!answered || m_epoch == 0) {
             co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewPause);
+        } else if (!m_ended.empty()) {
+            co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + PendingEndsPause);
         }
     }
 }
 
+Milliseconds HostAgent::listWait() const
+{
+    return m_pacer.isPacing() ? PacedRenewWait : RenewWait;
+}
+
 asio::awaitable<bool> HostAgent::renewOnce(Milliseconds wait)
 {
     const Epoch epoch = m_epoch;
@@ -291,7 +304,8 @@
         if (!answered) {
             co_await sleepFor(ReportPause);
         } else if (!m_reportDue) {
-            co_await m_reportNow.waitUntil(std::chrono::steady_clock::now() + ReportInterval);
+            const Milliseconds interval = m_ended.empty() ? ReportInterval : PendingEndsReportInterval;
+            co_await m_reportNow.waitUntil(std::chrono::steady_clock::now() + interval);
         }
     }
 }
@@ -337,6 +351,7 @@
     if (m_upstream && acknowledged == m_upstream->identity && reply.acknowledged_end() > m_acknowledgedEnd) {
         m_acknowledgedEnd = reply.acknowledged_end();
         std::erase_if(m_ended, [&](const auto &ended) { return ended.number <= m_acknowledgedEnd; });
+        m_renewNow.notify();
     }
     Scheduling::Pacer::Effects effects;
     for (const wire::InterferenceEffect &effect : reply.effects()) {
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -65,6 +65,8 @@
 private:
     boost::asio::awaitable<void> renewLoop();
     boost::asio::awaitable<void> reportLoop();
+    /// How long the upstream may hold back an answer without new ends.
+    [[nodiscard]] Milliseconds listWait() const;
     boost::asio::awaitable<bool> renewOnce(Milliseconds wait);
     boost::asio::awaitable<bool> reportOnce();
     boost::asio::awaitable<Scheduling::StartOutcome> startRun(Scheduling::StartOrder order, Epoch epoch);
--- a/packages/scheduler/src/carobflow/scheduler/pacer.h
+++ b/packages/scheduler/src/carobflow/scheduler/pacer.h
@@ -92,6 +92,12 @@
         return m_pressure;
     }
 
+    /// True while fillers run beside tasks that serve.
+    [[nodiscard]] bool isPacing() const
+    {
+        return m_pressure > 0 && !m_images.empty();
+    }
+
     /// The share in percent that fillers of the image are held to.
     [[nodiscard]] std::uint32_t share(std::string_view image) const;
 
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -229,4 +229,32 @@
     CHECK(system.violations().empty());
 }
 
+TEST_CASE("Ends that cannot be acknowledged yet cost an agent few calls", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 6, Milliseconds(300)) == 200);
+    waitUntil("the tasks run", [&] { return system.runs().size() == 6; });
+    system.onStandIns([&] { system.store().refusing = true; });
+    std::this_thread::sleep_for(Milliseconds(800));
+    const auto calls = [&] {
+        std::uint64_t count = 0;
+        system.onStandIns([&] {
+            for (std::size_t index = 0; index < 3; ++index) {
+                count = std::max(count, system.worker(index).listCalls);
+            }
+        });
+        return count;
+    };
+    const std::uint64_t before = calls();
+    std::this_thread::sleep_for(Seconds(2));
+    // Guards against an agent that spends its share of a core on asking again for ends that it knows: an upstream
+    // answers at once while ends are not acknowledged. 60 calls a second take about 1% of a core.
+    const std::uint64_t after = calls();
+    CHECK(after - before < 120);
+    system.onStandIns([&] { system.store().refusing = false; });
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(10000)));
+    CHECK(system.runs().size() == 6);
+}
+
 } // namespace Carobflow::Bench
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -130,6 +130,7 @@
     }
     const json::object body = objectOf(request);
     if (request.target() == "/carobflow/hold") {
+        ++listCalls;
         co_return co_await hold(body);
     }
     if (request.target() == "/carobflow/run-start") {
--- a/tests/standins/serverstandin.h
+++ b/tests/standins/serverstandin.h
@@ -63,6 +63,8 @@
     std::chrono::milliseconds lateBy{700};
     /// Carries out this many of the next starts and loses the answers.
     std::uint32_t lostStarts = 0;
+    /// Calls for the lists of runs so far.
+    std::uint64_t listCalls = 0;
     bool draining = false;
     /// Answers nothing.
     bool silent = false;
