Pace fillers earlier, every 0.4 s, and leave services more headroom

Ruled out: too little room for fillers; counting paced fillers with their share only put more of them beside services (trial, reverted). Change: cut above 0.72, aim 0.62, raise below 0.6, every 0.4 s, headroom 2.0 for a new filler.

--- a/packages/scheduler/src/carobflow/scheduler/fillerguide.h
+++ b/packages/scheduler/src/carobflow/scheduler/fillerguide.h
@@ -16,9 +16,9 @@
 {
 public:
     struct Options {
-        /// Headroom that a service keeps beside a new filler: a tail of 0.62 of its target. The load of the services
+        /// Headroom that a service keeps beside a new filler: a tail of half its target. The load of the services
         /// swings by half, and the figures lag by half a second.
-        double leastHeadroom = 1.6;
+        double leastHeadroom = 2.0;
         /// A loss of headroom below this is no reason to keep a filler away, however little headroom there is.
         double negligibleLoss = 0.15;
         /// Until the figures show a new filler, its expected effect counts in full.
--- a/packages/scheduler/src/carobflow/scheduler/pacer.h
+++ b/packages/scheduler/src/carobflow/scheduler/pacer.h
@@ -34,11 +34,11 @@
 public:
     struct Options {
         /// Part of the target above which fillers are cut.
-        double cutAbove = 0.85;
+        double cutAbove = 0.72;
         /// Part of the target below which share is given back.
-        double raiseBelow = 0.7;
+        double raiseBelow = 0.6;
         /// Part of the target that a cut aims at.
-        double aim = 0.75;
+        double aim = 0.62;
         /// Least and largest factor of one cut.
         double hardestCut = 0.2;
         double gentlestCut = 0.85;
@@ -56,7 +56,7 @@
         /// A smaller loss of headroom from all fillers of an image is no reason to limit it.
         double negligibleLoss = 0.15;
         /// Time between changes: pacing takes effect after 100 ms and the figures cover half a second.
-        Milliseconds interval{600};
+        Milliseconds interval{400};
     };
 
     struct Command {
