Give suspect hosts no work until they are tried again

Cause: a host that fails or rejects what it starts was only penalised, so it got tasks whenever no other had room. Ruled out: a longer time as suspect; the tasks came during that time. Change: no placement on suspect hosts while at most half of all are suspect; after 4 s one task at a time until one succeeds. The test fails without the change.

--- a/packages/scheduler/src/carobflow/scheduler/host.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/host.cpp
@@ -14,6 +14,8 @@
 constexpr double ServingIdlePart = 0.45;
 /// About the shortest time for which a faulty upstream stays faulty in the sites' records.
 constexpr Milliseconds SuspectTime{4000};
+/// About the time of one task of the sites' longest kind.
+constexpr Milliseconds TrialTime{2500};
 
 } // namespace
 
@@ -31,6 +33,7 @@
     if (replaced) {
         m_failuresInARow = 0;
         m_suspectUntil = {};
+        m_onTrial = false;
     }
     return replaced;
 }
@@ -97,6 +100,14 @@
 {
     if (++m_failuresInARow >= SuspectAfterFailures) {
         m_suspectUntil = now + SuspectTime;
+        m_onTrial = true;
+    }
+}
+
+void Host::notePlaced(TimePoint now)
+{
+    if (m_onTrial) {
+        m_suspectUntil = std::max(m_suspectUntil, now + TrialTime);
     }
 }
 
@@ -104,10 +115,12 @@
 {
     m_failuresInARow = 0;
     m_suspectUntil = {};
+    m_onTrial = false;
 }
 
 void Host::noteStall(TimePoint now)
 {
+    m_onTrial = true;
     m_suspectUntil = now + SuspectTime;
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -100,7 +100,10 @@
     void noteSuccess();
     void noteStall(TimePoint now);
 
-    /// True while placements should avoid this host because runs fail or stall here.
+    /// A task was placed here. A host that has been suspect gets one task at a time until one of them succeeds.
+    void notePlaced(TimePoint now);
+
+    /// True while placements avoid this host because runs fail or stall here.
     [[nodiscard]] bool isSuspect(TimePoint now) const
     {
         return now < m_suspectUntil;
@@ -118,6 +121,8 @@
     std::int64_t m_servingCpu = 0;
     std::uint32_t m_failuresInARow = 0;
     TimePoint m_suspectUntil;
+    /// It has been suspect, and no run has succeeded here since.
+    bool m_onTrial = false;
 };
 
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-/// Larger than any other part of a score, so that a suspect host is taken only when no other can be.
+/// Larger than any other part of a score. It orders the hosts where suspect ones are taken at all.
 constexpr double SuspectPenalty = 1000;
 /// The same for a host on which this very task has failed.
 constexpr double FailedHerePenalty = 500;
@@ -91,13 +91,20 @@
     return score;
 }
 
+bool Placement::avoidsSuspects(TimePoint now) const
+{
+    const auto suspects = std::ranges::count_if(m_hosts, [&](const Host *host) { return host->isSuspect(now); });
+    return static_cast<std::size_t>(suspects) * 2 <= m_hosts.size();
+}
+
 Host *Placement::choose(const Job &job, const TaskId &id, TimePoint now) const
 {
+    const bool avoidsSuspect = avoidsSuspects(now);
     const StepSpec &step = job.step(id);
     Host *best = nullptr;
     double bestScore = 0;
     for (Host *host : m_hosts) {
-        if (!isEligible(*host, job, id)) {
+        if ((avoidsSuspect && host->isSuspect(now)) || !isEligible(*host, job, id)) {
             continue;
         }
         const std::optional<double> fillerLoss = step.fillsLeftover
--- a/packages/scheduler/src/carobflow/scheduler/placement.h
+++ b/packages/scheduler/src/carobflow/scheduler/placement.h
@@ -36,6 +36,9 @@
     [[nodiscard]] Host *choose(const Job &job, const TaskId &id, TimePoint now) const;
 
 private:
+    /// Waiting for room elsewhere is better than a run that fails and counts as an attempt; but where most hosts are
+    /// suspect, the cause lies in the tasks.
+    [[nodiscard]] bool avoidsSuspects(TimePoint now) const;
     [[nodiscard]] bool isEligible(const Host &host, const Job &job, const TaskId &id) const;
     /// How good the host is for the task; `fillerLoss` is the part of a service's headroom that it would take.
     [[nodiscard]] double
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -584,6 +584,7 @@
     requireInvariant(task.attempts.empty() || job.step(id).speculative, "one-run-at-a-time", id.toString());
     requireInvariant(host.fits(job.step(id)), "host-not-overcommitted", host.name());
     host.hold(job.step(id));
+    host.notePlaced(now);
     hostState(host.name()).attempts.insert({.task = id, .run = run});
     if (job.step(id).fillsLeftover) {
         m_guide.onPlaced(host.name(), job.step(id).image, coresOf(job.step(id).request.cpuMillis), now);
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -309,6 +309,41 @@
     CHECK_FALSE(fixture.stops().empty());
 }
 
+TEST_CASE("A host that fails what it starts gets no more work until it is tried again", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    std::uint64_t ends = 0;
+    for (const std::string id : {"first", "second", "third"}) {
+        fixture.scheduler->submit(SchedulerFixture::quickJob(id, 12), fixture.now);
+        const auto starts = fixture.step();
+        REQUIRE(starts.size() == 12);
+        const auto failing = std::ranges::find(starts, "host-1", &StartOrder::host);
+        fixture.end(*failing, RunEnd::Failed, ++ends);
+        fixture.scheduler->cancel(id);
+        for (const StartOrder &start : starts) {
+            fixture.end(start, RunEnd::Stopped, ++ends);
+        }
+        fixture.step();
+        fixture.stops();
+    }
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job", 12), fixture.now);
+    const auto starts = fixture.step();
+    // Guards against attempts that are used up on a faulty host because the others are full.
+    CHECK(starts.size() == 8);
+    CHECK(std::ranges::find(starts, "host-1", &StartOrder::host) == starts.end());
+
+    SECTION("Then with one task, and with the others when that one has succeeded")
+    {
+        fixture.advance(Milliseconds(4100));
+        fixture.reportAll(starts);
+        const auto trial = fixture.step();
+        REQUIRE(trial.size() == 1);
+        CHECK(trial.front().host == "host-1");
+        fixture.end(trial.front(), RunEnd::Done, ++ends);
+        CHECK(fixture.step().size() == 3);
+    }
+}
+
 TEST_CASE("The members of a gang start together or not at all", "[scheduler]")
 {
     SchedulerFixture fixture;
