Log the share of each image with the figure that decided it

Cause: the log named one share for all fillers of a host, which no longer says why a batch order on it was slow. Change: fillers-paced names each image with its share. The assumed effect of an unknown image stands once.

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -243,15 +243,12 @@
         // Those of running tasks are asked for again with the next report.
         m_descriptions.clear();
     }
-    const std::uint32_t before = m_pacer.leastShare();
+    const TimePoint changedBefore = m_pacer.changedAt();
     for (const Scheduling::Pacer::Command &command : m_pacer.update(tasks, now)) {
         asio::co_spawn(m_strand, sendPace(command), asio::detached);
     }
-    if (m_pacer.leastShare() != before) {
-        logInfo("fillers-paced")
-            .with("least_share", m_pacer.leastShare())
-            .with("before", before)
-            .with("tail_pressure", m_pacer.pressure());
+    if (m_pacer.changedAt() != changedBefore) {
+        logInfo("fillers-paced").with("shares", m_pacer.describeShares()).with("tail_pressure", m_pacer.pressure());
     }
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/pacer.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/pacer.cpp
@@ -9,8 +9,6 @@
 {
 
 constexpr double FullShare = 100;
-/// Loss of headroom per core that is assumed until the leader has told what it learned.
-constexpr double UnknownEffect = 0.08;
 /// Keeps the use of a filler that is held back to nothing from counting as no effect.
 constexpr double LeastShareCounted = 10;
 /// An image that causes less than this part of a service's whole loss is not cut for it.
@@ -34,19 +32,19 @@
     return static_cast<std::uint32_t>(found == m_images.end() ? FullShare : found->second.share);
 }
 
-std::uint32_t Pacer::leastShare() const
+std::string Pacer::describeShares() const
 {
-    double least = FullShare;
+    std::string text;
     for (const auto &[name, image] : m_images) {
-        least = std::min(least, image.share);
+        text += (text.empty() ? "" : ",") + name + ":" + std::to_string(static_cast<std::uint32_t>(image.share));
     }
-    return static_cast<std::uint32_t>(least);
+    return text;
 }
 
 double Pacer::lossFrom(const PacedTask &service, std::string_view filler, const Image &image) const
 {
     const auto known = m_effects.find({service.image, std::string(filler)});
-    return (known == m_effects.end() ? UnknownEffect : known->second) * image.cores;
+    return (known == m_effects.end() ? HeadroomModel::Options{}.priorEffect : known->second) * image.cores;
 }
 
 void Pacer::cutFor(const PacedTask &service, std::map<std::string, double, std::less<>> &factors) const
--- a/packages/scheduler/src/carobflow/scheduler/pacer.h
+++ b/packages/scheduler/src/carobflow/scheduler/pacer.h
@@ -101,8 +101,14 @@
     /// The share in percent that fillers of the image are held to.
     [[nodiscard]] std::uint32_t share(std::string_view image) const;
 
-    /// The smallest share of all images here.
-    [[nodiscard]] std::uint32_t leastShare() const;
+    /// The images here with their shares, for the log: "image:share" separated by commas.
+    [[nodiscard]] std::string describeShares() const;
+
+    /// When a share last changed.
+    [[nodiscard]] TimePoint changedAt() const
+    {
+        return m_changedAt;
+    }
 
 private:
     struct Image {
