Keep the calls of one request to the store 200 ms apart

Refused calls use up the rate that all processes share while the store comes back. Ruled out: the outage itself as the reason for 504; the leader had been handed the jobs before it lost power. Change: StoreTurns keeps the store's calls of a submission, a cancellation or a query apart; calls to the leader go on.

--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -24,6 +24,9 @@
 constexpr Milliseconds LeaderPatience{350};
 /// A request that reached neither a leader nor the store is rejected after this time: the client then tries elsewhere.
 constexpr Milliseconds ReachPatience{900};
+/// Between two calls to the store for one request. All processes share the store's rate, and one that comes back would
+/// be met by the repeated calls of every waiting request.
+constexpr Milliseconds StoreRetryPause{200};
 /// Clients may be shown a count that is 2 s old.
 constexpr Milliseconds PendingAge{1000};
 
@@ -37,6 +40,25 @@
     return std::clamp(remaining(deadline), Milliseconds(1), LeaderTimeout);
 }
 
+/// Keeps the calls of one request to the store apart, while its calls to the leader go on.
+class StoreTurns
+{
+public:
+    /// True when the next call may be made now; it counts as made.
+    bool take()
+    {
+        const TimePoint now = suspendAwareNow();
+        if (now < m_next) {
+            return false;
+        }
+        m_next = now + StoreRetryPause;
+        return true;
+    }
+
+private:
+    TimePoint m_next;
+};
+
 } // namespace
 
 JobRouter::JobRouter(WatchableTable &table, LeaderDirectory &directory, OperatorSync &operators, ControlCaller &caller)
@@ -72,6 +94,7 @@
     const TimePoint began = suspendAwareNow();
     bool maybeSent = false;
     bool storeAway = false;
+    StoreTurns storeTurns;
     while (remaining(deadline) > RetryPause) {
         const std::string leader = m_directory.current().address;
         bool connected = false;
@@ -98,7 +121,7 @@
                 maybeSent = true;
             }
         }
-        if (suspendAwareNow() - began > LeaderPatience && !storeAway) {
+        if (suspendAwareNow() - began > LeaderPatience && !storeAway && storeTurns.take()) {
             request.mutable_job()->set_accepted_unix_ms(
                 std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
             const InboxOutcome written = co_await writeInbox(StoreLayout::keyOf(StoreLayout::InboxPrefix, job.id),
@@ -128,6 +151,7 @@
     wire::CancelRequest request;
     request.set_id(id);
     const TimePoint began = suspendAwareNow();
+    StoreTurns storeTurns;
     while (remaining(deadline) > RetryPause) {
         const std::string leader = m_directory.current().address;
         if (!leader.empty()) {
@@ -146,7 +170,7 @@
                 }
             }
         }
-        if (suspendAwareNow() - began > LeaderPatience) {
+        if (suspendAwareNow() - began > LeaderPatience && storeTurns.take()) {
             const QueryOutcome known = co_await readPhase(id);
             if (std::holds_alternative<JobUnknown>(known)) {
                 co_return JobUnknown{};
@@ -205,6 +229,7 @@
     wire::QueryRequest request;
     request.set_id(id);
     const TimePoint began = suspendAwareNow();
+    StoreTurns storeTurns;
     while (remaining(deadline) > RetryPause) {
         const std::string leader = m_directory.current().address;
         bool unknown = false;
@@ -218,7 +243,7 @@
                 unknown = reply->outcome() == wire::QueryReply::UNKNOWN_JOB;
             }
         }
-        if (unknown || suspendAwareNow() - began > LeaderPatience) {
+        if ((unknown || suspendAwareNow() - began > LeaderPatience) && storeTurns.take()) {
             QueryOutcome outcome = co_await readPhase(id);
             if (!std::holds_alternative<JobOutcomeUnknown>(outcome)) {
                 co_return outcome;
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -257,4 +257,25 @@
     CHECK(system.runs().size() == 6);
 }
 
+TEST_CASE("An entry without a leader asks a store that refuses it a few times only", "[hosted]")
+{
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 1, Milliseconds(100)) == 200);
+    for (std::size_t index = 0; index < 3; ++index) {
+        system.agent(index).signal(SIGKILL);
+    }
+    system.onStandIns([&] { system.store().refusing = true; });
+    // The connection to the leader breaks with this request, so that its outcome is unknown.
+    CHECK(system.submit(jobId(2), 1, Milliseconds(100)) >= 503);
+    system.onStandIns([&] { system.store().refusedWrites = 0; });
+    // Nothing was handed over, so the client is told that the job never runs.
+    CHECK(system.submit(jobId(3), 1, Milliseconds(100)) == 503);
+    std::uint64_t writes = 0;
+    system.onStandIns([&] { writes = system.store().refusedWrites; });
+    // Guards against entries that use up the store's rate, which all processes share, while it comes back. One write
+    // each 200 ms of the 0.9 s for which an entry tries.
+    CHECK(writes <= 5);
+}
+
 } // namespace Carobflow::Bench
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -118,6 +118,7 @@
         co_await sleepFor(delay);
     }
     if (refusing) {
+        refusedWrites += target == "/carobflow/rows-tx" ? 1 : 0;
         co_return ServerReply{.status = 503};
     }
     if (target.starts_with("/carobflow/rows-get")) {
--- a/tests/standins/storestandin.h
+++ b/tests/standins/storestandin.h
@@ -39,6 +39,8 @@
 
     /// Answers 503 to everything.
     bool refusing = false;
+    /// Writes that were refused so far.
+    std::uint64_t refusedWrites = 0;
     /// Performs this many of the next writes and loses their replies.
     std::uint32_t lostReplies = 0;
     /// Performs this many of the next writes only after a delay, without a reply.
