Start the tasks of services before other jobs of their priority

Cause: the order of jobs took a service for a job that had missed its objective, a few seconds after it was accepted. A task of it that had to start again waited behind the quick jobs and, on a full deployment, for long. Ruled out: too little memory beside fillers; five services and the fillers that leftover time allows take 97 of 125 GB. Change: jobs with tasks that last are never late and come first.

--- a/packages/scheduler/src/carobflow/scheduler/joborder.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/joborder.cpp
@@ -15,6 +15,11 @@
 
 JobOrder::Rank JobOrder::rankOf(const Job &job) const
 {
+    if (std::ranges::any_of(job.spec().steps, &StepSpec::longRunning)) {
+        // It has no end that could be late; each second without a task counts.
+        return {
+            .priority = job.queue().priority, .lateness = 0, .slack = Duration::min(), .acceptedAt = job.acceptedAt()};
+    }
     const Duration objective = job.objectiveEnd() - job.acceptedAt();
     const TimePoint earliestEnd = m_now + job.remainingChain();
     const Duration slack = job.objectiveEnd() - earliestEnd;
--- a/packages/scheduler/src/carobflow/scheduler/joborder.h
+++ b/packages/scheduler/src/carobflow/scheduler/joborder.h
@@ -11,7 +11,8 @@
 ///
 /// Queues of higher priority come first. Among equals a job that can still meet its latency objective comes before one
 /// that is late already, and a job that is so late that its result has lost its value comes last: under overload room
-/// spent on those makes every job after them late as well. Within each group the least slack comes first.
+/// spent on those makes every job after them late as well. Within each group the least slack comes first. Services are
+/// never late and come before all others of their priority.
 class JobOrder
 {
 public:
--- a/packages/scheduler/tests/policy_test.cpp
+++ b/packages/scheduler/tests/policy_test.cpp
@@ -202,6 +202,19 @@
     std::vector<Job *> jobs{&worthless, &late, &fresh, &tight, &urgent};
     JobOrder(now).sort(jobs);
     CHECK(jobs == std::vector<Job *>{&urgent, &tight, &fresh, &late, &worthless});
+
+    SECTION("A service that was accepted long ago is never late, and comes before quick jobs of its priority")
+    {
+        // Guards against a service that stays down after a crash because quick jobs keep taking the room.
+        Job service({.id = "service",
+                     .queue = "q",
+                     .steps = {{.count = 6, .estimate = Milliseconds(500), .longRunning = true}}},
+                    {.name = "q", .priority = 0, .stretch = 2, .latencyAllowance = Milliseconds(1000)},
+                    now - Seconds(300));
+        jobs.push_back(&service);
+        JobOrder(now).sort(jobs);
+        CHECK(jobs == std::vector<Job *>{&service, &urgent, &tight, &fresh, &late, &worthless});
+    }
 }
 
 } // namespace Carobflow::Scheduling
