Play random loads with crashes, late starts and lost answers

Cause: no randomised test drove the scheduler against a model of upstreams. Change: LoadPlayer models crashes, starts that are carried out late or whose answer is lost, and stops, and records two runs at once, runs after the end and hosts over their room.

--- a/packages/scheduler/tests/load_test.cpp
+++ b/packages/scheduler/tests/load_test.cpp
@@ -55,4 +55,18 @@
     CHECK(player.play(Seconds(20)) < 0.1);
 }
 
+TEST_CASE("No task runs twice while upstreams crash and starts are late or unanswered", "[load][random]")
+{
+    const std::uint64_t seed = GENERATE(range(1, 13));
+    CAPTURE(seed);
+    LoadPlayer player(
+        {.failures = 0.05, .lateStarts = 0.05, .lostAnswers = 0.1, .crashesPerSecond = 0.3, .seed = seed});
+    player.play(Seconds(40));
+    // Guards against a second run while the first may still start, after its upstream has another life, or after an end
+    // that was not acknowledged; and against a host that gets more than it can hold.
+    CHECK(player.violations().empty());
+    const auto &quick = player.outcomes().at("quick");
+    CHECK(share(quick.inTime + quick.late, quick.submitted) > 0.6);
+}
+
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/tests/loadplayer.cpp
+++ b/packages/scheduler/tests/loadplayer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <ctime>
+#include <iterator>
 
 namespace Carobflow::Scheduling
 {
@@ -16,6 +17,8 @@
 constexpr std::int64_t UnixMs = 1'000'000;
 constexpr Milliseconds QuickWork{1000};
 constexpr Milliseconds BatchWork{1700};
+/// Later than three orders for a run and the stop that settles them.
+constexpr Milliseconds LateBy{2500};
 
 double processorSeconds()
 {
@@ -116,17 +119,24 @@
 
 void LoadPlayer::advanceHosts()
 {
+    crashSome();
     for (HostModel &host : m_hosts) {
-        for (const Running &running : host.running) {
-            if (!running.serves && running.endsAt <= m_now) {
-                host.ended.push_back({.number = host.nextEnd++,
-                                      .run = running.run,
-                                      .end = running.fails ? RunEnd::Failed : RunEnd::Done,
-                                      .checkpoint = {}});
-                host.reportDue = true;
+        std::vector<Running> over;
+        std::ranges::copy_if(host.running, std::back_inserter(over), [&](const Running &running) {
+            return !running.serves && running.endsAt <= m_now;
+        });
+        for (const Running &running : over) {
+            endRun(host, running.run, running.fails ? RunEnd::Failed : RunEnd::Done);
+        }
+        const auto isDue = [&](const LateStart &late) { return late.at <= m_now; };
+        std::vector<LateStart> due;
+        std::ranges::copy_if(host.late, std::back_inserter(due), isDue);
+        std::erase_if(host.late, isDue);
+        for (const LateStart &late : due) {
+            if (host.settled[late.order.run.task] < late.order.run.run) {
+                begin(host, late.order);
             }
         }
-        std::erase_if(host.running, [&](const Running &running) { return !running.serves && running.endsAt <= m_now; });
         if (host.reportDue || m_now >= host.reportAt) {
             report(host);
         }
@@ -174,24 +184,116 @@
     m_committing = m_scheduler->takeDirtyJobs(JobsPerCommit);
     m_commitAt = m_now + CommitTime;
     for (const StartOrder &order : m_scheduler->takeStarts()) {
-        HostModel &host = m_hosts[m_hostIndex.at(order.host)];
-        const Job &job = *m_scheduler->find(order.run.task.job);
-        const StepSpec &step = job.step(order.run.task);
-        const double factor = std::lognormal_distribution<double>(-0.05, 0.1)(m_random);
-        const Duration work = std::chrono::duration_cast<Duration>(step.estimate * factor);
-        host.running.push_back({.run = order.run,
-                                .endsAt = m_now + work,
-                                .startedAt = m_now,
-                                .serves = step.serves(),
-                                .fails = std::bernoulli_distribution(m_options.failures)(m_random)});
-        ++m_starts;
-        if (const auto open = m_open.find(order.run.task.job); open != m_open.end() && !open->second.started) {
-            open->second.started = true;
-            m_outcomes[open->second.kind].firstStart.push_back(m_now - open->second.submittedAt);
-        }
-        m_scheduler->onStartOutcome(order.host, order.run, StartOutcome::Started, m_now);
+        carryOut(order);
+    }
+    for (const StopOrder &order : m_scheduler->takeStops()) {
+        carryOut(order);
+    }
+}
+
+void LoadPlayer::carryOut(const StartOrder &order)
+{
+    HostModel &host = m_hosts[m_hostIndex.at(order.host)];
+    if (order.upstream != host.upstream.identity) {
+        m_scheduler->onStartOutcome(order.host, order.run, StartOutcome::NotAccepted, m_now);
+        return;
+    }
+    const auto settled = host.settled.find(order.run.task);
+    if (settled != host.settled.end() && settled->second >= order.run.run) {
+        m_scheduler->onStartOutcome(order.host, order.run, StartOutcome::Superseded, m_now);
+        return;
+    }
+    const double luck = std::uniform_real_distribution<double>()(m_random);
+    if (luck < m_options.lateStarts) {
+        host.late.push_back({.order = order, .at = m_now + LateBy});
+        m_scheduler->onStartOutcome(order.host, order.run, StartOutcome::Unanswered, m_now);
+        return;
+    }
+    begin(host, order);
+    const bool lost = luck < m_options.lateStarts + m_options.lostAnswers;
+    m_scheduler->onStartOutcome(order.host, order.run, lost ? StartOutcome::Unanswered : StartOutcome::Started, m_now);
+}
+
+void LoadPlayer::begin(HostModel &host, const StartOrder &order)
+{
+    if (std::ranges::find(host.running, order.run, &Running::run) != host.running.end()) {
+        return;
+    }
+    const Job *job = m_scheduler->find(order.run.task.job);
+    const StepSpec &step = job->step(order.run.task);
+    const double factor = std::lognormal_distribution<double>(-0.05, 0.1)(m_random);
+    const Duration work = std::chrono::duration_cast<Duration>(step.estimate * factor);
+    host.running.push_back(
+        {.run = order.run,
+         .endsAt = m_now + work,
+         .startedAt = m_now,
+         .request = step.fillsLeftover ? Resources{.memoryMiB = step.request.memoryMiB} : step.request,
+         .serves = step.serves(),
+         .fails = std::bernoulli_distribution(m_options.failures)(m_random)});
+    ++m_starts;
+    if (++m_runningNow[order.run.task] > 1) {
+        m_violations.push_back("two runs at once: " + order.run.task.toString());
+    }
+    if (m_done.contains(order.run.task)) {
+        m_violations.push_back("run after the end: " + order.run.task.toString());
+    }
+    Resources used;
+    for (const Running &running : host.running) {
+        used += running.request;
+    }
+    if (!used.fitsIn(host.upstream.capacity)) {
+        m_violations.push_back("too much on " + host.name);
+    }
+    if (const auto open = m_open.find(order.run.task.job); open != m_open.end() && !open->second.started) {
+        open->second.started = true;
+        m_outcomes[open->second.kind].firstStart.push_back(m_now - open->second.submittedAt);
+    }
+}
+
+void LoadPlayer::endRun(HostModel &host, const RunId &run, RunEnd how)
+{
+    host.ended.push_back({.number = host.nextEnd++, .run = run, .end = how, .checkpoint = {}});
+    host.settled[run.task] = std::max(host.settled[run.task], run.run);
+    std::erase_if(host.running, [&](const Running &running) { return running.run == run; });
+    host.reportDue = true;
+    --m_runningNow[run.task];
+    if (how == RunEnd::Done) {
+        m_done.insert(run.task);
+    }
+}
+
+void LoadPlayer::carryOut(const StopOrder &order)
+{
+    HostModel &host = m_hosts[m_hostIndex.at(order.host)];
+    if (order.upstream != host.upstream.identity) {
+        return;
+    }
+    if (std::ranges::find(host.running, order.run, &Running::run) != host.running.end()) {
+        endRun(host, order.run, RunEnd::Stopped);
+        return;
+    }
+    host.settled[order.run.task] = std::max(host.settled[order.run.task], order.run.run);
+    const bool listed = std::ranges::find(host.ended, order.run, &EndedRun::run) != host.ended.end();
+    m_scheduler->onStopOutcome(order.host, order.run, listed ? StopOutcome::Ending : StopOutcome::Absent, m_now);
+}
+
+void LoadPlayer::crashSome()
+{
+    const double chance = m_options.crashesPerSecond * std::chrono::duration<double>(Tick).count();
+    if (!std::bernoulli_distribution(std::min(1.0, chance))(m_random)) {
+        return;
+    }
+    HostModel &host = m_hosts[std::uniform_int_distribution<std::size_t>(0, m_hosts.size() - 1)(m_random)];
+    for (const Running &running : host.running) {
+        --m_runningNow[running.run.task];
     }
-    m_scheduler->takeStops();
+    host.running.clear();
+    host.ended.clear();
+    host.late.clear();
+    host.settled.clear();
+    host.nextEnd = 1;
+    ++host.upstream.identity.incarnation;
+    host.reportDue = true;
 }
 
 void LoadPlayer::collectFinished()
--- a/packages/scheduler/tests/loadplayer.h
+++ b/packages/scheduler/tests/loadplayer.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,12 @@
         std::uint32_t serviceWidth = 6;
         std::int64_t serviceCpuMillis = 6400;
         double failures = 0.005;
+        /// Share of start orders that are carried out seconds later, without an answer.
+        double lateStarts = 0;
+        /// Share of start orders that are carried out and whose answer is lost.
+        double lostAnswers = 0;
+        /// Upstreams that crash and start again in each second.
+        double crashesPerSecond = 0;
         std::uint64_t seed = 1;
     };
 
@@ -59,20 +66,35 @@
         return m_starts;
     }
 
+    /// What must never happen and did: two runs of a task at once, a run after its task was done, a host over its room.
+    [[nodiscard]] const std::vector<std::string> &violations() const
+    {
+        return m_violations;
+    }
+
 private:
     struct Running {
         RunId run;
         TimePoint endsAt;
         TimePoint startedAt;
+        Resources request;
         bool serves = false;
         bool fails = false;
     };
 
+    struct LateStart {
+        StartOrder order;
+        TimePoint at;
+    };
+
     struct HostModel {
         std::string name;
         UpstreamDescription upstream;
         std::vector<Running> running;
         std::vector<EndedRun> ended;
+        std::vector<LateStart> late;
+        /// The highest run of each task that has ended or was stopped here.
+        std::map<TaskId, std::uint32_t> settled;
         std::uint64_t nextEnd = 1;
         TimePoint reportAt;
         bool reportDue = false;
@@ -88,6 +110,11 @@
     void arrive();
     void advanceHosts();
     void report(HostModel &host);
+    void crashSome();
+    void begin(HostModel &host, const StartOrder &order);
+    void endRun(HostModel &host, const RunId &run, RunEnd how);
+    void carryOut(const StartOrder &order);
+    void carryOut(const StopOrder &order);
     void decide();
     void collectFinished();
 
@@ -105,6 +132,9 @@
     TimePoint m_nextBatch;
     std::size_t m_submitted = 0;
     std::size_t m_starts = 0;
+    std::map<TaskId, std::size_t> m_runningNow;
+    std::set<TaskId> m_done;
+    std::vector<std::string> m_violations;
 };
 
 } // namespace Carobflow::Scheduling
