Start starving work although it slows a service down

Change: a job with nothing running for 2 s gets one task on the host where it takes least, if more than half of the leftover time is free; pacing guards the service.

--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -16,6 +16,8 @@
 
 /// Taking the whole headroom of a service outweighs the free part of a host, which is at most 1.
 constexpr double LossPenalty = 5;
+/// Counted where a filler takes more headroom than there is.
+constexpr double LargestLoss = 10;
 /// Outweighs the free part of a host, which is at most 1.
 constexpr double ServingHostBonus = 2;
 constexpr std::uint32_t MostServingCounted = 4;
@@ -46,7 +48,8 @@
         return false;
     }
     if (step.fillsLeftover
-        && (host.leftoverCpu() < step.request.cpuMillis || host.freeMemory() < m_options.fillerMemoryReserve)) {
+        && (host.leftoverCpu() < step.request.cpuMillis
+            || (host.freeMemory() < m_options.fillerMemoryReserve && !m_options.acceptsLoss))) {
         return false;
     }
     const auto tasks = job.stepTasks(id.occurrence, id.step);
@@ -110,10 +113,10 @@
         const std::optional<double> fillerLoss = step.fillsLeftover
             ? m_guide.lossOn(host->name(), step.image, coresOf(step.request.cpuMillis), now)
             : 0;
-        if (!fillerLoss) {
+        if (!fillerLoss && !m_options.acceptsLoss) {
             continue;
         }
-        const double value = score(*host, job, id, *fillerLoss, now);
+        const double value = score(*host, job, id, fillerLoss.value_or(LargestLoss), now);
         if (best == nullptr || value > bestScore) {
             best = host;
             bestScore = value;
--- a/packages/scheduler/src/carobflow/scheduler/placement.h
+++ b/packages/scheduler/src/carobflow/scheduler/placement.h
@@ -22,6 +22,9 @@
         /// Memory in MiB that fillers leave free on each host for tasks that serve waiting clients; about four of the
         /// largest quick tasks of both sites.
         std::int64_t fillerMemoryReserve = 8000;
+        /// Takes the host where a filler does least harm, although it leaves a service too little headroom; pacing then
+        /// keeps the service below its target.
+        bool acceptsLoss = false;
     };
 
     Placement(Options options, const OperatorView &view, const FillerGuide &guide, std::span<Host *const> hosts)
@@ -32,6 +35,11 @@
     {
     }
 
+    [[nodiscard]] bool acceptsLoss() const
+    {
+        return m_options.acceptsLoss;
+    }
+
     /// The host for one more run of the task, or null when none can take it now.
     [[nodiscard]] Host *choose(const Job &job, const TaskId &id, TimePoint now) const;
 
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -27,12 +27,26 @@
 constexpr std::uint32_t PacedShare = 60;
 /// Plans follow each other within 10 ms under load, which is more often than the time limits of runs need.
 constexpr Milliseconds SuperviseInterval{40};
+/// Work that waits for this long on hosts that are mostly free is started beside services that it slows down. The sites
+/// allow three seconds.
+constexpr Milliseconds StarvingTime{2000};
 /// A task that lasts is at work shortly after its start; one that is not by then is started elsewhere.
 constexpr Milliseconds StartupLimit{3000};
 constexpr std::uint32_t AtWorkPercent = 100;
 /// Orders for one run before the upstream counts as hung; each waits 400 ms for its answer.
 constexpr std::uint32_t SendsBeforeStop = 3;
 
+bool isMostlyFree(std::span<Host *const> hosts)
+{
+    std::int64_t free = 0;
+    std::int64_t capacity = 0;
+    for (const Host *host : hosts) {
+        free += std::max<std::int64_t>(0, host->leftoverCpu());
+        capacity += host->upstream()->capacity.cpuMillis;
+    }
+    return free * 2 > capacity;
+}
+
 bool isWanted(const Job &job, const Task &task)
 {
     return !job.isOver() && !task.done;
@@ -489,6 +503,7 @@
     for (auto next = m_active.begin(); next != m_active.end();) {
         Job &job = *m_jobs.at(*next);
         if (job.isOver() && job.isIdle()) {
+            m_idleSince.erase(*next);
             next = m_active.erase(next);
             continue;
         }
@@ -506,9 +521,21 @@
     }
     JobOrder(now).sort(open);
     const Placement placement({}, *m_view, m_guide, hosts);
+    const Placement anyPlacement({.acceptsLoss = true}, *m_view, m_guide, hosts);
+    const bool mostlyFree = isMostlyFree(hosts);
     for (Job *job : open) {
-        planJob(*job, placement, now, unixMs);
+        const bool starving = isStarving(*job, now) && mostlyFree;
+        planJob(*job, starving ? anyPlacement : placement, now, unixMs);
+    }
+}
+
+bool Scheduler::isStarving(const Job &job, TimePoint now)
+{
+    if (!job.isIdle()) {
+        m_idleSince.erase(job.spec().id);
+        return false;
     }
+    return now - m_idleSince.try_emplace(job.spec().id, now).first->second > StarvingTime;
 }
 
 void Scheduler::planJob(Job &job, const Placement &placement, TimePoint now, std::int64_t unixMs)
@@ -542,6 +569,10 @@
             }
             if (host != nullptr) {
                 place(job, id, *host, task.lastRun + 1, now);
+                if (placement.acceptsLoss()) {
+                    // One task shows whether its effect is as expected.
+                    return;
+                }
             }
         }
         ++id.index;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -142,6 +142,8 @@
     void stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now);
     [[nodiscard]] bool canStillStart(const Job &job, const TaskId &id, const Attempt &attempt) const;
     [[nodiscard]] std::vector<Host *> usableHosts(TimePoint now) const;
+    /// True for a job that has had nothing running for a while, although its turn has come.
+    bool isStarving(const Job &job, TimePoint now);
     [[nodiscard]] bool isUsable(const HostState &host, TimePoint now) const;
     void markDirty(const Job &job);
     void report(const RunId &run, std::string_view host, std::string_view event) const;
@@ -156,6 +158,8 @@
     std::set<std::string, std::less<>> m_dirty;
     /// Jobs of the write in progress.
     std::set<std::string, std::less<>> m_committing;
+    /// Since when unfinished jobs have had nothing running.
+    std::map<std::string, TimePoint, std::less<>> m_idleSince;
     /// When all attempts were last looked at.
     TimePoint m_supervisedAt;
     std::vector<StartOrder> m_starts;
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -309,6 +309,41 @@
     CHECK_FALSE(fixture.stops().empty());
 }
 
+TEST_CASE("A filler does not wait for ever for hosts on which it disturbs no service", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    JobSpec service = SchedulerFixture::quickJob("service", 3);
+    service.steps[0].longRunning = true;
+    service.steps[0].maxPerUpstream = 1;
+    service.steps[0].image = "web";
+    service.steps[0].tailTarget = Milliseconds(100);
+    fixture.scheduler->submit(service, fixture.now);
+    const auto services = fixture.step();
+    REQUIRE(services.size() == 3);
+    const auto report = [&] {
+        for (const StartOrder &start : services) {
+            HostReport host = fixture.reportOf(start.host);
+            host.running.push_back({.run = start.run, .percent = 100, .load = 60});
+            fixture.scheduler->onReport(host, fixture.now);
+        }
+    };
+    report();
+    JobSpec filler = SchedulerFixture::quickJob("filler", 2);
+    filler.steps[0].fillsLeftover = true;
+    filler.steps[0].image = "batch";
+    filler.steps[0].request.cpuMillis = 2000;
+    fixture.scheduler->submit(filler, fixture.now);
+    // The services have too little headroom for a filler of unknown effect.
+    CHECK(fixture.step().empty());
+    fixture.advance(Milliseconds(1000));
+    report();
+    CHECK(fixture.step().empty());
+    // Guards against accepted work that is never started although the hosts are mostly free.
+    fixture.advance(Milliseconds(1100));
+    report();
+    CHECK(fixture.step().size() == 1);
+}
+
 TEST_CASE("A host that fails what it starts gets no more work until it is tried again", "[scheduler]")
 {
     SchedulerFixture fixture;
