Put two comments right

One stood behind another constant than the one it refers to; the other said which estimates are dropped, which is not by age. No behaviour changes.

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -23,9 +23,9 @@
 
 /// A running list is at most this old; ends are returned at once.
 constexpr Milliseconds RenewWait{400};
-constexpr Milliseconds RenewPause{100};
 /// The same where fillers run beside services, whose tails can pass their targets within a second.
 constexpr Milliseconds PacedRenewWait{100};
+constexpr Milliseconds RenewPause{100};
 /// An upstream answers at once while it lists ends that are not acknowledged. New ends are seen this much later then.
 constexpr Milliseconds PendingEndsPause{25};
 /// Acknowledgements come with the answers to reports; the write that they wait for takes about 10 ms.
--- a/packages/scheduler/src/carobflow/scheduler/headroommodel.h
+++ b/packages/scheduler/src/carobflow/scheduler/headroommodel.h
@@ -33,7 +33,7 @@
         double drift = 2e-5;
         /// Time between the two figures of a change. Figures cover half a second, so closer ones overlap.
         Milliseconds span{800};
-        /// More images than any deployment has are a sign of jobs with random images; the oldest estimates go.
+        /// More images than any deployment has are a sign of jobs with random images; estimates are dropped then.
         std::size_t maxImages = 64;
     };
 
