Keep stopped fillers stopped until tails are low

Cause: an image that was held back to nothing uses no processor time, so it counted as harmless and got its share back, 50 points a step, while the tail that it had raised was still at 0.9 of its target. Found in the read-through. Ruled out: the learned effects; the test sets them. Change: the pacer remembers what an image uses without a limit, from when it was last seen working. The new test fails without the change.

--- a/packages/scheduler/src/carobflow/scheduler/pacer.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/pacer.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr double FullShare = 100;
-/// Keeps the use of a filler that is held back to nothing from counting as no effect.
+/// The use of fillers at a lower share says too little about their use without a limit.
 constexpr double LeastShareCounted = 10;
 /// An image that causes less than this part of a service's whole loss is not cut for it.
 constexpr double MinorCause = 0.15;
@@ -41,17 +41,17 @@
     return text;
 }
 
-double Pacer::lossFrom(const PacedTask &service, std::string_view filler, const Image &image) const
+double Pacer::lossFrom(const PacedTask &service, std::string_view filler, double cores) const
 {
     const auto known = m_effects.find({service.image, std::string(filler)});
-    return (known == m_effects.end() ? HeadroomModel::Options{}.priorEffect : known->second) * image.cores;
+    return (known == m_effects.end() ? HeadroomModel::Options{}.priorEffect : known->second) * cores;
 }
 
 void Pacer::cutFor(const PacedTask &service, std::map<std::string, double, std::less<>> &factors) const
 {
     double whole = 0;
     for (const auto &[name, image] : m_images) {
-        whole += lossFrom(service, name, image);
+        whole += lossFrom(service, name, image.cores);
     }
     if (whole <= m_options.negligibleLoss) {
         return;
@@ -61,7 +61,7 @@
     const double gentlest = pressureOf(service) > 1 ? m_options.overTargetCut : m_options.gentlestCut;
     const double factor = std::clamp(1 - missing / whole, m_options.hardestCut, gentlest);
     for (const auto &[name, image] : m_images) {
-        if (lossFrom(service, name, image) >= MinorCause * whole) {
+        if (lossFrom(service, name, image.cores) >= MinorCause * whole) {
             const auto known = factors.find(name);
             factors[name] = known == factors.end() ? factor : std::min(known->second, factor);
         }
@@ -70,12 +70,9 @@
 
 bool Pacer::mayRaise(std::string_view filler, const Image &image, std::span<const PacedTask> tasks) const
 {
-    // What the image would take at its full share.
-    const Image unlimited{.share = FullShare,
-                          .cores = image.cores * FullShare / std::max(image.share, LeastShareCounted)};
     return std::ranges::all_of(tasks, [&](const PacedTask &task) {
         return !serves(task) || pressureOf(task) < m_options.raiseBelow
-            || lossFrom(task, filler, unlimited) <= m_options.negligibleLoss;
+            || lossFrom(task, filler, image.unlimitedCores) <= m_options.negligibleLoss;
     });
 }
 
@@ -134,7 +131,11 @@
     std::erase_if(m_applied, [&](const auto &entry) { return !present.contains(entry.first); });
     std::erase_if(m_images, [&](const auto &entry) { return !cores.contains(entry.first); });
     for (const auto &[name, used] : cores) {
-        m_images[name].cores = used;
+        Image &image = m_images[name];
+        image.cores = used;
+        if (image.share >= LeastShareCounted) {
+            image.unlimitedCores = used * FullShare / image.share;
+        }
     }
     adjustShares(tasks, now);
     std::vector<Command> commands;
--- a/packages/scheduler/src/carobflow/scheduler/pacer.h
+++ b/packages/scheduler/src/carobflow/scheduler/pacer.h
@@ -115,11 +115,13 @@
         double share = 100;
         /// Cores in use by the fillers of the image.
         double cores = 0;
+        /// Cores that they would use without a limit, as long as they were seen working.
+        double unlimitedCores = 0;
     };
 
     void adjustShares(std::span<const PacedTask> tasks, TimePoint now);
     void cutFor(const PacedTask &service, std::map<std::string, double, std::less<>> &factors) const;
-    [[nodiscard]] double lossFrom(const PacedTask &service, std::string_view filler, const Image &image) const;
+    [[nodiscard]] double lossFrom(const PacedTask &service, std::string_view filler, double cores) const;
     [[nodiscard]] bool mayRaise(std::string_view filler, const Image &image, std::span<const PacedTask> tasks) const;
 
     Options m_options;
--- a/packages/scheduler/tests/policy_test.cpp
+++ b/packages/scheduler/tests/policy_test.cpp
@@ -74,6 +74,27 @@
         CHECK(pacer.share("heavy") < 90);
         CHECK(pacer.share("gentle") == 100);
     }
+    // Guards against fillers that are given share back for having none: what stands still slows nobody down.
+    SECTION("An image that was stopped comes back only when the tail is low")
+    {
+        PacedTask heavy = filler("heavy");
+        const auto next = [&](std::int64_t tailMs, std::int64_t used) {
+            now += Milliseconds(700);
+            service.load = tailMs;
+            heavy.load = used;
+            pacer.update(std::vector{service, heavy}, now);
+        };
+        next(50, 4000);
+        for (int step = 0; step < 4; ++step) {
+            next(200, 4000);
+        }
+        REQUIRE(pacer.share("heavy") == 0);
+        next(90, 0);
+        next(90, 0);
+        CHECK(pacer.share("heavy") == 0);
+        next(50, 0);
+        CHECK(pacer.share("heavy") > 0);
+    }
     // Guards against wrong effects that keep a service over its target for longer than the sites allow.
     SECTION("A tail that stays over its target stops the gentle image too")
     {
