Ignore overtaken reports, and start starving work beside paced fillers

Change: reports of one agent on an earlier life are ignored; starving work needs only room beside what is reserved, where half of the hosts are half free. The new test fails without the check of lives.

--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -47,9 +47,13 @@
     if (!host.fits(step)) {
         return false;
     }
-    if (step.fillsLeftover
-        && (host.leftoverCpu() < step.request.cpuMillis
-            || (host.freeMemory() < m_options.fillerMemoryReserve && !m_options.acceptsLoss))) {
+    if (step.fillsLeftover && m_options.acceptsLoss) {
+        // Other fillers may share what is left over; only what is reserved counts.
+        if (!host.fits({.request = step.request})) {
+            return false;
+        }
+    } else if (step.fillsLeftover
+               && (host.leftoverCpu() < step.request.cpuMillis || host.freeMemory() < m_options.fillerMemoryReserve)) {
         return false;
     }
     const auto tasks = job.stepTasks(id.occurrence, id.step);
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -38,13 +38,10 @@
 
 bool isMostlyFree(std::span<Host *const> hosts)
 {
-    std::int64_t free = 0;
-    std::int64_t capacity = 0;
-    for (const Host *host : hosts) {
-        free += std::max<std::int64_t>(0, host->leftoverCpu());
-        capacity += host->upstream()->capacity.cpuMillis;
-    }
-    return free * 2 > capacity;
+    const auto isHalfFree = [](const Host *host) {
+        return host->fits({.request = {.cpuMillis = host->upstream()->capacity.cpuMillis / 2}});
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(hosts, isHalfFree)) * 2 >= hosts.size();
 }
 
 bool isWanted(const Job &job, const Task &task)
@@ -198,6 +195,12 @@
 void Scheduler::onReport(const HostReport &report, TimePoint now)
 {
     HostState &state = hostState(report.host);
+    const UpstreamDescription *known = state.host.upstream();
+    if (known != nullptr && report.upstream && report.agentIncarnation == state.host.report().agentIncarnation
+        && report.upstream->identity.incarnation < known->identity.incarnation) {
+        // Overtaken by a report on the upstream's newer life.
+        return;
+    }
     const bool fenced = report.fencedEpoch == m_options.epoch;
     const bool replaced = state.host.apply(report, now);
     state.leaseFreeAt = now + m_options.grant
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -344,6 +344,25 @@
     CHECK(fixture.step().size() == 1);
 }
 
+TEST_CASE("A report that was overtaken by one on a newer life of the upstream changes nothing", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    HostReport former = fixture.reportOf("host-1");
+    HostReport newer = former;
+    newer.upstream->identity.incarnation = former.upstream->identity.incarnation + 1;
+    fixture.scheduler->onReport(newer, fixture.now);
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job", 12), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 12);
+    const auto start = std::ranges::find(starts, "host-1", &StartOrder::host);
+    REQUIRE(start != starts.end());
+    fixture.scheduler->onReport(former, fixture.now);
+    newer.ended = {{.number = 1, .run = start->run, .end = RunEnd::Done, .checkpoint = {}}};
+    fixture.scheduler->onReport(newer, fixture.now);
+    // Guards against an end that is acknowledged though its run was given up, so that the task runs again.
+    CHECK(fixture.scheduler->find("job")->findTask(start->run.task)->done);
+}
+
 TEST_CASE("A host that fails what it starts gets no more work until it is tried again", "[scheduler]")
 {
     SchedulerFixture fixture;
