Put each write of the leader together within the store's limits

Cause: a commit took 20 jobs of up to four rows each, and beside them every new host and every collected deletion without a bound. 60 hosts that report within one write made it too large. The ledger takes the rejection for an outage and sends the same transaction again for good, so that the leader decides nothing more, is replaced after 1.8 s, and its successor, which meets the same hosts, stops in the same way. Change: TransactionBatch holds what one transaction takes, in entries and bytes; the table says its limits. Renewals come first, then hosts, jobs in the order of their first change, and deletions; the rest waits for the next write. Jobs were taken in the order of their ids before, which could leave one waiting for good under steady load. Ruled out: a larger pause between retries; the transaction never fits.

--- a/packages/connectors/src/carobflow/connectors/watchabletable.h
+++ b/packages/connectors/src/carobflow/connectors/watchabletable.h
@@ -38,6 +38,9 @@
 class WatchableTable : public TableService
 {
 public:
+    /// Transactions beyond these are rejected, however often they are sent.
+    [[nodiscard]] virtual TransactionLimits limits() const = 0;
+
     /// All rows whose keys start with `prefix`, which ends with a slash. Errors: Unavailable, Timeout.
     virtual boost::asio::awaitable<Result<TableSnapshot>> snapshot(std::string_view prefix) = 0;
 
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -3,9 +3,11 @@
 #include "carobflow/control/conversion.h"
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
+#include "carobflow/core/invariant.h"
 #include "carobflow/logging/log.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,8 +22,8 @@
 namespace
 {
 
-/// A transaction holds at most 100 entries; each job needs up to four.
-constexpr std::size_t JobsPerCommit = 20;
+/// Finished jobs that are forgotten at once, so that their rows leave room for work in the writes.
+constexpr std::size_t JobsPerSweep = 20;
 constexpr std::size_t RowsPerRead = 500;
 constexpr Milliseconds LoadPause{50};
 /// Others take over after 1.8 s without a renewal.
@@ -232,64 +234,91 @@
     }
 }
 
-void LeaderTerm::addJobMutations(const std::string &id, std::vector<Mutation> &mutations)
+std::vector<Mutation> LeaderTerm::mutationsOf(const Scheduling::Job &job) const
 {
-    const Scheduling::Job *job = m_scheduler.find(id);
-    if (job == nullptr) {
-        return;
-    }
+    const std::string &id = job.spec().id;
+    std::vector<Mutation> mutations;
     if (const auto unstored = m_unstored.find(id); unstored != m_unstored.end()) {
-        wire::Job message = toMessage(job->spec());
+        wire::Job message = toMessage(job.spec());
         message.set_accepted_unix_ms(unstored->second);
         mutations.push_back(
             {.key = StoreLayout::keyOf(StoreLayout::JobPrefix, id), .value = message.SerializeAsString()});
     }
     mutations.push_back({.key = StoreLayout::keyOf(StoreLayout::ProgressPrefix, id),
-                         .value = toMessage(job->progress()).SerializeAsString()});
+                         .value = toMessage(job.progress()).SerializeAsString()});
     if (const auto inbox = m_inboxKeys.find(id); inbox != m_inboxKeys.end()) {
         for (const std::string &key : inbox->second) {
             mutations.push_back({.key = key, .value = std::nullopt});
         }
-        m_inboxKeys.erase(inbox);
     }
+    return mutations;
 }
 
-void LeaderTerm::addHostMutations(std::vector<Mutation> &mutations)
+void LeaderTerm::addLeadership(TransactionBatch &batch, TimePoint now)
 {
-    for (const std::string &name : m_scheduler.takeNewHosts()) {
-        mutations.push_back(
-            {.key = StoreLayout::keyOf(StoreLayout::HostPrefix, name), .value = m_contacts[name].address});
+    if (m_resigning) {
+        batch.add({m_ledger->resignation()});
+    } else if (now - m_renewedAt >= RenewInterval) {
+        m_renewedAt = now;
+        batch.add({m_ledger->renewal()});
     }
-    for (std::string &key : m_deletions) {
-        mutations.push_back({.key = std::move(key), .value = std::nullopt});
+}
+
+void LeaderTerm::addHosts(TransactionBatch &batch)
+{
+    std::ranges::move(m_scheduler.takeNewHosts(), std::back_inserter(m_newHosts));
+    while (!m_newHosts.empty()) {
+        const std::string &name = m_newHosts.front();
+        if (!batch.add(
+                {{.key = StoreLayout::keyOf(StoreLayout::HostPrefix, name), .value = m_contacts[name].address}})) {
+            m_changed = true;
+            return;
+        }
+        m_newHosts.pop_front();
     }
-    m_deletions.clear();
 }
 
-asio::awaitable<bool> LeaderTerm::commitChanges()
+std::vector<std::string> LeaderTerm::addJobs(TransactionBatch &batch)
 {
-    std::vector<Mutation> mutations;
-    const std::vector<std::string> ids = m_scheduler.takeDirtyJobs(JobsPerCommit);
-    if (ids.size() == JobsPerCommit) {
-        m_changed = true;
+    std::vector<std::string> ids;
+    while (const Scheduling::Job *job = m_scheduler.firstDirtyJob()) {
+        const bool wasEmpty = batch.isEmpty();
+        if (!batch.add(mutationsOf(*job))) {
+            requireInvariant(!wasEmpty, "job-fits-into-one-write", job->spec().id);
+            m_changed = true;
+            break;
+        }
+        m_inboxKeys.erase(job->spec().id);
+        std::ranges::move(m_scheduler.takeDirtyJobs(1), std::back_inserter(ids));
     }
-    for (const std::string &id : ids) {
-        addJobMutations(id, mutations);
+    return ids;
+}
+
+void LeaderTerm::addDeletions(TransactionBatch &batch)
+{
+    while (!m_deletions.empty()) {
+        if (!batch.add({{.key = m_deletions.front(), .value = std::nullopt}})) {
+            m_changed = true;
+            return;
+        }
+        m_deletions.pop_front();
     }
-    addHostMutations(mutations);
+}
+
+asio::awaitable<bool> LeaderTerm::commitChanges()
+{
+    TransactionBatch batch(m_ledger->commitLimits());
     const TimePoint now = suspendAwareNow();
-    if (m_resigning) {
-        mutations.push_back(m_ledger->resignation());
-    } else if (now - m_renewedAt >= RenewInterval) {
-        m_renewedAt = now;
-        mutations.push_back(m_ledger->renewal());
-    }
-    if (mutations.empty()) {
+    addLeadership(batch, now);
+    addHosts(batch);
+    const std::vector<std::string> ids = addJobs(batch);
+    addDeletions(batch);
+    if (batch.isEmpty()) {
         co_return true;
     }
     const std::uint64_t round = ++m_round;
     m_writingSince = now;
-    const Status committed = co_await m_ledger->commit(std::move(mutations));
+    const Status committed = co_await m_ledger->commit(batch.take());
     m_writingSince.reset();
     if (!isOk(committed)) {
         logInfo("deposed").with("epoch", m_ledger->epoch()).with("reason", errorOf(committed).message);
@@ -609,6 +638,9 @@
         if (job->isOver() && job->isIdle()
             && now - m_overSince.try_emplace(id, now).first->second > m_options.retention) {
             forgotten.push_back(id);
+            if (forgotten.size() == JobsPerSweep) {
+                break;
+            }
         }
     }
     for (const std::string &id : forgotten) {
@@ -617,9 +649,6 @@
         m_committedRound.erase(id);
         m_deletions.push_back(StoreLayout::keyOf(StoreLayout::JobPrefix, id));
         m_deletions.push_back(StoreLayout::keyOf(StoreLayout::ProgressPrefix, id));
-        if (m_deletions.size() > JobsPerCommit) {
-            break;
-        }
     }
 }
 
@@ -662,7 +691,7 @@
     logInfo("inbox-taken").with("row", row.key);
     // The row goes with the next write of the job, or at once when the job is stored already.
     if (m_scheduler.isDirty(id)) {
-        m_inboxKeys[id].push_back(row.key);
+        m_inboxKeys[id].insert(row.key);
     } else {
         m_deletions.push_back(row.key);
     }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -4,10 +4,12 @@
 #include "carobflow/control/leaderdirectory.h"
 #include "carobflow/control/ledger.h"
 #include "carobflow/control/operatorsync.h"
+#include "carobflow/control/transactionbatch.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/scheduler/scheduler.h"
 
 #include <atomic>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -82,8 +84,14 @@
     boost::asio::awaitable<void> followInbox();
     boost::asio::awaitable<void> waitForCommit(std::string job);
     void takeInboxRow(const Row &row);
-    void addJobMutations(const std::string &id, std::vector<Mutation> &mutations);
-    void addHostMutations(std::vector<Mutation> &mutations);
+    /// Fill a write with as much as it holds, in this order: a successor waits for renewals, and needs the address of a
+    /// host on which a job's tasks are placed.
+    void addLeadership(TransactionBatch &batch, TimePoint now);
+    void addHosts(TransactionBatch &batch);
+    /// Returns the jobs whose changes the write holds.
+    std::vector<std::string> addJobs(TransactionBatch &batch);
+    void addDeletions(TransactionBatch &batch);
+    [[nodiscard]] std::vector<Mutation> mutationsOf(const Scheduling::Job &job) const;
     /// Tells the agent what is known of the effects between the images that run on its host.
     void addEffects(const Scheduling::HostReport &report, carobflow::control::ReportReply &reply) const;
     void sendOrders();
@@ -122,8 +130,11 @@
     /// Jobs that changed since their last commit began; commits in progress do not cover them.
     std::map<std::string, std::uint64_t, std::less<>> m_committedRound;
     std::uint64_t m_round = 0;
-    std::map<std::string, std::vector<std::string>> m_inboxKeys;
-    std::vector<std::string> m_deletions;
+    std::map<std::string, std::set<std::string>> m_inboxKeys;
+    /// Hosts whose addresses the store does not have yet.
+    std::deque<std::string> m_newHosts;
+    /// Rows to remove.
+    std::deque<std::string> m_deletions;
     std::map<std::string, TimePoint> m_overSince;
     std::map<std::string, HostContact> m_contacts;
     std::list<std::shared_ptr<boost::asio::steady_timer>> m_waiters;
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -23,6 +23,9 @@
 /// Pause after a refused write. A write that is in flight takes 5 ms, so that a short pause loses little, and a store
 /// that refuses for seconds is asked ten times a second.
 constexpr Milliseconds RefusalPause{100};
+/// The head row is in every write, as a condition and as a mutation of less than this.
+constexpr std::size_t HeadEntries = 2;
+constexpr std::size_t HeadBytes = 200;
 /// Pause after a lost reply; the call itself has waited for its timeout already.
 constexpr Milliseconds LostReplyPause{10};
 
@@ -136,6 +139,12 @@
     co_return Error{ErrorKind::NotFound, "the write was not applied"};
 }
 
+TransactionLimits Ledger::commitLimits() const
+{
+    const TransactionLimits limits = m_table.limits();
+    return {.entries = limits.entries - HeadEntries, .bytes = limits.bytes - HeadBytes};
+}
+
 asio::awaitable<Status> Ledger::commit(std::vector<Mutation> mutations)
 {
     ++m_sequence;
--- a/packages/control/src/carobflow/control/ledger.h
+++ b/packages/control/src/carobflow/control/ledger.h
@@ -38,6 +38,9 @@
         return m_epoch;
     }
 
+    /// What the mutations of one commit may hold beside what the ledger adds to it.
+    [[nodiscard]] TransactionLimits commitLimits() const;
+
     /// Applies mutations once; tries until the outcome is certain. Errors: Conflict when this process leads no more.
     boost::asio::awaitable<Status> commit(std::vector<Mutation> mutations);
 
--- /dev/null
+++ b/packages/control/tests/tablefake.cpp
@@ -0,0 +1,104 @@
+#include "tablefake.h"
+
+#include "carobflow/daemon/internal/asyncwait.h"
+
+#include <algorithm>
+
+namespace Carobflow
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr Milliseconds CallTime{2};
+
+bool isBeyond(const TransactionLimits &limits, const Transaction &transaction)
+{
+    std::size_t bytes = 0;
+    for (const Mutation &mutation : transaction.mutations) {
+        bytes += mutation.key.size() + mutation.value.value_or(std::string()).size();
+    }
+    return transaction.conditions.size() + transaction.mutations.size() > limits.entries || bytes > limits.bytes;
+}
+
+} // namespace
+
+std::vector<Row> TableFake::rowsOf(std::string_view prefix) const
+{
+    std::vector<Row> rows;
+    for (auto row = m_rows.lower_bound(prefix); row != m_rows.end() && row->first.starts_with(prefix); ++row) {
+        rows.push_back(row->second);
+    }
+    return rows;
+}
+
+std::size_t TableFake::countRows(std::string_view prefix) const
+{
+    return rowsOf(prefix).size();
+}
+
+asio::awaitable<Result<std::vector<Row>>> TableFake::read(std::span<const std::string> keys)
+{
+    std::vector<Row> rows;
+    for (const std::string &key : keys) {
+        if (const auto row = m_rows.find(key); row != m_rows.end()) {
+            rows.push_back(row->second);
+        }
+    }
+    co_return rows;
+}
+
+asio::awaitable<Result<std::vector<Row>>>
+TableFake::readRange(std::string_view prefix, std::string_view after, std::size_t limit)
+{
+    std::vector<Row> rows = rowsOf(prefix);
+    std::erase_if(rows, [&](const Row &row) { return row.key <= after; });
+    rows.resize(std::min(rows.size(), limit));
+    co_return rows;
+}
+
+asio::awaitable<TransactOutcome> TableFake::transact(const Transaction &transaction)
+{
+    co_await sleepFor(CallTime);
+    if (isBeyond(limits(), transaction)) {
+        ++oversized;
+        co_return TableUnavailable{"the transaction is too large"};
+    }
+    for (const Condition &condition : transaction.conditions) {
+        const auto row = m_rows.find(condition.key);
+        if ((row == m_rows.end() ? 0 : row->second.version) != condition.version) {
+            co_return Conflict{condition.key};
+        }
+    }
+    ++m_version;
+    for (const Mutation &mutation : transaction.mutations) {
+        if (mutation.value) {
+            m_rows[mutation.key] = {.key = mutation.key, .value = *mutation.value, .version = m_version};
+        } else {
+            m_rows.erase(mutation.key);
+        }
+    }
+    co_return Committed{m_version};
+}
+
+asio::awaitable<Result<TableSnapshot>> TableFake::snapshot(std::string_view prefix)
+{
+    co_return TableSnapshot{.rows = rowsOf(prefix), .version = m_version};
+}
+
+asio::awaitable<ChangesOutcome> TableFake::changes(std::string_view prefix, std::uint64_t after, Milliseconds wait)
+{
+    co_await sleepFor(std::min(wait, CallTime));
+    TableChanges changes{.changes = {}, .version = after};
+    for (const Row &row : rowsOf(prefix)) {
+        if (row.version > after) {
+            changes.changes.push_back({.key = row.key, .value = row.value, .version = row.version});
+            changes.version = std::max(changes.version, row.version);
+        }
+    }
+    co_return changes;
+}
+
+} // namespace Carobflow
--- /dev/null
+++ b/packages/control/tests/tablefake.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "carobflow/connectors/watchabletable.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Carobflow
+{
+
+/// A table in memory that enforces its limits on transactions, as the users' store does.
+class TableFake final : public WatchableTable
+{
+public:
+    [[nodiscard]] TransactionLimits limits() const override
+    {
+        return {.entries = 100, .bytes = 100'000};
+    }
+
+    boost::asio::awaitable<Result<std::vector<Row>>> read(std::span<const std::string> keys) override;
+    boost::asio::awaitable<Result<std::vector<Row>>>
+    readRange(std::string_view prefix, std::string_view after, std::size_t limit) override;
+    boost::asio::awaitable<TransactOutcome> transact(const Transaction &transaction) override;
+    boost::asio::awaitable<Result<TableSnapshot>> snapshot(std::string_view prefix) override;
+    boost::asio::awaitable<ChangesOutcome>
+    changes(std::string_view prefix, std::uint64_t after, Milliseconds wait) override;
+
+    [[nodiscard]] std::size_t countRows(std::string_view prefix) const;
+
+    /// Transactions that were rejected because they were beyond the limits.
+    std::size_t oversized = 0;
+
+private:
+    [[nodiscard]] std::vector<Row> rowsOf(std::string_view prefix) const;
+
+    std::map<std::string, Row, std::less<>> m_rows;
+    std::uint64_t m_version = 1;
+};
+
+} // namespace Carobflow
--- a/packages/core/src/carobflow/core/table.h
+++ b/packages/core/src/carobflow/core/table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +35,14 @@
     std::vector<Mutation> mutations;
 };
 
+/// What a table takes in one transaction.
+struct TransactionLimits {
+    /// Conditions and mutations together.
+    std::size_t entries = 0;
+    /// Keys and values of all entries together.
+    std::size_t bytes = 0;
+};
+
 /// The transaction was applied; every row it put now has this version.
 struct Committed {
     std::uint64_t version = 0;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -91,7 +91,9 @@
 
 void Scheduler::markDirty(const Job &job)
 {
-    m_dirty.insert(job.spec().id);
+    if (m_dirty.insert(job.spec().id).second) {
+        m_dirtyOrder.push_back(job.spec().id);
+    }
     m_active.insert(job.spec().id);
 }
 
@@ -740,15 +742,19 @@
         && !m_view->isEvacuated(upstream->dataCentre);
 }
 
+const Job *Scheduler::firstDirtyJob() const
+{
+    return m_dirtyOrder.empty() ? nullptr : find(m_dirtyOrder.front());
+}
+
 std::vector<std::string> Scheduler::takeDirtyJobs(std::size_t limit)
 {
     std::vector<std::string> taken;
-    while (!m_dirty.empty() && taken.size() < limit) {
-        std::string id = std::move(m_dirty.extract(m_dirty.begin()).value());
+    while (!m_dirtyOrder.empty() && taken.size() < limit) {
+        std::string id = std::move(m_dirtyOrder.front());
+        m_dirtyOrder.pop_front();
+        m_dirty.erase(id);
         const auto found = m_jobs.find(id);
-        if (found == m_jobs.end()) {
-            continue;
-        }
         found->second->forEachTask([](const TaskId & /*id*/, Task &task) {
             for (Attempt &attempt : task.attempts) {
                 if (attempt.phase == AttemptPhase::Planned) {
@@ -839,7 +845,9 @@
     if (found == m_jobs.end() || !found->second->isOver() || !found->second->isIdle()) {
         return false;
     }
-    m_dirty.erase(std::string(id));
+    if (m_dirty.erase(std::string(id)) > 0) {
+        std::erase(m_dirtyOrder, id);
+    }
     m_active.erase(std::string(id));
     m_jobs.erase(found);
     return true;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -7,6 +7,7 @@
 #include "carobflow/scheduler/placement.h"
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -79,7 +80,11 @@
     /// Decides on all that can be decided now. `unixMs` is the time of day, for due times.
     void plan(TimePoint now, std::int64_t unixMs);
 
-    /// Jobs with changes that are not in the store, at most `limit`; their current state has to be written.
+    /// The job whose changes have waited longest for a write; null when all are in the store or in a write.
+    [[nodiscard]] const Job *firstDirtyJob() const;
+
+    /// Jobs with changes that are not in the store, those that have waited longest first, at most `limit`; their
+    /// current state has to be written.
     std::vector<std::string> takeDirtyJobs(std::size_t limit);
 
     /// True when changes of the job are not in the store, or their write is in progress.
@@ -156,6 +161,8 @@
     std::set<std::string, std::less<>> m_active;
     std::map<std::string, std::unique_ptr<HostState>, std::less<>> m_hosts;
     std::set<std::string, std::less<>> m_dirty;
+    /// The same jobs in the order of their first change.
+    std::deque<std::string> m_dirtyOrder;
     /// Jobs of the write in progress.
     std::set<std::string, std::less<>> m_committing;
     /// Since when unfinished jobs have had nothing running.
