Answer reports when the ends that they list are in the store

What callers saw: on the grown deployments starts and ends were late (half of the first starts after 280 ms, ends not taken note of), and cancelled jobs ran on. Cause: the leader's processor share. An end took two reports, one with it and one or more, each 60 ms, that only fetched the acknowledgement; each is a gRPC call of about half a millisecond on both sides. Change: the reply to a report with ends waits for the write that records them, for 200 ms at most, and carries the acknowledgement. Hosts to greet are looked for every 50 ms and not in each round. Test: 'A report that lists ends is answered when the ends are in the store'; before, the first reply acknowledged nothing (report() answered at once).

--- a/packages/control/src/carobflow/control/controlservices.cpp
+++ b/packages/control/src/carobflow/control/controlservices.cpp
@@ -69,12 +69,9 @@
                                                         const wire::ReportRequest *request,
                                                         wire::ReportReply *reply)
 {
-    return serve(context,
-                 request,
-                 reply,
-                 [](LeaderTerm &term, const wire::ReportRequest &message) -> asio::awaitable<wire::ReportReply> {
-                     co_return term.report(message);
-                 });
+    return serve(context, request, reply, [](LeaderTerm &term, const wire::ReportRequest &message) {
+        return term.report(message);
+    });
 }
 
 grpc::ServerUnaryReactor *HostServiceFrontend::Execute(grpc::CallbackServerContext *context,
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -40,7 +40,12 @@
 /// About the time of one write.
 constexpr Milliseconds CommitPollInterval{5};
 constexpr Milliseconds ExecuteTimeout{700};
+/// A third of the agents' time-out for reports. A write takes 5 to 10 ms; when the store is slower the reply leaves
+/// without the acknowledgement.
+constexpr Milliseconds EndsWait{200};
 constexpr Milliseconds GreetInterval{300};
+/// Under load a plan follows the other within 10 ms, which is more often than hosts need to be looked at.
+constexpr Milliseconds GreetCheckInterval{50};
 constexpr Milliseconds SweepInterval{5000};
 constexpr Milliseconds InboxWait{1500};
 constexpr Milliseconds InboxPause{200};
@@ -103,6 +108,7 @@
     }
     m_over = true;
     wakeWaiters();
+    wakeEndWaiters();
     logInfo("leading-ended").with("epoch", m_ledger->epoch()).with("resigned", m_resigning);
 }
 
@@ -331,6 +337,7 @@
         m_scheduler.commitJob(id, committedAt);
     }
     wakeWaiters();
+    wakeEndWaiters();
     co_return true;
 }
 
@@ -466,15 +473,8 @@
     return reply;
 }
 
-wire::ReportReply LeaderTerm::report(const wire::ReportRequest &request)
+void LeaderTerm::takeReport(const Scheduling::HostReport &report, TimePoint now)
 {
-    wire::ReportReply reply;
-    *reply.mutable_leader() = m_directory.hint();
-    if (!m_loaded || m_over) {
-        return reply;
-    }
-    const TimePoint now = suspendAwareNow();
-    const Scheduling::HostReport report = fromMessage(request);
     HostContact &contact = m_contacts[report.host];
     if (contact.address != report.address) {
         logInfo("host-reports")
@@ -485,8 +485,52 @@
         publishPeers();
     }
     m_scheduler.onReport(report, now);
+    if (!report.ended.empty()) {
+        m_changed = true;
+        m_wake.notify();
+    }
+}
+
+asio::awaitable<void> LeaderTerm::waitForEnds(std::string host, std::uint64_t number)
+{
+    const auto until = std::chrono::steady_clock::now() + EndsWait;
+    const auto waiter = m_endWaiters.insert(
+        m_endWaiters.end(),
+        EndWaiter{.host = std::move(host), .number = number, .timer = asio::steady_timer(m_strand, until)});
+    while (!m_over && m_scheduler.acknowledgedEnd(waiter->host) < number && std::chrono::steady_clock::now() < until) {
+        boost::system::error_code cancelled;
+        co_await waiter->timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+    m_endWaiters.erase(waiter);
+}
+
+void LeaderTerm::wakeEndWaiters()
+{
+    for (EndWaiter &waiter : m_endWaiters) {
+        if (m_over || m_scheduler.acknowledgedEnd(waiter.host) >= waiter.number) {
+            waiter.timer.cancel();
+        }
+    }
+}
+
+asio::awaitable<wire::ReportReply> LeaderTerm::report(wire::ReportRequest request)
+{
+    const auto self = shared_from_this();
+    wire::ReportReply reply;
+    *reply.mutable_leader() = m_directory.hint();
+    if (!m_loaded || m_over) {
+        co_return reply;
+    }
+    const Scheduling::HostReport report = fromMessage(request);
+    takeReport(report, suspendAwareNow());
+    if (!report.ended.empty()) {
+        co_await waitForEnds(report.host, report.ended.back().number);
+    }
+    if (m_over) {
+        co_return reply;
+    }
     reply.set_is_leader(true);
-    reply.set_grant_ms(isConfirmed(now) ? Grant.count() : 0);
+    reply.set_grant_ms(isConfirmed(suspendAwareNow()) ? Grant.count() : 0);
     reply.set_acknowledged_end(m_scheduler.acknowledgedEnd(report.host));
     if (report.upstream) {
         reply.set_upstream_id(report.upstream->identity.id);
@@ -506,11 +550,7 @@
         description.set_fills_leftover(step.fillsLeftover);
     }
     addEffects(report, reply);
-    if (!report.ended.empty()) {
-        m_changed = true;
-        m_wake.notify();
-    }
-    return reply;
+    co_return reply;
 }
 
 void LeaderTerm::addEffects(const Scheduling::HostReport &report, wire::ReportReply &reply) const
@@ -610,6 +650,10 @@
 
 void LeaderTerm::greetHosts(TimePoint now)
 {
+    if (now - m_greetedAt < GreetCheckInterval) {
+        return;
+    }
+    m_greetedAt = now;
     for (const Scheduling::Host *host : m_scheduler.hosts()) {
         const bool follows = host->hasReported() && host->report().fencedEpoch == m_ledger->epoch();
         HostContact &contact = m_contacts[host->name()];
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -68,9 +68,18 @@
     boost::asio::awaitable<carobflow::control::CancelReply> cancel(carobflow::control::CancelRequest request);
     boost::asio::awaitable<carobflow::control::QueryReply> query(carobflow::control::QueryRequest request);
     carobflow::control::CountPendingReply countPending(const carobflow::control::CountPendingRequest &request) const;
-    carobflow::control::ReportReply report(const carobflow::control::ReportRequest &request);
+    /// Takes a host's report. The reply to one that lists ends waits a while for the write that records them, so that it
+    /// can acknowledge them: the agent would otherwise report them again.
+    boost::asio::awaitable<carobflow::control::ReportReply> report(carobflow::control::ReportRequest request);
 
 private:
+    /// A report whose reply waits until the ends that it lists are in the store.
+    struct EndWaiter {
+        std::string host;
+        std::uint64_t number = 0;
+        boost::asio::steady_timer timer;
+    };
+
     struct HostContact {
         std::string address;
         bool stored = false;
@@ -83,6 +92,10 @@
     boost::asio::awaitable<bool> commitChanges();
     boost::asio::awaitable<void> followInbox();
     boost::asio::awaitable<void> waitForCommit(std::string job);
+    void takeReport(const Scheduling::HostReport &report, TimePoint now);
+    /// Waits until the ends of a host up to this number are in the store, but not for long.
+    boost::asio::awaitable<void> waitForEnds(std::string host, std::uint64_t number);
+    void wakeEndWaiters();
     void takeInboxRow(const Row &row);
     /// Fill a write with as much as it holds, in this order: a successor waits for renewals, and needs the address of a
     /// host on which a job's tasks are placed.
@@ -124,6 +137,7 @@
     /// When the write in progress began.
     std::optional<TimePoint> m_writingSince;
     TimePoint m_sweptAt;
+    TimePoint m_greetedAt;
     TimePoint m_contactAt;
     /// Accept times, until the job's row is in the store.
     std::map<std::string, std::int64_t, std::less<>> m_unstored;
@@ -138,6 +152,7 @@
     std::map<std::string, TimePoint> m_overSince;
     std::map<std::string, HostContact> m_contacts;
     std::list<std::shared_ptr<boost::asio::steady_timer>> m_waiters;
+    std::list<EndWaiter> m_endWaiters;
 };
 
 } // namespace Carobflow
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -31,7 +31,11 @@
     {
         asio::co_spawn(io, operators.followStore(), asio::detached);
         asio::co_spawn(io, lead(), asio::detached);
-        runUntil([&] { return term != nullptr && report("host-0").is_leader(); });
+        runUntil([&] { return term != nullptr; });
+        runUntil([&] {
+            report("host-0");
+            return answered > 0;
+        });
     }
 
     ~TermFixture()
@@ -58,7 +62,13 @@
         }
     }
 
-    wire::ReportReply report(const std::string &host)
+    /// Reports a host without runs, and counts the answer once this process leads.
+    void report(const std::string &host)
+    {
+        send(reportOf(host));
+    }
+
+    static Scheduling::HostReport reportOf(const std::string &host)
     {
         Scheduling::HostReport report;
         report.host = host;
@@ -67,7 +77,18 @@
                                                           .service = "desk",
                                                           .dataCentre = "dc",
                                                           .capacity = {.cpuMillis = 4000, .memoryMiB = 32000}};
-        return term->report(toMessage(report));
+        return report;
+    }
+
+    void send(const Scheduling::HostReport &report)
+    {
+        asio::co_spawn(
+            io,
+            [this, message = toMessage(report)]() -> asio::awaitable<void> {
+                lastReply = co_await term->report(message);
+                answered += lastReply.is_leader() ? 1 : 0;
+            },
+            asio::detached);
     }
 
     /// Submits a job and notes when its client may be told.
@@ -86,6 +107,24 @@
             asio::detached);
     }
 
+    /// The runs of a job's tasks that the store holds as placed.
+    std::vector<Scheduling::RunId> started(const std::string &id)
+    {
+        std::vector<Scheduling::RunId> runs;
+        wire::JobProgress progress;
+        progress.ParseFromString(table.valueOf(StoreLayout::keyOf(StoreLayout::ProgressPrefix, id)));
+        for (const wire::TaskProgress &task : progress.tasks()) {
+            if (task.placements_size() > 0) {
+                runs.push_back({.task = {.job = id,
+                                         .occurrence = task.occurrence(),
+                                         .step = task.step(),
+                                         .index = task.index()},
+                                .run = task.last_run()});
+            }
+        }
+        return runs;
+    }
+
     asio::io_context io;
     TableFake table;
     LeaderDirectory directory;
@@ -94,6 +133,9 @@
     OperatorSync operators;
     std::shared_ptr<LeaderTerm> term;
     std::size_t stored = 0;
+    /// Reports that were answered by a leader.
+    std::size_t answered = 0;
+    wire::ReportReply lastReply;
 
 private:
     static constexpr std::size_t PayloadBytes = 4000;
@@ -147,4 +189,19 @@
     CHECK(fixture.table.oversized == 0);
 }
 
+TEST_CASE("A report that lists ends is answered when the ends are in the store", "[leaderterm]")
+{
+    // Guards against agents that report each end twice: the second call only fetched the acknowledgement, and the
+    // leader of sixty hosts spent most of its processor share on calls.
+    TermFixture fixture;
+    fixture.submit("job");
+    fixture.runUntil([&] { return fixture.stored == 1 && !fixture.started("job").empty(); });
+    Scheduling::HostReport report = TermFixture::reportOf("host-0");
+    report.ended.push_back({.number = 1, .run = fixture.started("job").front(), .end = Scheduling::RunEnd::Done});
+    const std::size_t before = fixture.answered;
+    fixture.send(report);
+    fixture.runUntil([&] { return fixture.answered > before; });
+    CHECK(fixture.lastReply.acknowledged_end() == 1);
+}
+
 } // namespace Carobflow
--- a/packages/control/tests/tablefake.cpp
+++ b/packages/control/tests/tablefake.cpp
@@ -39,6 +39,12 @@
     return rowsOf(prefix).size();
 }
 
+std::string TableFake::valueOf(std::string_view key) const
+{
+    const auto row = m_rows.find(key);
+    return row == m_rows.end() ? std::string() : row->second.value;
+}
+
 asio::awaitable<Result<std::vector<Row>>> TableFake::read(std::span<const std::string> keys)
 {
     std::vector<Row> rows;
--- a/packages/control/tests/tablefake.h
+++ b/packages/control/tests/tablefake.h
@@ -29,6 +29,9 @@
 
     [[nodiscard]] std::size_t countRows(std::string_view prefix) const;
 
+    /// The value of a row; empty when there is none.
+    [[nodiscard]] std::string valueOf(std::string_view key) const;
+
     /// Transactions that were rejected because they were beyond the limits.
     std::size_t oversized = 0;
 
