Count jobs as waiting after a change of leader until a task has begun

Cause: a successor took every job with a stored placement for begun. The start orders of the last commits may never have left the earlier leader, and then the tasks wait for a confirmed list or the end of a lease. Change: the stored progress says whether a task has begun; else a finished task, a failure or a checkpoint shows it, and afterwards the hosts' lists. Test: 'A successor counts jobs as waiting until one of their tasks has begun'; it failed before with 0 of 1 waiting.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -128,6 +128,7 @@
     wire::JobProgress message;
     message.set_cancelled(progress.cancelled);
     message.set_failed(progress.failed);
+    message.set_started(progress.started);
     for (const model::TaskProgress &task : progress.tasks) {
         wire::TaskProgress &entry = *message.add_tasks();
         entry.set_occurrence(task.id.occurrence);
@@ -148,7 +149,7 @@
 
 model::JobProgress fromMessage(const wire::JobProgress &message, const std::string &job)
 {
-    model::JobProgress progress{.cancelled = message.cancelled(), .failed = message.failed(), .tasks = {}};
+    model::JobProgress progress{.cancelled = message.cancelled(), .failed = message.failed(), .started = message.started(), .tasks = {}};
     for (const wire::TaskProgress &entry : message.tasks()) {
         model::TaskProgress task{
             .id = {.job = job, .occurrence = entry.occurrence(), .step = entry.step(), .index = entry.index()},
--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -121,7 +121,7 @@
 
 JobProgress Job::progress() const
 {
-    JobProgress progress{.cancelled = m_cancelled, .failed = m_failed, .tasks = {}};
+    JobProgress progress{.cancelled = m_cancelled, .failed = m_failed, .started = m_started, .tasks = {}};
     const_cast<Job *>(this)->forEachTask([&](const TaskId &id, const Task &task) {
         if (task.lastRun == 0) {
             return;
@@ -144,12 +144,14 @@
 {
     m_cancelled = progress.cancelled;
     m_failed = progress.failed;
+    m_started = progress.started;
     for (const TaskProgress &entry : progress.tasks) {
         Task *task = findTask(entry.id);
         if (task == nullptr) {
             continue;
         }
-        m_started = true;
+        // A placement alone says nothing: its order may never have left.
+        m_started = m_started || entry.done || entry.failures > 0 || !entry.checkpoint.empty();
         task->lastRun = entry.lastRun;
         task->failures = entry.failures;
         task->checkpoint = entry.checkpoint;
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -75,6 +75,8 @@
 struct JobProgress {
     bool cancelled = false;
     bool failed = false;
+    /// An upstream has begun one of the tasks.
+    bool started = false;
     std::vector<TaskProgress> tasks;
 };
 
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -201,6 +201,36 @@
     }
 }
 
+TEST_CASE("A successor counts jobs as waiting until one of their tasks has begun", "[scheduler]")
+{
+    // Guards against a count of waiting jobs that leaves out those whose start orders never left the earlier leader.
+    SchedulerFixture fixture;
+    fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
+    fixture.scheduler->setOperatorView(fixture.view);
+    JobProgress stored;
+    stored.tasks.push_back({.id = {.job = "job"}, .lastRun = 1, .placements = {{"host-1", 1}}});
+
+    SECTION("A placement alone is no beginning")
+    {
+        fixture.scheduler->restore(SchedulerFixture::quickJob("job"), stored, fixture.now, fixture.now);
+        CHECK(fixture.scheduler->countPending("quick") == 1);
+
+        SECTION("The run in a host's list is one")
+        {
+            HostReport report = fixture.reportOf("host-1");
+            report.running.push_back({.run = {.task = {.job = "job"}, .run = 1}});
+            fixture.scheduler->onReport(report, fixture.now);
+            CHECK(fixture.scheduler->countPending("quick") == 0);
+        }
+    }
+    SECTION("What the earlier leader knew to have begun has begun")
+    {
+        stored.started = true;
+        fixture.scheduler->restore(SchedulerFixture::quickJob("job"), stored, fixture.now, fixture.now);
+        CHECK(fixture.scheduler->countPending("quick") == 0);
+    }
+}
+
 TEST_CASE("A new life of an upstream runs nothing of the old one", "[scheduler]")
 {
     // Guards against tasks that wait for ever for the end of a run in a process that is gone.
