Count the results of runs that were given up

What callers saw: tasks that had ended were started again (TWICE). Cause: an end of a run that the leader had given up was acknowledged at once, whatever it said: also when the giving up was not in the store, and when the task had not finished elsewhere. Change: a result of such a run finishes its task, and its other run is stopped; while the job's state is not in the store the end is not acknowledged. Failures of such runs still count for nothing: an earlier leader may have counted them. Test: 'The result of a run that was given up counts'; all three sections failed before.

--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -253,7 +253,16 @@
         return attempt.run == ended.run.run && attempt.host == host.host.name();
     });
     if (!known) {
-        // The run was given up after its lease; the task has moved on.
+        // The run was given up. Its result counts all the same: work that is done must not be started again. A failure
+        // may have been counted by an earlier leader, and the task has moved on.
+        if (ended.end == RunEnd::Done && !task->done && !job.isOver()) {
+            report(ended.run, host.host.name(), "done-after-all");
+            finishTask(job, *task, ended.run.task);
+            markDirty(job);
+        }
+        if (isDirty(job.spec().id)) {
+            host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
+        }
         return;
     }
     report(ended.run, host.host.name(), endName(ended.end));
@@ -262,11 +271,8 @@
         task->checkpoint = ended.checkpoint;
     }
     if (ended.end == RunEnd::Done && !job.isOver()) {
-        job.finish(*task);
+        finishTask(job, *task, ended.run.task);
         host.host.noteSuccess();
-        if (job.step(ended.run.task).gang) {
-            finishGang(job, ended.run.task);
-        }
     } else if (ended.end == RunEnd::Failed) {
         countFailure(job, *task, host, ended.run, now);
     }
@@ -274,8 +280,13 @@
     host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
 }
 
-void Scheduler::finishGang(Job &job, const TaskId &id)
+void Scheduler::finishTask(Job &job, Task &task, const TaskId &id)
 {
+    job.finish(task);
+    if (!job.step(id).gang) {
+        return;
+    }
+    // The members of a gang finish together, and one end stands for all.
     for (Task &member : job.stepTasks(id.occurrence, id.step)) {
         job.finish(member);
     }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -132,7 +132,7 @@
     void settleRestored(HostState &host);
     void observeColocation(const HostReport &report, TimePoint now);
     void countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now);
-    void finishGang(Job &job, const TaskId &id);
+    void finishTask(Job &job, Task &task, const TaskId &id);
     void onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now);
     void releaseLostHosts(TimePoint now);
     template<typename Predicate>
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -231,6 +231,49 @@
     }
 }
 
+TEST_CASE("The result of a run that was given up counts", "[scheduler]")
+{
+    // Guards against a task that runs again after an end of it was acknowledged.
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    HostReport silent = fixture.reportOf(starts[0].host);
+    silent.silence = Milliseconds(5000);
+    silent.leaseLeft = Milliseconds(-1);
+    fixture.scheduler->onReport(silent, fixture.now);
+    REQUIRE(fixture.scheduler->find("job")->isIdle());
+
+    SECTION("Before the task has started again it does not start any more")
+    {
+        fixture.end(starts[0], RunEnd::Done, 1);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 0);
+        CHECK(fixture.step().empty());
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 1);
+        CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Completed);
+    }
+    SECTION("When it has started again, the other run is stopped")
+    {
+        fixture.advance(Milliseconds(50));
+        const auto again = fixture.step();
+        REQUIRE(again.size() == 1);
+        fixture.end(starts[0], RunEnd::Done, 1);
+        fixture.scheduler->onStartOutcome(again[0].host, again[0].run, StartOutcome::Started, fixture.now);
+        fixture.step(Milliseconds(50));
+        const auto stops = fixture.stops();
+        REQUIRE(stops.size() == 1);
+        CHECK(stops[0].run == again[0].run);
+    }
+    SECTION("A failure counts for nothing, but is acknowledged only when the job's state is in the store")
+    {
+        fixture.end(starts[0], RunEnd::Failed, 1);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 0);
+        CHECK(fixture.step().size() == 1);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 1);
+        CHECK(fixture.scheduler->find("job")->findTask(starts[0].run.task)->failures == 0);
+    }
+}
+
 TEST_CASE("A new life of an upstream runs nothing of the old one", "[scheduler]")
 {
     // Guards against tasks that wait for ever for the end of a run in a process that is gone.
