Acknowledge ends only for the life of the upstream that listed them

Cause: after an upstream's restart its agent reports the new life before that life has confirmed its lists. The leader then still has the numbers of the former life, and answered with the newest of these beside the identity of the new life. Each life numbers its ends from 1, so the agent took the first ends of the new life for acknowledged: the upstream forgot them, the leader never saw them, and 2 s later stopped the runs as stalled and started the tasks again. Change: acknowledgedEnd() names the life that it speaks of and is 0 for a life of which no end is known. Tests: 'Ends of one life of an upstream acknowledge none of the next', and the load test with reports of unconfirmed lives; both failed before.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -149,7 +149,8 @@
 
 model::JobProgress fromMessage(const wire::JobProgress &message, const std::string &job)
 {
-    model::JobProgress progress{.cancelled = message.cancelled(), .failed = message.failed(), .started = message.started(), .tasks = {}};
+    model::JobProgress progress{
+        .cancelled = message.cancelled(), .failed = message.failed(), .started = message.started(), .tasks = {}};
     for (const wire::TaskProgress &entry : message.tasks()) {
         model::TaskProgress task{
             .id = {.job = job, .occurrence = entry.occurrence(), .step = entry.step(), .index = entry.index()},
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -491,13 +491,20 @@
     }
 }
 
-asio::awaitable<void> LeaderTerm::waitForEnds(std::string host, std::uint64_t number)
+bool LeaderTerm::isAcknowledged(const EndWaiter &waiter) const
+{
+    return m_scheduler.acknowledgedEnd(waiter.host, waiter.upstream) >= waiter.number;
+}
+
+asio::awaitable<void> LeaderTerm::waitForEnds(Scheduling::HostReport report)
 {
     const auto until = std::chrono::steady_clock::now() + EndsWait;
-    const auto waiter = m_endWaiters.insert(
-        m_endWaiters.end(),
-        EndWaiter{.host = std::move(host), .number = number, .timer = asio::steady_timer(m_strand, until)});
-    while (!m_over && m_scheduler.acknowledgedEnd(waiter->host) < number && std::chrono::steady_clock::now() < until) {
+    const auto waiter = m_endWaiters.insert(m_endWaiters.end(),
+                                            EndWaiter{.host = report.host,
+                                                      .upstream = report.upstream->identity,
+                                                      .number = report.ended.back().number,
+                                                      .timer = asio::steady_timer(m_strand, until)});
+    while (!m_over && !isAcknowledged(*waiter) && std::chrono::steady_clock::now() < until) {
         boost::system::error_code cancelled;
         co_await waiter->timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     }
@@ -507,7 +514,7 @@
 void LeaderTerm::wakeEndWaiters()
 {
     for (EndWaiter &waiter : m_endWaiters) {
-        if (m_over || m_scheduler.acknowledgedEnd(waiter.host) >= waiter.number) {
+        if (m_over || isAcknowledged(waiter)) {
             waiter.timer.cancel();
         }
     }
@@ -523,16 +530,16 @@
     }
     const Scheduling::HostReport report = fromMessage(request);
     takeReport(report, suspendAwareNow());
-    if (!report.ended.empty()) {
-        co_await waitForEnds(report.host, report.ended.back().number);
+    if (report.upstream && !report.ended.empty()) {
+        co_await waitForEnds(report);
     }
     if (m_over) {
         co_return reply;
     }
     reply.set_is_leader(true);
     reply.set_grant_ms(isConfirmed(suspendAwareNow()) ? Grant.count() : 0);
-    reply.set_acknowledged_end(m_scheduler.acknowledgedEnd(report.host));
     if (report.upstream) {
+        reply.set_acknowledged_end(m_scheduler.acknowledgedEnd(report.host, report.upstream->identity));
         reply.set_upstream_id(report.upstream->identity.id);
         reply.set_upstream_incarnation(report.upstream->identity.incarnation);
     }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -68,14 +68,15 @@
     boost::asio::awaitable<carobflow::control::CancelReply> cancel(carobflow::control::CancelRequest request);
     boost::asio::awaitable<carobflow::control::QueryReply> query(carobflow::control::QueryRequest request);
     carobflow::control::CountPendingReply countPending(const carobflow::control::CountPendingRequest &request) const;
-    /// Takes a host's report. The reply to one that lists ends waits a while for the write that records them, so that it
-    /// can acknowledge them: the agent would otherwise report them again.
+    /// Takes a host's report. The reply to one that lists ends waits a while for the write that records them, so that
+    /// it can acknowledge them: the agent would otherwise report them again.
     boost::asio::awaitable<carobflow::control::ReportReply> report(carobflow::control::ReportRequest request);
 
 private:
     /// A report whose reply waits until the ends that it lists are in the store.
     struct EndWaiter {
         std::string host;
+        Scheduling::UpstreamIdentity upstream;
         std::uint64_t number = 0;
         boost::asio::steady_timer timer;
     };
@@ -93,8 +94,9 @@
     boost::asio::awaitable<void> followInbox();
     boost::asio::awaitable<void> waitForCommit(std::string job);
     void takeReport(const Scheduling::HostReport &report, TimePoint now);
-    /// Waits until the ends of a host up to this number are in the store, but not for long.
-    boost::asio::awaitable<void> waitForEnds(std::string host, std::uint64_t number);
+    /// Waits until the ends that a report lists are in the store, but not for long.
+    boost::asio::awaitable<void> waitForEnds(Scheduling::HostReport report);
+    [[nodiscard]] bool isAcknowledged(const EndWaiter &waiter) const;
     void wakeEndWaiters();
     void takeInboxRow(const Row &row);
     /// Fill a write with as much as it holds, in this order: a successor waits for renewals, and needs the address of a
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -115,11 +115,9 @@
         progress.ParseFromString(table.valueOf(StoreLayout::keyOf(StoreLayout::ProgressPrefix, id)));
         for (const wire::TaskProgress &task : progress.tasks()) {
             if (task.placements_size() > 0) {
-                runs.push_back({.task = {.job = id,
-                                         .occurrence = task.occurrence(),
-                                         .step = task.step(),
-                                         .index = task.index()},
-                                .run = task.last_run()});
+                runs.push_back(
+                    {.task = {.job = id, .occurrence = task.occurrence(), .step = task.step(), .index = task.index()},
+                     .run = task.last_run()});
             }
         }
         return runs;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -840,10 +840,10 @@
     return std::exchange(m_stops, {});
 }
 
-std::uint64_t Scheduler::acknowledgedEnd(std::string_view host) const
+std::uint64_t Scheduler::acknowledgedEnd(std::string_view host, const UpstreamIdentity &upstream) const
 {
     const auto found = m_hosts.find(host);
-    if (found == m_hosts.end()) {
+    if (found == m_hosts.end() || found->second->endsOf != upstream) {
         return 0;
     }
     const HostState &state = *found->second;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -103,8 +103,9 @@
     std::vector<StartOrder> takeStarts();
     std::vector<StopOrder> takeStops();
 
-    /// The newest end of this host's upstream up to which all are in the store.
-    [[nodiscard]] std::uint64_t acknowledgedEnd(std::string_view host) const;
+    /// The newest end of this life of a host's upstream up to which all are in the store; 0 when no end of this life is
+    /// known, because each life numbers its ends from 1.
+    [[nodiscard]] std::uint64_t acknowledgedEnd(std::string_view host, const UpstreamIdentity &upstream) const;
 
     /// Removes a job that is over and of which nothing runs.
     bool forget(std::string_view id);
--- a/packages/scheduler/tests/loadplayer.cpp
+++ b/packages/scheduler/tests/loadplayer.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <ctime>
 #include <iterator>
+#include <utility>
 
 namespace Carobflow::Scheduling
 {
@@ -145,11 +146,12 @@
 
 void LoadPlayer::report(HostModel &host)
 {
+    std::erase_if(host.ended, [&](const EndedRun &ended) { return ended.number <= host.acknowledgedEnd; });
     HostReport report{.host = host.name,
                       .address = host.name,
                       .dataCentre = host.upstream.dataCentre,
                       .agentIncarnation = 1,
-                      .fencedEpoch = 1,
+                      .fencedEpoch = host.fenced ? Epoch{1} : Epoch{0},
                       .upstream = host.upstream,
                       .running = {},
                       .ended = host.ended};
@@ -163,10 +165,10 @@
                                   .load = running.serves ? 50 : 1000});
     }
     m_scheduler->onReport(report, m_now);
-    const std::uint64_t acknowledged = m_scheduler->acknowledgedEnd(host.name);
-    std::erase_if(host.ended, [&](const EndedRun &ended) { return ended.number <= acknowledged; });
+    host.acknowledgedEnd = std::max(host.acknowledgedEnd,
+                                    m_scheduler->acknowledgedEnd(host.name, host.upstream.identity));
     host.reportAt = m_now + ReportInterval;
-    host.reportDue = false;
+    host.reportDue = !std::exchange(host.fenced, true);
 }
 
 void LoadPlayer::decide()
@@ -292,6 +294,8 @@
     host.late.clear();
     host.settled.clear();
     host.nextEnd = 1;
+    host.acknowledgedEnd = 0;
+    host.fenced = false;
     ++host.upstream.identity.incarnation;
     host.reportDue = true;
 }
--- a/packages/scheduler/tests/loadplayer.h
+++ b/packages/scheduler/tests/loadplayer.h
@@ -96,6 +96,10 @@
         /// The highest run of each task that has ended or was stopped here.
         std::map<TaskId, std::uint32_t> settled;
         std::uint64_t nextEnd = 1;
+        /// Ends up to this number are forgotten.
+        std::uint64_t acknowledgedEnd = 0;
+        /// The upstream has confirmed its lists under the leader. A new life is known before it has.
+        bool fenced = true;
         TimePoint reportAt;
         bool reportDue = false;
     };
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -84,11 +84,11 @@
     const auto starts = fixture.step();
     REQUIRE(starts.size() == 1);
     fixture.end(starts[0], RunEnd::Done, 5);
-    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 4);
+    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 4);
     const auto dirty = fixture.scheduler->takeDirtyJobs(10);
-    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 4);
+    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 4);
     fixture.scheduler->commitJob(dirty.front(), fixture.now);
-    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 5);
+    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 5);
 }
 
 TEST_CASE("A start without an answer holds its room until it is settled", "[scheduler]")
@@ -231,6 +231,34 @@
     }
 }
 
+TEST_CASE("Ends of one life of an upstream acknowledge none of the next", "[scheduler]")
+{
+    // Guards against finished tasks that run again: each life numbers its ends from 1, and an agent drops the ends that
+    // are acknowledged before the leader has seen them.
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    fixture.end(starts[0], RunEnd::Done, 12);
+    fixture.step();
+    REQUIRE(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 12);
+
+    HostReport next = fixture.reportOf(starts[0].host);
+    next.upstream->identity.incarnation = 2;
+    SECTION("Before the new life has confirmed its lists under this leader")
+    {
+        next.fencedEpoch = 0;
+        fixture.scheduler->onReport(next, fixture.now);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, next.upstream->identity) == 0);
+    }
+    SECTION("And afterwards")
+    {
+        fixture.scheduler->onReport(next, fixture.now);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, next.upstream->identity) == 0);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 0);
+    }
+}
+
 TEST_CASE("The result of a run that was given up counts", "[scheduler]")
 {
     // Guards against a task that runs again after an end of it was acknowledged.
@@ -247,9 +275,9 @@
     SECTION("Before the task has started again it does not start any more")
     {
         fixture.end(starts[0], RunEnd::Done, 1);
-        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 0);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 0);
         CHECK(fixture.step().empty());
-        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 1);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 1);
         CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Completed);
     }
     SECTION("When it has started again, the other run is stopped")
@@ -267,9 +295,9 @@
     SECTION("A failure counts for nothing, but is acknowledged only when the job's state is in the store")
     {
         fixture.end(starts[0], RunEnd::Failed, 1);
-        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 0);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 0);
         CHECK(fixture.step().size() == 1);
-        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host) == 1);
+        CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 1);
         CHECK(fixture.scheduler->find("job")->findTask(starts[0].run.task)->failures == 0);
     }
 }
