Load the inbox before a new leader answers

Cause: entries put jobs into the inbox while nobody leads, and a new leader answered before it had read the inbox. The read began after the load of all jobs, beside the first reports of 66 hosts; when its call timed out it was tried again after 200 ms, while counts were given. Change: the inbox is part of the load; the feed continues from its version. Ruled out: the earlier leader's count (it was deposed at 19.8 s), the entry's cached count (1 s).

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -151,6 +151,16 @@
     if (complete) {
         complete = co_await loadRows(StoreLayout::HostPrefix, hosts);
     }
+    // Jobs in the inbox are accepted. A leader that does not know them would give wrong counts of what waits.
+    std::vector<Row> inbox;
+    if (complete) {
+        const auto snapshot = co_await m_table.snapshot(StoreLayout::InboxPrefix);
+        complete = isOk(snapshot);
+        if (complete) {
+            inbox = valueOf(snapshot).rows;
+            m_inboxVersion = valueOf(snapshot).version;
+        }
+    }
     if (!complete) {
         co_await sleepFor(LoadPause);
         co_return false;
@@ -179,9 +189,11 @@
         const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - message.accepted_unix_ms(), 0, 3'600'000));
         m_scheduler.restore(fromMessage(message), fromMessage(progressOf[message.id()], message.id()), now - age, now);
     }
+    takeInboxRows(inbox);
     logInfo("state-loaded")
         .with("epoch", m_ledger->epoch())
         .with("jobs", jobs.size())
+        .with("inbox", inbox.size())
         .with("hosts", hosts.size())
         .with("configuration", m_view->configurationVersion)
         .with("took_ms", std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - m_startedAt).count());
@@ -750,46 +762,50 @@
     m_wake.notify();
 }
 
+void LeaderTerm::takeInboxRows(std::span<const Row> rows)
+{
+    // Submissions come before cancellations of the same job, by the order of their keys within one moment.
+    for (const Row &row : rows) {
+        if (m_inboxSeen.insert(row.key).second) {
+            takeInboxRow(row);
+        }
+    }
+}
+
 asio::awaitable<void> LeaderTerm::followInbox()
 {
-    std::uint64_t version = 0;
-    std::set<std::string> seen;
     while (!m_over) {
         std::vector<Row> rows;
         bool answered = false;
-        if (version == 0) {
+        if (m_inboxVersion == 0) {
             const auto snapshot = co_await m_table.snapshot(StoreLayout::InboxPrefix);
             if (isOk(snapshot)) {
                 rows = valueOf(snapshot).rows;
-                version = valueOf(snapshot).version;
+                m_inboxVersion = valueOf(snapshot).version;
                 answered = true;
             }
         } else {
-            const ChangesOutcome outcome = co_await m_table.changes(StoreLayout::InboxPrefix, version, InboxWait);
+            const ChangesOutcome outcome = co_await m_table.changes(
+                StoreLayout::InboxPrefix, m_inboxVersion, InboxWait);
             if (const auto *changes = std::get_if<TableChanges>(&outcome)) {
                 for (const TableChange &change : changes->changes) {
                     if (change.value) {
                         rows.push_back({.key = change.key, .value = *change.value, .version = change.version});
                     } else {
-                        seen.erase(change.key);
+                        m_inboxSeen.erase(change.key);
                     }
                 }
-                version = changes->version;
+                m_inboxVersion = changes->version;
                 answered = true;
             } else if (std::holds_alternative<HistoryGone>(outcome)) {
-                version = 0;
+                m_inboxVersion = 0;
                 answered = true;
             }
         }
         if (m_over) {
             co_return;
         }
-        // Submissions come before cancellations of the same job, by the order of their keys within one moment.
-        for (const Row &row : rows) {
-            if (seen.insert(row.key).second) {
-                takeInboxRow(row);
-            }
-        }
+        takeInboxRows(rows);
         if (!answered) {
             co_await sleepFor(InboxPause);
         }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,7 @@
     boost::asio::awaitable<void> lead();
     boost::asio::awaitable<bool> commitChanges();
     boost::asio::awaitable<void> followInbox();
+    void takeInboxRows(std::span<const Row> rows);
     boost::asio::awaitable<void> waitForCommit(std::string job);
     void takeReport(const Scheduling::HostReport &report, TimePoint now);
     /// Waits until the ends that a report lists are in the store, but not for long.
@@ -147,6 +149,10 @@
     std::map<std::string, std::uint64_t, std::less<>> m_committedRound;
     std::uint64_t m_round = 0;
     std::map<std::string, std::set<std::string>> m_inboxKeys;
+    /// How far the inbox has been read; 0 when it has to be read as a whole.
+    std::uint64_t m_inboxVersion = 0;
+    /// Rows of the inbox that were taken and are not removed yet.
+    std::set<std::string> m_inboxSeen;
     /// Hosts whose addresses the store does not have yet.
     std::deque<std::string> m_newHosts;
     /// Rows to remove.
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -26,18 +26,31 @@
 class TermFixture
 {
 public:
-    TermFixture()
+    /// Leads a system whose inbox holds this many jobs.
+    explicit TermFixture(std::size_t inboxJobs = 0)
         : operators({.decode = [](const auto & /*rows*/) { return defaultView(); }}, table, directory, caller)
     {
         asio::co_spawn(io, operators.followStore(), asio::detached);
-        asio::co_spawn(io, lead(), asio::detached);
+        asio::co_spawn(io, lead(inboxJobs), asio::detached);
         runUntil([&] { return term != nullptr; });
+    }
+
+    /// Waits until the term answers hosts.
+    void waitUntilLoaded()
+    {
         runUntil([&] {
             report("host-0");
             return answered > 0;
         });
     }
 
+    wire::CountPendingReply countPending() const
+    {
+        wire::CountPendingRequest request;
+        request.set_queue("quick");
+        return term->countPending(request);
+    }
+
     ~TermFixture()
     {
         if (term) {
@@ -98,9 +111,7 @@
             io,
             [this, id]() -> asio::awaitable<void> {
                 wire::SubmitRequest request;
-                Scheduling::JobSpec spec{.id = id, .queue = "quick", .payload = std::string(PayloadBytes, 'x')};
-                spec.steps = {{.count = 1, .request = {.cpuMillis = 100, .memoryMiB = 10}}};
-                *request.mutable_job() = toMessage(spec);
+                *request.mutable_job() = jobMessage(id);
                 const wire::SubmitReply reply = co_await term->submit(std::move(request));
                 stored += reply.outcome() == wire::SubmitReply::STORED ? 1 : 0;
             },
@@ -146,10 +157,23 @@
         return view;
     }
 
-    asio::awaitable<void> lead()
+    static wire::Job jobMessage(const std::string &id)
     {
-        const Transaction configuration{.conditions = {}, .mutations = {{.key = "operators/config", .value = "1"}}};
-        co_await table.transact(configuration);
+        Scheduling::JobSpec spec{.id = id, .queue = "quick", .payload = std::string(PayloadBytes, 'x')};
+        spec.steps = {{.count = 1, .request = {.cpuMillis = 100, .memoryMiB = 10}}};
+        return toMessage(spec);
+    }
+
+    asio::awaitable<void> lead(std::size_t inboxJobs)
+    {
+        Transaction before{.conditions = {}, .mutations = {{.key = "operators/config", .value = "1"}}};
+        for (std::size_t job = 0; job < inboxJobs; ++job) {
+            const std::string id = "inbox-job-" + std::to_string(job);
+            before.mutations.push_back(
+                {.key = StoreLayout::keyOf(StoreLayout::InboxPrefix, id), .value = jobMessage(id).SerializeAsString()});
+        }
+        co_await table.transact(before);
+        table.snapshotTime = Milliseconds(100);
         auto ledger = std::make_unique<Ledger>(
             Ledger::Options{.name = "host-0", .address = {}, .isDeposed = [](Epoch) { return false; }}, table);
         const Status taken = co_await ledger->takeOver(0);
@@ -167,6 +191,7 @@
     // Guards against a write that the store rejects each time that it is sent: nothing is decided from then on, and the
     // same happens to each successor.
     TermFixture fixture;
+    fixture.waitUntilLoaded();
     constexpr std::size_t Many = 150;
 
     SECTION("When many hosts report for the first time at once")
@@ -192,6 +217,7 @@
     // Guards against agents that report each end twice: the second call only fetched the acknowledgement, and the
     // leader of sixty hosts spent most of its processor share on calls.
     TermFixture fixture;
+    fixture.waitUntilLoaded();
     fixture.submit("job");
     fixture.runUntil([&] { return fixture.stored == 1 && !fixture.started("job").empty(); });
     Scheduling::HostReport report = TermFixture::reportOf("host-0");
@@ -202,4 +228,12 @@
     CHECK(fixture.lastReply.acknowledged_end() == 1);
 }
 
+TEST_CASE("A new leader answers only when it knows the jobs in the inbox", "[leaderterm]")
+{
+    // Guards against counts of waiting jobs that leave out those that entries took while nobody led.
+    TermFixture fixture(2);
+    fixture.runUntil([&] { return fixture.countPending().is_leader(); });
+    CHECK(fixture.countPending().pending() == 2);
+}
+
 } // namespace Carobflow
--- a/packages/control/tests/tablefake.cpp
+++ b/packages/control/tests/tablefake.cpp
@@ -91,7 +91,9 @@
 
 asio::awaitable<Result<TableSnapshot>> TableFake::snapshot(std::string_view prefix)
 {
-    co_return TableSnapshot{.rows = rowsOf(prefix), .version = m_version};
+    const std::string table(prefix);
+    co_await sleepFor(snapshotTime);
+    co_return TableSnapshot{.rows = rowsOf(table), .version = m_version};
 }
 
 asio::awaitable<ChangesOutcome> TableFake::changes(std::string_view prefix, std::uint64_t after, Milliseconds wait)
