Let the store's stand-in reject writes beyond the store's limits

Change: more than 100 entries, a body over 1 MB or a value over 64 KiB get status 400, and every hosted test fails when that has happened.

--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -253,6 +253,11 @@
 std::vector<std::string> HostedSystem::violations()
 {
     std::vector<std::string> faults;
+    std::uint64_t oversized = 0;
+    onStandIns([&] { oversized = m_store->oversizedWrites; });
+    if (oversized > 0) {
+        faults.push_back(std::to_string(oversized) + " writes are beyond the store's limits");
+    }
     std::map<std::string, std::vector<StandIn::ObservedRun>> byTask;
     for (const StandIn::ObservedRun &run : runs()) {
         byTask[run.task].push_back(run);
--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -75,7 +75,8 @@
         return *m_workers[index];
     }
 
-    /// Faults that any run of any test must not show: two runs of a task at once, or a run after a finished one.
+    /// Faults that any run of any test must not show: two runs of a task at once, a run after a finished one, or a
+    /// write that the store rejects for its size.
     std::vector<std::string> violations();
 
 private:
--- a/tests/standins/storestandin.cpp
+++ b/tests/standins/storestandin.cpp
@@ -1,5 +1,7 @@
 #include "standins/storestandin.h"
 
+#include <algorithm>
+
 #include <openssl/evp.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,6 +19,19 @@
 {
 
 constexpr std::chrono::milliseconds FeedStep{3};
+/// The platform's limits on one transaction, and on the value of a row.
+constexpr std::size_t MaxEntries = 100;
+constexpr std::size_t MaxBodyBytes = 1'000'000;
+constexpr std::size_t MaxValueBytes = 65'536;
+
+bool isOversized(const json::object &body, std::size_t bytes)
+{
+    const json::array &puts = body.at("put-rows").as_array();
+    const std::size_t entries = body.at("expect").as_array().size() + puts.size() + body.at("remove").as_array().size();
+    return entries > MaxEntries || bytes > MaxBodyBytes || std::ranges::any_of(puts, [](const json::value &row) {
+               return textOr(row.as_object(), "value", "").size() > MaxValueBytes;
+           });
+}
 
 std::string percentDecoded(const std::string &text)
 {
@@ -130,6 +145,10 @@
     if (target != "/carobflow/rows-tx") {
         co_return ServerReply{.status = 404};
     }
+    if (isOversized(objectOf(request), request.body().size())) {
+        ++oversizedWrites;
+        co_return ServerReply{.status = 400};
+    }
     if (lateWrites > 0) {
         --lateWrites;
         co_await sleepFor(lateBy);
--- a/tests/standins/storestandin.h
+++ b/tests/standins/storestandin.h
@@ -41,6 +41,8 @@
     bool refusing = false;
     /// Writes that were refused so far.
     std::uint64_t refusedWrites = 0;
+    /// Writes beyond the store's limits, which it rejected.
+    std::uint64_t oversizedWrites = 0;
     /// Performs this many of the next writes and loses their replies.
     std::uint32_t lostReplies = 0;
     /// Performs this many of the next writes only after a delay, without a reply.
