Keep the lead, and the callers waiting, while a leader loads

Cause: a leader renewed its row only after its load. Others take over when the row has not changed for 1.8 s, and the load of 504 jobs took 2.2 s: each leader was replaced 8 ms after its load, from epoch 3 to 14 and on. The load took so long because a loading leader answered hosts at once without leading, so that 80 hosts reported again each 60 ms, on 0.15 of a core. Change: reads of the load are of 100 rows, and the row is renewed between two of them; reports wait up to 0.4 s and clients' calls up to 0.15 s for the load. Tests: 'A leader whose load takes long keeps its lead and its callers' (2.2 s without a renewal before, 1.8 s allowed), 'A host that reports to a leader while it loads is answered after the load' (answered without a leader before). Ruled out: the store (its calls took 5 ms), the size of the state alone.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -24,7 +24,8 @@
 
 /// Finished jobs that are forgotten at once, so that their rows leave room for work in the writes.
 constexpr std::size_t JobsPerSweep = 20;
-constexpr std::size_t RowsPerRead = 500;
+/// About 0.2 s of a small host's processor share, so that renewals come in time between two reads.
+constexpr std::size_t RowsPerRead = 100;
 constexpr Milliseconds LoadPause{50};
 /// Others take over after 1.8 s without a renewal.
 constexpr Milliseconds RenewInterval{600};
@@ -43,6 +44,10 @@
 /// A third of the agents' time-out for reports. A write takes 5 to 10 ms; when the store is slower the reply leaves
 /// without the acknowledgement.
 constexpr Milliseconds EndsWait{200};
+/// Hosts and clients that call a leader while it loads wait this long. Otherwise the calls of all hosts, which come
+/// again each 60 ms, take most of the processor share that the load needs.
+constexpr Milliseconds HostLoadWait{400};
+constexpr Milliseconds ClientLoadWait{150};
 constexpr Milliseconds GreetInterval{300};
 /// Under load a plan follows the other within 10 ms, which is more often than hosts need to be looked at.
 constexpr Milliseconds GreetCheckInterval{50};
@@ -101,6 +106,7 @@
         m_loaded = co_await load();
         m_over = m_over || m_directory.current().epoch > m_ledger->epoch();
     }
+    wakeWaiters();
     if (!m_over) {
         asio::co_spawn(
             m_strand, [self]() -> asio::awaitable<void> { co_await self->followInbox(); }, asio::detached);
@@ -128,13 +134,42 @@
             co_return false;
         }
         rows.insert(rows.end(), valueOf(page).begin(), valueOf(page).end());
-        if (valueOf(page).empty()) {
-            co_return true;
+        const bool leads = co_await renewWhileLoading();
+        if (!leads || valueOf(page).empty()) {
+            co_return leads;
         }
         after = valueOf(page).back().key;
     }
 }
 
+asio::awaitable<bool> LeaderTerm::renewWhileLoading()
+{
+    const TimePoint now = suspendAwareNow();
+    if (now - m_renewedAt < RenewInterval) {
+        co_return true;
+    }
+    m_renewedAt = now;
+    std::vector<Mutation> renewal{m_ledger->renewal()};
+    const Status renewed = co_await m_ledger->commit(std::move(renewal));
+    if (!isOk(renewed)) {
+        logInfo("deposed").with("epoch", m_ledger->epoch()).with("reason", errorOf(renewed).message);
+        m_over = true;
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> LeaderTerm::waitUntilLoaded(Milliseconds limit)
+{
+    if (m_loaded || m_over) {
+        co_return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_strand, limit);
+    m_waiters.push_back(timer);
+    boost::system::error_code cancelled;
+    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+}
+
 asio::awaitable<bool> LeaderTerm::load()
 {
     m_view = m_operators.current();
@@ -382,6 +417,7 @@
 asio::awaitable<wire::SubmitReply> LeaderTerm::submit(wire::SubmitRequest request)
 {
     const auto self = shared_from_this();
+    co_await waitUntilLoaded(ClientLoadWait);
     wire::SubmitReply reply;
     *reply.mutable_leader() = m_directory.hint();
     if (!m_loaded || m_over || m_resigning) {
@@ -427,6 +463,7 @@
 asio::awaitable<wire::CancelReply> LeaderTerm::cancel(wire::CancelRequest request)
 {
     const auto self = shared_from_this();
+    co_await waitUntilLoaded(ClientLoadWait);
     wire::CancelReply reply;
     *reply.mutable_leader() = m_directory.hint();
     if (!m_loaded || m_over || m_resigning) {
@@ -455,6 +492,7 @@
 asio::awaitable<wire::QueryReply> LeaderTerm::query(wire::QueryRequest request)
 {
     const auto self = shared_from_this();
+    co_await waitUntilLoaded(ClientLoadWait);
     wire::QueryReply reply;
     *reply.mutable_leader() = m_directory.hint();
     if (!m_loaded || m_over) {
@@ -535,6 +573,7 @@
 asio::awaitable<wire::ReportReply> LeaderTerm::report(wire::ReportRequest request)
 {
     const auto self = shared_from_this();
+    co_await waitUntilLoaded(HostLoadWait);
     wire::ReportReply reply;
     *reply.mutable_leader() = m_directory.hint();
     if (!m_loaded || m_over) {
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -90,6 +90,10 @@
 
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<bool> loadRows(std::string_view prefix, std::vector<Row> &rows);
+    /// Renews the lead between two reads of the load, which may take longer than others wait for a renewal.
+    boost::asio::awaitable<bool> renewWhileLoading();
+    /// Lets a call wait for the load, but not for long.
+    boost::asio::awaitable<void> waitUntilLoaded(Milliseconds limit);
     boost::asio::awaitable<void> lead();
     boost::asio::awaitable<bool> commitChanges();
     boost::asio::awaitable<void> followInbox();
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -27,9 +27,10 @@
 {
 public:
     /// Leads a system whose inbox holds this many jobs.
-    explicit TermFixture(std::size_t inboxJobs = 0)
+    explicit TermFixture(std::size_t inboxJobs = 0, Milliseconds rangeTime = Milliseconds(0))
         : operators({.decode = [](const auto & /*rows*/) { return defaultView(); }}, table, directory, caller)
     {
+        table.rangeTime = rangeTime;
         asio::co_spawn(io, operators.followStore(), asio::detached);
         asio::co_spawn(io, lead(inboxJobs), asio::detached);
         runUntil([&] { return term != nullptr; });
@@ -99,6 +100,7 @@
             io,
             [this, message = toMessage(report)]() -> asio::awaitable<void> {
                 lastReply = co_await term->report(message);
+                ++replies;
                 answered += lastReply.is_leader() ? 1 : 0;
             },
             asio::detached);
@@ -142,7 +144,8 @@
     OperatorSync operators;
     std::shared_ptr<LeaderTerm> term;
     std::size_t stored = 0;
-    /// Reports that were answered by a leader.
+    /// Reports that were answered, and those of them that a leader answered.
+    std::size_t replies = 0;
     std::size_t answered = 0;
     wire::ReportReply lastReply;
 
@@ -236,4 +239,34 @@
     CHECK(fixture.countPending().pending() == 2);
 }
 
+TEST_CASE("A leader whose load takes long keeps its lead and its callers", "[leaderterm]")
+{
+    // Guards against leaders that follow each other for good, each replaced while it loads: others take over when the
+    // leader's row has not changed for 1.8 s.
+    constexpr Milliseconds TakeOverAfter{1800};
+    TermFixture fixture(1, Milliseconds(700));
+    fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::ControlPrefix) == 1; });
+    std::string row;
+    auto changedAt = std::chrono::steady_clock::now();
+    auto longest = std::chrono::steady_clock::duration::zero();
+    fixture.runUntil([&] {
+        const std::string current = fixture.table.valueOf(StoreLayout::LeaderKey);
+        const auto now = std::chrono::steady_clock::now();
+        longest = std::max(longest, now - changedAt);
+        changedAt = current == row ? changedAt : now;
+        row = current;
+        return fixture.countPending().is_leader();
+    });
+    CHECK(longest < TakeOverAfter);
+}
+
+TEST_CASE("A host that reports to a leader while it loads is answered after the load", "[leaderterm]")
+{
+    // Guards against hosts that call again each 60 ms and take the processor share that the load needs.
+    TermFixture fixture(1, Milliseconds(30));
+    fixture.report("host-0");
+    fixture.runUntil([&] { return fixture.replies > 0; });
+    CHECK(fixture.lastReply.is_leader());
+}
+
 } // namespace Carobflow
--- a/packages/control/tests/tablefake.cpp
+++ b/packages/control/tests/tablefake.cpp
@@ -59,8 +59,11 @@
 asio::awaitable<Result<std::vector<Row>>>
 TableFake::readRange(std::string_view prefix, std::string_view after, std::size_t limit)
 {
-    std::vector<Row> rows = rowsOf(prefix);
-    std::erase_if(rows, [&](const Row &row) { return row.key <= after; });
+    const std::string table(prefix);
+    const std::string from(after);
+    co_await sleepFor(rangeTime);
+    std::vector<Row> rows = rowsOf(table);
+    std::erase_if(rows, [&](const Row &row) { return row.key <= from; });
     rows.resize(std::min(rows.size(), limit));
     co_return rows;
 }
--- a/packages/control/tests/tablefake.h
+++ b/packages/control/tests/tablefake.h
@@ -32,8 +32,9 @@
     /// The value of a row; empty when there is none.
     [[nodiscard]] std::string valueOf(std::string_view key) const;
 
-    /// How long snapshots take.
+    /// How long snapshots and reads of ranges take.
     Milliseconds snapshotTime{1};
+    Milliseconds rangeTime{0};
 
     /// Transactions that were rejected because they were beyond the limits.
     std::size_t oversized = 0;
