--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -195,22 +195,22 @@
     // same happens to each successor.
     TermFixture fixture;
     fixture.waitUntilLoaded();
-    constexpr std::size_t Many = 150;
+    constexpr std::size_t many = 150;
 
     SECTION("When many hosts report for the first time at once")
     {
-        for (std::size_t host = 0; host < Many; ++host) {
+        for (std::size_t host = 0; host < many; ++host) {
             fixture.report("host-" + std::to_string(host));
         }
-        fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::HostPrefix) == Many; });
+        fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::HostPrefix) == many; });
     }
     SECTION("When many jobs are submitted at once")
     {
-        for (std::size_t job = 0; job < Many; ++job) {
+        for (std::size_t job = 0; job < many; ++job) {
             fixture.submit("job-" + std::to_string(job));
         }
-        fixture.runUntil([&] { return fixture.stored == Many; });
-        CHECK(fixture.table.countRows(StoreLayout::JobPrefix) == Many);
+        fixture.runUntil([&] { return fixture.stored == many; });
+        CHECK(fixture.table.countRows(StoreLayout::JobPrefix) == many);
     }
     CHECK(fixture.table.oversized == 0);
 }
@@ -243,7 +243,7 @@
 {
     // Guards against leaders that follow each other for good, each replaced while it loads: others take over when the
     // leader's row has not changed for 1.8 s.
-    constexpr Milliseconds TakeOverAfter{1800};
+    constexpr Milliseconds takeOverAfter{1800};
     TermFixture fixture(1, Milliseconds(700));
     fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::ControlPrefix) == 1; });
     std::string row;
@@ -257,7 +257,7 @@
         row = current;
         return fixture.countPending().is_leader();
     });
-    CHECK(longest < TakeOverAfter);
+    CHECK(longest < takeOverAfter);
 }
 
 TEST_CASE("A host that reports to a leader while it loads is answered after the load", "[leaderterm]")
