Fetch the package lists when the check of the deploy build needs them

A machine that came with all packages may have no lists, and tools/ install-packages fetches them only when something is missing; apt then knows none of the names and the check would fail. It fetches them once and asks again. A comment that said nothing is gone. Checked: the unit tests, and the listed packages against the trace of the earlier build.

--- a/tests/deploy/buildpackages.py
+++ b/tests/deploy/buildpackages.py
@@ -66,7 +66,6 @@
     command, _ = read_list(checkout / "deploy/system.toml")
     log = checkout.parent / "build.log"
     environment = {"PATH": "/usr/local/bin:/usr/bin:/bin", "HOME": str(checkout.parent), "LANG": "C.UTF-8"}
-    # The build reads files only while processes run, so the file calls name everything that it uses.
     tracer = ["strace", "-f", "-qq", "--seccomp-bpf", "-e", "trace=%file", "-e", "status=successful", "-s", "4096",
               "-o", str(trace), "sh", "-c", command]
     with log.open("w") as output:
@@ -176,11 +175,15 @@
         check=True, capture_output=True, text=True).stdout
     base = [line.split()[0] for line in essential.splitlines() if " yes " in line or line.endswith(" required")]
     with tempfile.NamedTemporaryFile() as status:
-        simulated = subprocess.run(
-            ["apt-get", "--simulate", "--no-install-recommends", "-o", f"Dir::State::status={status.name}",
-             "install", *base, *packages], capture_output=True, text=True)
+        command = ["apt-get", "--simulate", "--no-install-recommends", "-o", f"Dir::State::status={status.name}",
+                   "install", *base, *packages]
+        simulated = subprocess.run(command, capture_output=True, text=True)
+        if simulated.returncode != 0:
+            # A machine that came with all packages may have no lists of what there is.
+            subprocess.run(["apt-get", "update", "-qq"], check=True)
+            simulated = subprocess.run(command, capture_output=True, text=True)
     if simulated.returncode != 0:
-        raise RuntimeError("apt cannot resolve the listed packages; run apt-get update or correct the list:\n"
+        raise RuntimeError("apt cannot resolve the listed packages; correct the list:\n"
                            + simulated.stderr)
     return frozenset(line.split()[1] for line in simulated.stdout.splitlines() if line.startswith("Inst "))
 
