Log what accepted tasks wait for

The logs could not distinguish a wait for the leases of a lost host from a placement that finds no host. Change: the leader logs host-contact when a host with runs becomes silent, reports again or is given up, with the time until its leases have expired, and tasks-waiting once a second while steps have no host or runs are on silent hosts.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -52,6 +52,8 @@
 /// Under load, plans follow each other within 10 ms, which is more often than hosts need to be checked.
 constexpr Milliseconds HostCheckInterval{50};
 constexpr Milliseconds SweepInterval{5000};
+/// Limits the log to one line a second, however often tasks are planned.
+constexpr Milliseconds WaitLogInterval{1000};
 constexpr Milliseconds InboxWatchTimeout{1500};
 constexpr Milliseconds InboxRetryDelay{200};
 /// A leader that receives reports from fewer than half of its hosts for this long resigns.
@@ -89,6 +91,15 @@
                                .with("run", run.run)
                                .with("host", host)
                                .with("how", event);
+                       },
+                   .onHostContact =
+                       [](const Scheduling::HostContactChange &change) {
+                           logInfo("host-contact")
+                               .with("host", change.host)
+                               .with("change", change.event)
+                               .with("runs", change.runs)
+                               .with("known_from", change.hasReported ? "report" : "store")
+                               .with("leases_expire_in_ms", change.leasesExpireIn.count());
                        }})
     , m_wake(m_strand)
     , m_startedAt(suspendAwareNow())
@@ -273,6 +284,7 @@
         checkContact(now);
         m_changed = false;
         m_scheduler.plan(now, unixMilliseconds());
+        logWaitingTasks(now);
         const bool resigning = m_resigning;
         if (!co_await commitChanges()) {
             co_return;
@@ -287,6 +299,22 @@
     }
 }
 
+void LeaderTerm::logWaitingTasks(TimePoint now)
+{
+    const Scheduling::WaitingTasks &waiting = m_scheduler.waitingTasks();
+    const bool waits = waiting.unplaced > 0 || waiting.runsOnSilentHosts > 0;
+    if (!waits || now - m_waitLoggedAt < WaitLogInterval) {
+        return;
+    }
+    m_waitLoggedAt = now;
+    logInfo("tasks-waiting")
+        .with("epoch", m_ledger->epoch())
+        .with("unplaced", waiting.unplaced)
+        .with("first", waiting.firstUnplaced)
+        .with("silent_hosts", waiting.silentHosts)
+        .with("runs_there", waiting.runsOnSilentHosts);
+}
+
 std::vector<Mutation> LeaderTerm::mutationsOf(const Scheduling::Job &job) const
 {
     const std::string &id = job.spec().id;
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -120,6 +120,8 @@
     void announceLeadership(TimePoint now);
     void publishPeers();
     void sweep(TimePoint now);
+    /// Writes one line a second while tasks wait for resources or for the leases of silent hosts.
+    void logWaitingTasks(TimePoint now);
     void checkContact(TimePoint now);
     void wakeWaiters();
     [[nodiscard]] bool isConfirmed(TimePoint now) const;
@@ -145,6 +147,7 @@
     /// When the write in progress began.
     std::optional<TimePoint> m_writingSince;
     TimePoint m_sweptAt;
+    TimePoint m_waitLoggedAt;
     TimePoint m_hostsCheckedAt;
     /// When at least half of the hosts were last in contact.
     TimePoint m_contactAt;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -69,6 +69,9 @@
     std::set<RunId> attempts;
     /// Time at which every lease here must have expired unless a further report arrives.
     TimePoint leaseFreeAt;
+    /// Time from which on the host has been known to this leader, for the silence of a host that has never reported.
+    TimePoint expectedSince;
+    bool silent = false;
     bool stored = false;
     UpstreamIdentity endsUpstream;
     std::uint64_t highestEndNumber = 0;
@@ -191,6 +194,7 @@
     HostState &state = hostState(name);
     state.stored = true;
     if (!state.host.hasReported()) {
+        state.expectedSince = now;
         state.leaseFreeAt = now + m_options.predecessorGrant + m_options.grant
             + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
     }
@@ -207,6 +211,9 @@
     }
     const bool fenced = report.fencedEpoch == m_options.epoch;
     const bool replaced = state.host.apply(report, now);
+    if (std::exchange(state.silent, false)) {
+        reportContact(state, "reporting-again", now);
+    }
     state.leaseFreeAt = now + m_options.grant
         + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
     if (replaced) {
@@ -485,12 +492,40 @@
     dropAttempt(*found->second, run.task, run.run, host);
 }
 
+void Scheduler::reportContact(const HostState &host, std::string_view event, TimePoint now) const
+{
+    if (m_options.onHostContact) {
+        m_options.onHostContact({.host = host.host.name(),
+                                 .event = event,
+                                 .runs = host.attempts.size(),
+                                 .hasReported = host.host.hasReported(),
+                                 .leasesExpireIn = std::chrono::duration_cast<Milliseconds>(host.leaseFreeAt - now)});
+    }
+}
+
+void Scheduler::observeSilence(HostState &host, TimePoint now)
+{
+    const TimePoint lastContact = host.host.hasReported() ? host.host.reportedAt() : host.expectedSince;
+    if (host.attempts.empty() || now - lastContact < m_options.reportTimeout) {
+        return;
+    }
+    ++m_waiting.silentHosts;
+    m_waiting.runsOnSilentHosts += host.attempts.size();
+    if (!std::exchange(host.silent, true)) {
+        reportContact(host, "silent", now);
+    }
+}
+
 void Scheduler::releaseLostHosts(TimePoint now)
 {
     for (const auto &[name, state] : m_hosts) {
         if (now > state->leaseFreeAt) {
+            if (!state->attempts.empty()) {
+                reportContact(*state, "given-up", now);
+            }
             dropAttempts(*state, "host-lost", [](const Attempt & /*attempt*/) { return true; });
         }
+        observeSilence(*state, now);
     }
 }
 
@@ -514,6 +549,7 @@
 
 void Scheduler::plan(TimePoint now, std::int64_t unixMs)
 {
+    m_waiting = {};
     releaseLostHosts(now);
     const bool supervisesAll = now - m_supervisedAt >= SuperviseInterval;
     if (supervisesAll) {
@@ -583,11 +619,13 @@
     for (Task &task : job.stepTasks(occurrence, step)) {
         if (!task.done && task.attempts.empty() && task.notBefore <= now) {
             Host *host = placement.choose(job, id, now);
-            if (host == nullptr && task.failedOn.empty()) {
-                // The tasks of a step are identical, so no other one fits either.
-                return;
-            }
-            if (host != nullptr) {
+            if (host == nullptr) {
+                noteUnplaced(id);
+                if (task.failedOn.empty()) {
+                    // The tasks of a step are identical, so no other one fits either.
+                    return;
+                }
+            } else {
                 place(job, id, *host, task.lastRun + 1, now);
                 if (placement.allowsInterference()) {
                     // A single task is started first, to measure its effect on the services.
@@ -599,6 +637,13 @@
     }
 }
 
+void Scheduler::noteUnplaced(const TaskId &id)
+{
+    if (++m_waiting.unplaced == 1) {
+        m_waiting.firstUnplaced = id.toString();
+    }
+}
+
 void Scheduler::placeGang(Job &job, const TaskId &first, const Placement &placement, TimePoint now)
 {
     const auto tasks = job.stepTasks(first.occurrence, first.step);
@@ -612,6 +657,7 @@
     for (; id.index < tasks.size(); ++id.index) {
         Host *host = placement.choose(job, id, now);
         if (host == nullptr) {
+            noteUnplaced(id);
             break;
         }
         place(job, id, *host, run, now);
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -20,6 +20,29 @@
 namespace Carobflow::Scheduling
 {
 
+/// A host on which runs are placed has become silent, has reported again, or has been given up.
+struct HostContactChange {
+    std::string_view host;
+    /// "silent", "reporting-again" or "given-up".
+    std::string_view event;
+    /// Number of runs that reserve resources on the host.
+    std::size_t runs = 0;
+    /// True when the host has reported to this leader, false when it is known from the store only.
+    bool hasReported = false;
+    /// Time until every lease on the host must have expired; its tasks start elsewhere then.
+    Milliseconds leasesExpireIn{0};
+};
+
+/// Tasks that are ready and have no run, and the hosts for whose leases others wait.
+struct WaitingTasks {
+    /// Steps and gangs for which the last plan found no host, and the first task among them in the order of the plan.
+    std::size_t unplaced = 0;
+    std::string firstUnplaced;
+    std::size_t silentHosts = 0;
+    /// Runs on silent hosts. Their tasks start elsewhere when the leases have expired.
+    std::size_t runsOnSilentHosts = 0;
+};
+
 /// Makes the decisions of a leader: which run starts where, which run stops, and what is acknowledged to clients. It
 /// does no input or output and reads no clock.
 ///
@@ -42,6 +65,8 @@
         Milliseconds reportTimeout{1200};
         /// Called for the log whenever a run ends, is abandoned or fails its job.
         std::function<void(const RunId &run, std::string_view host, std::string_view event)> onDecision;
+        /// Called for the log when a host on which runs are placed stops reporting, reports again, or is given up.
+        std::function<void(const HostContactChange &change)> onHostContact;
     };
 
     enum class Submission { Accepted, Known };
@@ -120,6 +145,12 @@
 
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
+    /// What waited for resources or for leases at the last plan; for the log.
+    [[nodiscard]] const WaitingTasks &waitingTasks() const
+    {
+        return m_waiting;
+    }
+
     /// Headroom that services of one image lose per core of fillers of another.
     [[nodiscard]] double effect(std::string_view serviceImage, std::string_view fillerImage) const
     {
@@ -139,11 +170,15 @@
     void finishTask(Job &job, Task &task, const TaskId &id);
     void onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now);
     void releaseLostHosts(TimePoint now);
+    /// Notes hosts on which runs are placed and that have become silent.
+    void observeSilence(HostState &host, TimePoint now);
+    void reportContact(const HostState &host, std::string_view event, TimePoint now) const;
     template<typename Predicate>
     void dropAttempts(const HostState &host, std::string_view event, Predicate &&predicate);
     void dropAttempt(Job &job, const TaskId &id, std::uint32_t run, std::string_view host);
     void planJob(Job &job, const Placement &placement, TimePoint now, std::int64_t unixMs);
     void planStep(Job &job, std::uint32_t occurrence, std::uint32_t step, const Placement &placement, TimePoint now);
+    void noteUnplaced(const TaskId &id);
     void placeGang(Job &job, const TaskId &first, const Placement &placement, TimePoint now);
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
     void superviseAttempts(Job &job, TimePoint now);
@@ -171,6 +206,7 @@
     std::set<std::string, std::less<>> m_committing;
     /// Time since which unfinished jobs have had no attempt.
     std::map<std::string, TimePoint, std::less<>> m_idleSince;
+    WaitingTasks m_waiting;
     /// Time of the last check of all attempts.
     TimePoint m_supervisedAt;
     std::vector<StartOrder> m_starts;
