Add a failing test for tasks of a host that is lost with the leader

What callers saw: long-running tasks that were accepted did not run for 15 s and longer after their host and the leader were gone, although there was room. The bound: a task has to run again within 3 s from 6 s after its last run. It must not start before 7.5 s, when the leases that the agent may have renewed expire.

--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -76,17 +76,25 @@
         }
     }
 
+    /// Starts the term of another process. The term before ends without resigning.
+    void replaceLeader()
+    {
+        term.reset();
+        asio::co_spawn(io, takeOver(), asio::detached);
+        runUntil([&] { return term != nullptr; });
+    }
+
     /// Sends the report of a host without runs.
     void report(const std::string &host)
     {
         send(reportOf(host));
     }
 
-    static Scheduling::HostReport reportOf(const std::string &host)
+    Scheduling::HostReport reportOf(const std::string &host) const
     {
         Scheduling::HostReport report;
         report.host = host;
-        report.fencedEpoch = 1;
+        report.fencedEpoch = directory.current().epoch;
         report.upstream = Scheduling::UpstreamDescription{.identity = {.id = "up-" + host, .incarnation = 1},
                                                           .service = "desk",
                                                           .dataCentre = "dc",
@@ -98,8 +106,8 @@
     {
         asio::co_spawn(
             io,
-            [this, message = toMessage(report)]() -> asio::awaitable<void> {
-                lastReply = co_await term->report(message);
+            [this, leader = term, message = toMessage(report)]() -> asio::awaitable<void> {
+                lastReply = co_await leader->report(message);
                 ++replies;
                 answered += lastReply.is_leader() ? 1 : 0;
             },
@@ -120,12 +128,26 @@
             asio::detached);
     }
 
+    wire::JobProgress storedProgress(const std::string &id) const
+    {
+        wire::JobProgress progress;
+        progress.ParseFromString(table.valueOf(StoreLayout::keyOf(StoreLayout::ProgressPrefix, id)));
+        return progress;
+    }
+
+    /// The host on which the only task of a job is placed; empty when there is none.
+    std::string hostOf(const std::string &id) const
+    {
+        const wire::JobProgress progress = storedProgress(id);
+        const bool placed = progress.tasks_size() > 0 && progress.tasks(0).placements_size() > 0;
+        return placed ? progress.tasks(0).placements(0).host() : std::string();
+    }
+
     /// The runs of a job's tasks whose placements are stored.
     std::vector<Scheduling::RunId> started(const std::string &id)
     {
         std::vector<Scheduling::RunId> runs;
-        wire::JobProgress progress;
-        progress.ParseFromString(table.valueOf(StoreLayout::keyOf(StoreLayout::ProgressPrefix, id)));
+        const wire::JobProgress progress = storedProgress(id);
         for (const wire::TaskProgress &task : progress.tasks()) {
             if (task.placements_size() > 0) {
                 runs.push_back(
@@ -177,10 +199,16 @@
         }
         co_await table.transact(before);
         table.snapshotTime = Milliseconds(100);
+        co_await takeOver();
+    }
+
+    asio::awaitable<void> takeOver()
+    {
         auto ledger = std::make_unique<Ledger>(
             Ledger::Options{.name = "host-0", .address = {}, .isDeposed = [](Epoch) { return false; }}, table);
-        const Status taken = co_await ledger->takeOver(0);
+        const Status taken = co_await ledger->takeOver(directory.current().epoch);
         REQUIRE(isOk(taken));
+        directory.learn(ledger->epoch(), {});
         term = std::make_shared<LeaderTerm>(
             io.get_executor(), LeaderTerm::Options{}, std::move(ledger), table, directory, operators, caller);
         asio::co_spawn(term->strand(), term->run(), asio::detached);
@@ -223,7 +251,7 @@
     fixture.waitUntilLoaded();
     fixture.submit("job");
     fixture.runUntil([&] { return fixture.stored == 1 && !fixture.started("job").empty(); });
-    Scheduling::HostReport report = TermFixture::reportOf("host-0");
+    Scheduling::HostReport report = fixture.reportOf("host-0");
     report.ended.push_back({.number = 1, .run = fixture.started("job").front(), .end = Scheduling::RunEnd::Done});
     const std::size_t before = fixture.answered;
     fixture.send(report);
@@ -269,4 +297,48 @@
     CHECK(fixture.lastReply.is_leader());
 }
 
+TEST_CASE("Tasks of a host that is lost with the leader start elsewhere in time", "[leaderterm]")
+{
+    // Guards against LOST: each new leader waited 15 s for such a host, counted from its own load.
+    constexpr Milliseconds reportInterval{100};
+    constexpr Milliseconds startupLimit{9000};
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.report("host-1");
+    fixture.submit("job");
+    fixture.runUntil([&] { return !fixture.hostOf("job").empty(); });
+    const std::string lost = fixture.hostOf("job");
+    const std::string remaining = lost == "host-0" ? "host-1" : "host-0";
+    const std::size_t before = fixture.answered;
+    const auto lostAt = std::chrono::steady_clock::now();
+    fixture.report(lost);
+    fixture.runUntil([&] { return fixture.answered > before; });
+
+    std::size_t changes = 0;
+    SECTION("After one change of leader")
+    {
+        changes = 1;
+    }
+    SECTION("After several changes of leader")
+    {
+        changes = 4;
+    }
+    for (std::size_t change = 0; change < changes; ++change) {
+        fixture.replaceLeader();
+        const auto until = std::chrono::steady_clock::now() + Milliseconds(1500);
+        while (std::chrono::steady_clock::now() < until) {
+            fixture.report(remaining);
+            fixture.io.run_for(reportInterval);
+        }
+    }
+    // The agent of the lost host may have renewed its leases until 7.5 s after its last report.
+    constexpr Milliseconds longestLease{7500};
+    while (fixture.hostOf("job") != remaining && std::chrono::steady_clock::now() < lostAt + startupLimit) {
+        fixture.report(remaining);
+        fixture.io.run_for(reportInterval);
+    }
+    CHECK(fixture.hostOf("job") == remaining);
+    CHECK(std::chrono::steady_clock::now() - lostAt > longestLease);
+}
+
 } // namespace Carobflow
