Release the tasks of a lost host nine seconds after the last grant

What callers saw: long-running tasks whose host was gone together with the leader started elsewhere 15 s after the next leader's load, and each further change of leader started these 15 s anew (LOST). Cause: a new leader knew nothing about the hosts of its predecessors, so it added up every time that could pass one after the other, counted from its own load: 7.0 s for which an unconfirmed predecessor gave grants, 1.5 s of grant and 6.2 s of lease. The class of fault: a wait that counts from the start of the process that waits instead of from the event that it waits for. Change: leases of one leader end a fixed time after its last write (8.6 s), since grants get shorter when the store does not confirm the leader. The head row holds that time on the store's clock, for the recent terms as well, and a host's row names the last leader that granted leases there, before the first grant is given. A successor derives from both when the leases of a silent host have ended. Leases last 6 s at most, also where upstreams allow more.

--- a/packages/connectors/src/carobflow/connectors/watchabletable.h
+++ b/packages/connectors/src/carobflow/connectors/watchabletable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobflow/connectors/tableclock.h"
 #include "carobflow/connectors/tableservice.h"
 #include "carobflow/core/types.h"
 
@@ -41,6 +42,9 @@
     /// Transactions beyond these are rejected, however often they are sent.
     [[nodiscard]] virtual TransactionLimits limits() const = 0;
 
+    /// The table's clock, known from the first reply on.
+    [[nodiscard]] virtual const TableClock &clock() const = 0;
+
     /// All rows whose keys start with `prefix`, which ends with a slash. Errors: Unavailable, Timeout.
     virtual boost::asio::awaitable<Result<TableSnapshot>> snapshot(std::string_view prefix) = 0;
 
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -42,8 +42,7 @@
 /// Several times the number of runs on a host. Entries of ended tasks are not removed one by one; beyond this size all
 /// are dropped.
 constexpr std::size_t MaxDescriptions = 1000;
-/// Upstream clocks may be 2% slow; the rest covers the delay of a message.
-constexpr double LeaseClockFactor = 1.03;
+/// Covers the delay of a message.
 constexpr Milliseconds LeaseMargin{200};
 
 } // namespace
@@ -64,9 +63,9 @@
     , m_reportNow(m_strand)
     , m_renewNow(m_strand)
     , m_leaderAnsweredAt(suspendAwareNow())
-    , m_leasesExpireBy(suspendAwareNow() + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor)
-                       + LeaseMargin)
 {
+    // The process before this one may have renewed the leases.
+    recordLeaseRequest(suspendAwareNow());
 }
 
 void HostAgent::start()
@@ -141,12 +140,13 @@
     }
     // A lower bound of the upstream's clock, since the answer was sent before it arrived here.
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - m_clockAt);
-    return m_clockMs + elapsed.count() + m_options.maxLease.count();
+    return m_clockMs + elapsed.count() + m_options.leaseTimes.lease.count();
 }
 
 void HostAgent::recordLeaseRequest(TimePoint now)
 {
-    m_leasesExpireBy = now + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseMargin;
+    const auto lease = m_options.leaseTimes.lease * Scheduling::LeaseTimes::ClockFactor;
+    m_leasesExpireBy = now + std::chrono::duration_cast<Duration>(lease) + LeaseMargin;
 }
 
 asio::awaitable<void> HostAgent::renewLoop()
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -6,6 +6,7 @@
 #include "carobflow/control/upstreamlink.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/scheduler/host.h"
+#include "carobflow/scheduler/leasetimes.h"
 #include "carobflow/scheduler/pacer.h"
 
 #include <map>
@@ -32,8 +33,7 @@
         /// Address at which the leader reaches this agent.
         std::string address;
         std::string dataCentre;
-        /// Longest lease that the upstream grants.
-        Milliseconds maxLease{6000};
+        Scheduling::LeaseTimes leaseTimes;
     };
 
     HostAgent(const boost::asio::any_io_executor &executor,
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -31,11 +31,6 @@
 constexpr Milliseconds RenewInterval{600};
 /// Longest time between two plans, for decisions that depend on time alone.
 constexpr Milliseconds PlanInterval{50};
-/// Agents may renew leases for this long after a report. It bounds how long an unreachable host keeps its tasks.
-constexpr Milliseconds GrantDuration{1500};
-/// A leader stops giving grants when the store has not confirmed its leadership for this long; a successor relies on
-/// it. Longer than the store's outages in the sites' records, so that running work survives them.
-constexpr Milliseconds MaxUnconfirmedTime{7000};
 /// The slowest store in the sites' records writes within 0.36 s.
 constexpr Milliseconds StoreUnavailableAfter{500};
 /// About the duration of one write.
@@ -43,7 +38,7 @@
 constexpr Milliseconds ExecuteTimeout{700};
 /// A third of the agents' time-out for reports. A write takes 5 to 10 ms; when the store is slower, the reply is sent
 /// without the acknowledgement.
-constexpr Milliseconds EndsStoredTimeout{200};
+constexpr Milliseconds StoredTimeout{200};
 /// Calls from hosts and clients wait this long while the leader loads. Otherwise the calls of all hosts, each repeated
 /// every 60 ms, would take most of the processor share that the load needs.
 constexpr Milliseconds HostLoadTimeout{400};
@@ -81,9 +76,7 @@
     , m_operators(operators)
     , m_caller(caller)
     , m_scheduler({.epoch = m_ledger->epoch(),
-                   .grant = GrantDuration,
-                   .maxLease = m_options.maxLease,
-                   .predecessorGrant = MaxUnconfirmedTime,
+                   .leaseTimes = m_options.leaseTimes,
                    .onDecision =
                        [](const Scheduling::RunId &run, std::string_view host, std::string_view event) {
                            logInfo("run-ended")
@@ -214,11 +207,7 @@
     const TimePoint now = suspendAwareNow();
     const std::int64_t unixNow = unixMilliseconds();
     m_scheduler.setOperatorView(m_view);
-    for (const Row &row : hosts) {
-        const std::string name = row.key.substr(StoreLayout::HostPrefix.size());
-        m_contacts[name] = {.address = row.value, .stored = true};
-        m_scheduler.expectHost(name, now);
-    }
+    restoreHosts(hosts, now);
     std::map<std::string, wire::JobProgress> progressOf;
     for (const Row &row : progress) {
         const std::string id = row.key.substr(StoreLayout::ProgressPrefix.size());
@@ -248,6 +237,31 @@
     co_return true;
 }
 
+void LeaderTerm::restoreHosts(std::span<const Row> rows, TimePoint now)
+{
+    for (const Row &row : rows) {
+        const std::string name = row.key.substr(StoreLayout::HostPrefix.size());
+        wire::KnownHost known;
+        if (!known.ParseFromString(row.value)) {
+            logError("host-unreadable").with("row", row.key).with("remedy", "the host is used when it reports");
+            known.Clear();
+        }
+        m_contacts[name] = {.address = known.address()};
+        m_scheduler.expectHost(name, now, leasesExpireBy(known.granted_by_epoch(), now));
+    }
+}
+
+TimePoint LeaderTerm::leasesExpireBy(Epoch grantedBy, TimePoint now) const
+{
+    const TimePoint latest = now + m_options.leaseTimes.untilFreeAfterWrite();
+    const auto lastGrant = m_ledger->formerTerms().lastGrant(grantedBy);
+    const auto storeNow = m_table.clock().earliest(now);
+    if (!lastGrant || !storeNow) {
+        return latest;
+    }
+    return std::min(latest, latest + (*lastGrant - *storeNow));
+}
+
 void LeaderTerm::publishPeers()
 {
     std::vector<std::string> peers;
@@ -257,9 +271,11 @@
     m_directory.setPeers(std::move(peers));
 }
 
-bool LeaderTerm::isConfirmed(TimePoint now) const
+Milliseconds LeaderTerm::grantFor(const std::string &host, TimePoint now) const
 {
-    return now - m_ledger->confirmedAt() < MaxUnconfirmedTime;
+    const auto contact = m_contacts.find(host);
+    const bool stored = contact != m_contacts.end() && contact->second.stored;
+    return stored ? m_options.leaseTimes.grantAt(now - m_ledger->confirmedAt()) : Milliseconds(0);
 }
 
 bool LeaderTerm::isStoreUnavailable(TimePoint now) const
@@ -345,18 +361,24 @@
     }
 }
 
-void LeaderTerm::addHosts(TransactionBatch &batch)
+std::vector<std::string> LeaderTerm::addHosts(TransactionBatch &batch)
 {
+    std::vector<std::string> names;
     std::ranges::move(m_scheduler.takeNewHosts(), std::back_inserter(m_newHosts));
     while (!m_newHosts.empty()) {
         const std::string &name = m_newHosts.front();
+        wire::KnownHost known;
+        known.set_address(m_contacts[name].address);
+        known.set_granted_by_epoch(m_ledger->epoch());
         if (!batch.add(
-                {{.key = StoreLayout::keyOf(StoreLayout::HostPrefix, name), .value = m_contacts[name].address}})) {
+                {{.key = StoreLayout::keyOf(StoreLayout::HostPrefix, name), .value = known.SerializeAsString()}})) {
             m_changed = true;
-            return;
+            break;
         }
+        names.push_back(std::move(m_newHosts.front()));
         m_newHosts.pop_front();
     }
+    return names;
 }
 
 std::vector<std::string> LeaderTerm::addJobs(TransactionBatch &batch)
@@ -391,7 +413,7 @@
     TransactionBatch batch(m_ledger->commitLimits());
     const TimePoint now = suspendAwareNow();
     addLeadership(batch, now);
-    addHosts(batch);
+    const std::vector<std::string> hosts = addHosts(batch);
     const std::vector<std::string> ids = addJobs(batch);
     addDeletions(batch);
     if (batch.isEmpty()) {
@@ -405,6 +427,9 @@
         logInfo("deposed").with("epoch", m_ledger->epoch()).with("reason", errorOf(committed).message);
         co_return false;
     }
+    for (const std::string &host : hosts) {
+        m_contacts[host].stored = true;
+    }
     const TimePoint committedAt = suspendAwareNow();
     for (const std::string &id : ids) {
         m_unstoredAcceptTimes.erase(id);
@@ -576,7 +601,7 @@
 
 asio::awaitable<void> LeaderTerm::waitForEnds(Scheduling::HostReport report)
 {
-    const auto until = std::chrono::steady_clock::now() + EndsStoredTimeout;
+    const auto until = std::chrono::steady_clock::now() + StoredTimeout;
     const auto waiter = m_endWaiters.insert(m_endWaiters.end(),
                                             EndWaiter{.host = report.host,
                                                       .upstream = report.upstream->identity,
@@ -589,6 +614,19 @@
     m_endWaiters.erase(waiter);
 }
 
+asio::awaitable<void> LeaderTerm::waitUntilStored(std::string host)
+{
+    const auto until = std::chrono::steady_clock::now() + StoredTimeout;
+    m_changed = true;
+    m_wake.notify();
+    while (!m_over && !m_contacts[host].stored && std::chrono::steady_clock::now() < until) {
+        auto timer = std::make_shared<asio::steady_timer>(m_strand, until);
+        m_waiters.push_back(timer);
+        boost::system::error_code cancelled;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+}
+
 void LeaderTerm::wakeEndWaiters()
 {
     for (EndWaiter &waiter : m_endWaiters) {
@@ -609,6 +647,9 @@
     }
     const Scheduling::HostReport report = fromMessage(request);
     processReport(report, suspendAwareNow());
+    if (!m_contacts[report.host].stored) {
+        co_await waitUntilStored(report.host);
+    }
     if (report.upstream && !report.ended.empty()) {
         co_await waitForEnds(report);
     }
@@ -616,7 +657,7 @@
         co_return reply;
     }
     reply.set_is_leader(true);
-    reply.set_grant_ms(isConfirmed(suspendAwareNow()) ? GrantDuration.count() : 0);
+    reply.set_grant_ms(grantFor(report.host, suspendAwareNow()).count());
     if (report.upstream) {
         reply.set_acknowledged_end(m_scheduler.acknowledgedEnd(report.host, report.upstream->identity));
         reply.set_upstream_id(report.upstream->identity.id);
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -36,7 +36,7 @@
     struct Options {
         std::string name;
         std::string address;
-        Milliseconds maxLease{6000};
+        Scheduling::LeaseTimes leaseTimes;
         /// How long a finished job can be queried.
         Seconds retention{150};
     };
@@ -84,6 +84,7 @@
 
     struct HostContact {
         std::string address;
+        /// The store names this leader as the one that grants leases to the host.
         bool stored = false;
         TimePoint announcedAt;
     };
@@ -108,7 +109,8 @@
     /// These functions fill a write up to its limits, in this order: other candidates wait for renewals, and a
     /// successor needs the address of each host on which a job's tasks are placed.
     void addLeadership(TransactionBatch &batch, TimePoint now);
-    void addHosts(TransactionBatch &batch);
+    /// Returns the hosts whose rows are part of the write.
+    std::vector<std::string> addHosts(TransactionBatch &batch);
     /// Returns the jobs whose changes are part of the write.
     std::vector<std::string> addJobs(TransactionBatch &batch);
     void addDeletions(TransactionBatch &batch);
@@ -124,7 +126,16 @@
     void logWaitingTasks(TimePoint now);
     void checkContact(TimePoint now);
     void wakeWaiters();
-    [[nodiscard]] bool isConfirmed(TimePoint now) const;
+    /// The grant for a host; 0 while the store has not confirmed this leader for too long, or does not name it yet as
+    /// the one that grants leases there.
+    [[nodiscard]] Milliseconds grantFor(const std::string &host, TimePoint now) const;
+    /// Time by which every lease has expired that former leaders granted to a host; `grantedBy` is the epoch of the
+    /// last of them according to the store, or 0.
+    [[nodiscard]] TimePoint leasesExpireBy(Epoch grantedBy, TimePoint now) const;
+    /// Adds the hosts of former leaders.
+    void restoreHosts(std::span<const Row> rows, TimePoint now);
+    /// Waits until the store names this leader for the host or a time limit has passed.
+    boost::asio::awaitable<void> waitUntilStored(std::string host);
     /// True while a write has waited for the store for so long that new jobs are rejected.
     [[nodiscard]] bool isStoreUnavailable(TimePoint now) const;
 
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -23,9 +23,10 @@
 /// Delay after a refused write. A write takes 5 ms, so a short refusal costs little time, and a store that refuses
 /// writes for seconds is called ten times a second.
 constexpr Milliseconds RefusedWriteDelay{100};
-/// Every write contains the head row as a condition and as a mutation, with fewer bytes than this.
+/// Every write contains the head row as a condition and as a mutation, with fewer bytes than this: a former term takes
+/// up to 24 bytes, and there are at most 12.
 constexpr std::size_t HeadEntries = 2;
-constexpr std::size_t HeadBytes = 200;
+constexpr std::size_t HeadBytes = 500;
 /// Delay after a lost reply; the call itself has already waited for its time-out.
 constexpr Milliseconds LostReplyDelay{10};
 
@@ -42,15 +43,38 @@
 {
 }
 
-std::string Ledger::headValue(std::uint64_t token) const
+std::string Ledger::headValue(std::uint64_t token, TimePoint sentAt) const
 {
     wire::LedgerHead head;
     head.set_epoch(m_epoch);
     head.set_sequence(m_sequence);
     head.set_token(token);
+    head.set_sent_store_ms(m_table.clock().latest(sentAt).value_or(Milliseconds(0)).count());
+    for (const Scheduling::EndedTerm &term : m_formerTerms.terms()) {
+        wire::EndedTerm &entry = *head.add_former_terms();
+        entry.set_epoch(term.epoch);
+        entry.set_last_write_store_ms(term.lastWrite.count());
+    }
     return head.SerializeAsString();
 }
 
+void Ledger::recordFormerTerms(const wire::LedgerHead &before, TimePoint now)
+{
+    if (before.epoch() == 0) {
+        return;
+    }
+    std::vector<Scheduling::EndedTerm> terms;
+    for (const wire::EndedTerm &entry : before.former_terms()) {
+        terms.push_back({.epoch = entry.epoch(), .lastWrite = Milliseconds(entry.last_write_store_ms())});
+    }
+    m_formerTerms = Scheduling::TermHistory(std::move(terms));
+    const Milliseconds storeNow = m_table.clock().latest(now).value_or(Milliseconds(0));
+    // A row without the time dates from an earlier build; its leader may have written until now.
+    const Milliseconds lastWrite = before.sent_store_ms() > 0 ? Milliseconds(before.sent_store_ms()) : storeNow;
+    m_formerTerms.add({.epoch = before.epoch(), .lastWrite = lastWrite},
+                      storeNow - std::chrono::duration_cast<Milliseconds>(m_options.termRetention));
+}
+
 std::string Ledger::leaderValue(const std::string &address) const
 {
     wire::Leadership leadership;
@@ -92,12 +116,14 @@
     }
     m_epoch = before.epoch() + 1;
     m_sequence = 0;
+    const TimePoint sentAt = suspendAwareNow();
+    recordFormerTerms(before, sentAt);
     const std::uint64_t token = randomNumber();
     Transaction transaction;
     transaction.conditions.push_back({.key = std::string(StoreLayout::LedgerHeadKey), .version = m_headVersion});
-    transaction.mutations.push_back({.key = std::string(StoreLayout::LedgerHeadKey), .value = headValue(token)});
+    transaction.mutations.push_back(
+        {.key = std::string(StoreLayout::LedgerHeadKey), .value = headValue(token, sentAt)});
     transaction.mutations.push_back(renewal());
-    const TimePoint sentAt = suspendAwareNow();
     const TransactOutcome outcome = co_await m_table.transact(transaction);
     if (const auto *committed = std::get_if<Committed>(&outcome)) {
         m_headVersion = committed->version;
@@ -151,14 +177,18 @@
     const std::uint64_t token = randomNumber();
     Transaction transaction;
     transaction.mutations = std::move(mutations);
-    transaction.mutations.push_back({.key = std::string(StoreLayout::LedgerHeadKey), .value = headValue(token)});
+    transaction.mutations.push_back({.key = std::string(StoreLayout::LedgerHeadKey), .value = std::nullopt});
     transaction.conditions.push_back({.key = std::string(StoreLayout::LedgerHeadKey), .version = m_headVersion});
+    // Any attempt may be the one that is applied. A confirmation counts from the first: the head row of that attempt
+    // has the earliest time, from which a successor derives when the leases of this leader end.
+    const TimePoint firstSentAt = suspendAwareNow();
     for (;;) {
         if (m_options.isDeposed(m_epoch)) {
             co_return deposed();
         }
         transaction.conditions.front().version = m_headVersion;
         const TimePoint sentAt = suspendAwareNow();
+        transaction.mutations.back().value = headValue(token, sentAt);
         const TransactOutcome outcome = co_await m_table.transact(transaction);
         if (const auto *committed = std::get_if<Committed>(&outcome)) {
             m_headVersion = committed->version;
@@ -169,7 +199,7 @@
         if (std::holds_alternative<Conflict>(outcome)) {
             const Status found = co_await findToken(token);
             if (isOk(found)) {
-                m_confirmedAt = sentAt;
+                m_confirmedAt = firstSentAt;
                 co_return std::monostate{};
             }
             if (errorOf(found).kind == ErrorKind::Conflict) {
--- a/packages/control/src/carobflow/control/ledger.h
+++ b/packages/control/src/carobflow/control/ledger.h
@@ -2,12 +2,15 @@
 
 #include "carobflow/connectors/watchabletable.h"
 #include "carobflow/core/types.h"
+#include "carobflow/scheduler/termhistory.h"
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
+#include <control.pb.h>
+
 #include <boost/asio/awaitable.hpp>
 
 namespace Carobflow
@@ -25,6 +28,8 @@
         std::string address;
         /// Returns true when a leader newer than this epoch is known; commit() then stops retrying.
         std::function<bool(Epoch)> isDeposed;
+        /// Time after which former terms are removed from the head row, because no lease of theirs can be left.
+        Duration termRetention = Seconds(60);
     };
 
     Ledger(Options options, WatchableTable &table);
@@ -57,6 +62,12 @@
         return m_confirmedAt;
     }
 
+    /// The recent terms before this one.
+    [[nodiscard]] const Scheduling::TermHistory &formerTerms() const
+    {
+        return m_formerTerms;
+    }
+
     /// Number of writes that were refused or whose reply was lost.
     [[nodiscard]] std::uint64_t retries() const
     {
@@ -64,7 +75,10 @@
     }
 
 private:
-    [[nodiscard]] std::string headValue(std::uint64_t token) const;
+    /// The head row of a write that is sent at the given time.
+    [[nodiscard]] std::string headValue(std::uint64_t token, TimePoint sentAt) const;
+    /// Adds the term that the head row of the previous leader describes to the former ones.
+    void recordFormerTerms(const carobflow::control::LedgerHead &before, TimePoint now);
     [[nodiscard]] std::string leaderValue(const std::string &address) const;
     /// Determines from the head row whether the write with this token was applied. Errors: NotFound when it was not,
     /// Conflict when another process leads.
@@ -78,6 +92,7 @@
     std::uint64_t m_headVersion = 0;
     std::uint64_t m_retries = 0;
     TimePoint m_confirmedAt;
+    Scheduling::TermHistory m_formerTerms;
 };
 
 } // namespace Carobflow
--- a/packages/control/src/carobflow/control/storelayout.h
+++ b/packages/control/src/carobflow/control/storelayout.h
@@ -14,7 +14,7 @@
 inline constexpr std::string_view JobPrefix = "jobs/";
 /// Progress of each job; written by the leader only.
 inline constexpr std::string_view ProgressPrefix = "progress/";
-/// Hosts on which runs may have been placed; the value is the agent's address.
+/// Hosts on which runs may have been placed: the agent's address and the last leader that granted leases there.
 inline constexpr std::string_view HostPrefix = "hosts/";
 /// Submissions and cancellations that entries wrote while no leader could be reached.
 inline constexpr std::string_view InboxPrefix = "inbox/";
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -297,6 +297,27 @@
     CHECK(fixture.lastReply.is_leader());
 }
 
+TEST_CASE("A host gets no grant before the store names the leader that gives it", "[leaderterm]")
+{
+    // Guards against TWICE: the next leader relies on the store for which leaders may have granted leases to a host.
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.table.transactTime = Milliseconds(600);
+    // Lets the calls of waitUntilLoaded() end.
+    fixture.io.run_for(Milliseconds(50));
+    const std::size_t before = fixture.answered;
+    fixture.report("host-1");
+    fixture.runUntil([&] { return fixture.answered > before; });
+    CHECK(fixture.table.valueOf(StoreLayout::keyOf(StoreLayout::HostPrefix, "host-1")).empty());
+    CHECK(fixture.lastReply.grant_ms() == 0);
+    fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::HostPrefix) == 2; });
+    fixture.table.transactTime = Milliseconds(2);
+    fixture.runUntil([&] {
+        fixture.report("host-1");
+        return fixture.lastReply.grant_ms() > 0;
+    });
+}
+
 TEST_CASE("Tasks of a host that is lost with the leader start elsewhere in time", "[leaderterm]")
 {
     // Guards against LOST: each new leader waited 15 s for such a host, counted from its own load.
--- a/packages/control/tests/tablefake.h
+++ b/packages/control/tests/tablefake.h
@@ -19,6 +19,11 @@
         return {.entries = 100, .bytes = 100'000};
     }
 
+    [[nodiscard]] const TableClock &clock() const override
+    {
+        return m_clock;
+    }
+
     boost::asio::awaitable<Result<std::vector<Row>>> read(std::span<const std::string> keys) override;
     boost::asio::awaitable<Result<std::vector<Row>>>
     readRange(std::string_view prefix, std::string_view after, std::size_t limit) override;
@@ -32,7 +37,8 @@
     /// The value of a row; empty when there is none.
     [[nodiscard]] std::string valueOf(std::string_view key) const;
 
-    /// Simulated durations of snapshots and of reads of ranges.
+    /// Simulated durations of transactions, of snapshots and of reads of ranges.
+    Milliseconds transactTime{2};
     Milliseconds snapshotTime{1};
     Milliseconds rangeTime{0};
 
@@ -40,10 +46,14 @@
     std::size_t oversized = 0;
 
 private:
+    /// Lets the clock be observed with a reply to a call.
+    void observeClock();
+
     [[nodiscard]] std::vector<Row> rowsOf(std::string_view prefix) const;
 
     std::map<std::string, Row, std::less<>> m_rows;
     std::uint64_t m_version = 1;
+    TableClock m_clock;
 };
 
 } // namespace Carobflow
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Margin of lease times: upstream clocks may be 2% slow, and the rest covers the delay of messages.
-constexpr double LeaseClockFactor = 1.03;
-constexpr Milliseconds LeaseSlack{300};
 /// Time without an answer to its agent after which an upstream gets no starts.
 constexpr Milliseconds UpstreamSilenceLimit{1000};
 /// Delay before the task of a rejected start is placed again.
@@ -72,7 +69,8 @@
     /// Time from which on the host has been known to this leader, for the silence of a host that has never reported.
     TimePoint expectedSince;
     bool silent = false;
-    bool stored = false;
+    /// Taken by takeNewHosts().
+    bool taken = false;
     UpstreamIdentity endsUpstream;
     std::uint64_t highestEndNumber = 0;
     std::map<std::uint64_t, PendingEnd> pendingEnds;
@@ -178,7 +176,10 @@
     job->restore(progress, now);
     job->forEachTask([&](const TaskId &id, const Task &task) {
         for (const Attempt &attempt : task.attempts) {
-            expectHost(attempt.host, now);
+            if (!m_hosts.contains(attempt.host)) {
+                // Its row is missing or unreadable, so the longest wait applies.
+                expectHost(attempt.host, now, now + m_options.leaseTimes.untilFreeAfterWrite());
+            }
             HostState &state = hostState(attempt.host);
             state.host.reserve(job->step(id));
             state.attempts.insert({.task = id, .run = attempt.run});
@@ -189,14 +190,12 @@
     m_jobs.insert_or_assign(id, std::move(job));
 }
 
-void Scheduler::expectHost(std::string_view name, TimePoint now)
+void Scheduler::expectHost(std::string_view name, TimePoint now, TimePoint leasesExpireBy)
 {
     HostState &state = hostState(name);
-    state.stored = true;
     if (!state.host.hasReported()) {
         state.expectedSince = now;
-        state.leaseFreeAt = now + m_options.predecessorGrant + m_options.grant
-            + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
+        state.leaseFreeAt = leasesExpireBy;
     }
 }
 
@@ -214,8 +213,7 @@
     if (std::exchange(state.silent, false)) {
         reportContact(state, "reporting-again", now);
     }
-    state.leaseFreeAt = now + m_options.grant
-        + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
+    state.leaseFreeAt = now + m_options.leaseTimes.untilFreeAfterReport();
     if (replaced) {
         // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
         dropAttempts(state, "upstream-replaced", [&](const Attempt &attempt) {
@@ -872,8 +870,8 @@
 {
     std::vector<std::string> names;
     for (const auto &[name, state] : m_hosts) {
-        if (!state->stored && state->host.hasReported()) {
-            state->stored = true;
+        if (!state->taken && state->host.hasReported()) {
+            state->taken = true;
             names.push_back(name);
         }
     }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/scheduler/host.h"
 #include "carobflow/scheduler/job.h"
+#include "carobflow/scheduler/leasetimes.h"
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/orders.h"
 #include "carobflow/scheduler/placement.h"
@@ -54,13 +55,7 @@
 public:
     struct Options {
         Epoch epoch = 1;
-        /// Time for which an agent may renew the leases of its upstream, from the sending of a report that was
-        /// answered.
-        Milliseconds grant{1500};
-        /// Longest lease of a run.
-        Milliseconds maxLease{6000};
-        /// Time after a change of leader for which the previous leader may have renewed grants.
-        Milliseconds predecessorGrant{6000};
+        LeaseTimes leaseTimes;
         /// Time without a report after which a host gets no starts; three report intervals.
         Milliseconds reportTimeout{1200};
         /// Called for the log whenever a run ends, is abandoned or fails its job.
@@ -94,9 +89,9 @@
     /// Takes over a job of a previous leader with its progress from the store.
     void restore(JobSpec spec, const JobProgress &progress, TimePoint acceptedAt, TimePoint now);
 
-    /// Adds a host of a previous leader. Runs placed there count as running until the host reports or every lease there
-    /// must have expired.
-    void expectHost(std::string_view name, TimePoint now);
+    /// Adds a host of previous leaders. Runs placed there count as running until the host reports or `leasesExpireBy`,
+    /// the time by which every lease that those leaders granted there has expired. Called before restore().
+    void expectHost(std::string_view name, TimePoint now, TimePoint leasesExpireBy);
 
     /// Processes a report. The agent's grant is counted from `now`.
     void onReport(const HostReport &report, TimePoint now);
@@ -124,7 +119,8 @@
     /// The state of a job that takeDirtyJobs() returned has been written.
     void commitJob(std::string_view id, TimePoint now);
 
-    /// Takes the hosts that have reported and are not in the store yet. The caller has to write them.
+    /// Takes the hosts that have reported to this leader for the first time. The caller has to write them together with
+    /// the epoch of this leader before it grants leases there.
     std::vector<std::string> takeNewHosts();
 
     /// Take the start orders whose decision is in the store, and the stop orders, since the last call.
