--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Margin of lease times: upstream clocks may be 2% slow, and the rest covers the delay of messages.
-constexpr double LeaseClockFactor = 1.03;
-constexpr Milliseconds LeaseSlack{300};
 /// Time without an answer to its agent after which an upstream gets no starts.
 constexpr Milliseconds UpstreamSilenceLimit{1000};
 /// Delay before the task of a rejected start is placed again.
@@ -69,7 +66,11 @@
     std::set<RunId> attempts;
     /// Time at which every lease here must have expired unless a further report arrives.
     TimePoint leaseFreeAt;
-    bool stored = false;
+    /// Time from which on the host has been known to this leader, for the silence of a host that has never reported.
+    TimePoint expectedSince;
+    bool silent = false;
+    /// Taken by takeNewHosts().
+    bool taken = false;
     UpstreamIdentity endsUpstream;
     std::uint64_t highestEndNumber = 0;
     std::map<std::uint64_t, PendingEnd> pendingEnds;
@@ -175,7 +176,10 @@
     job->restore(progress, now);
     job->forEachTask([&](const TaskId &id, const Task &task) {
         for (const Attempt &attempt : task.attempts) {
-            expectHost(attempt.host, now);
+            if (!m_hosts.contains(attempt.host)) {
+                // Its row is missing or unreadable, so the longest wait applies.
+                expectHost(attempt.host, now, now + m_options.leaseTimes.untilFreeAfterWrite());
+            }
             HostState &state = hostState(attempt.host);
             state.host.reserve(job->step(id));
             state.attempts.insert({.task = id, .run = attempt.run});
@@ -186,13 +190,12 @@
     m_jobs.insert_or_assign(id, std::move(job));
 }
 
-void Scheduler::expectHost(std::string_view name, TimePoint now)
+void Scheduler::expectHost(std::string_view name, TimePoint now, TimePoint leasesExpireBy)
 {
     HostState &state = hostState(name);
-    state.stored = true;
     if (!state.host.hasReported()) {
-        state.leaseFreeAt = now + m_options.predecessorGrant + m_options.grant
-            + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
+        state.expectedSince = now;
+        state.leaseFreeAt = leasesExpireBy;
     }
 }
 
@@ -207,8 +210,10 @@
     }
     const bool fenced = report.fencedEpoch == m_options.epoch;
     const bool replaced = state.host.apply(report, now);
-    state.leaseFreeAt = now + m_options.grant
-        + std::chrono::duration_cast<Duration>(m_options.maxLease * LeaseClockFactor) + LeaseSlack;
+    if (std::exchange(state.silent, false)) {
+        reportContact(state, "reporting-again", now);
+    }
+    state.leaseFreeAt = now + m_options.leaseTimes.untilFreeAfterReport();
     if (replaced) {
         // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
         dropAttempts(state, "upstream-replaced", [&](const Attempt &attempt) {
@@ -485,12 +490,40 @@
     dropAttempt(*found->second, run.task, run.run, host);
 }
 
+void Scheduler::reportContact(const HostState &host, std::string_view event, TimePoint now) const
+{
+    if (m_options.onHostContact) {
+        m_options.onHostContact({.host = host.host.name(),
+                                 .event = event,
+                                 .runs = host.attempts.size(),
+                                 .hasReported = host.host.hasReported(),
+                                 .leasesExpireIn = std::chrono::duration_cast<Milliseconds>(host.leaseFreeAt - now)});
+    }
+}
+
+void Scheduler::observeSilence(HostState &host, TimePoint now)
+{
+    const TimePoint lastContact = host.host.hasReported() ? host.host.reportedAt() : host.expectedSince;
+    if (host.attempts.empty() || now - lastContact < m_options.reportTimeout) {
+        return;
+    }
+    ++m_waiting.silentHosts;
+    m_waiting.runsOnSilentHosts += host.attempts.size();
+    if (!std::exchange(host.silent, true)) {
+        reportContact(host, "silent", now);
+    }
+}
+
 void Scheduler::releaseLostHosts(TimePoint now)
 {
     for (const auto &[name, state] : m_hosts) {
         if (now > state->leaseFreeAt) {
+            if (!state->attempts.empty()) {
+                reportContact(*state, "given-up", now);
+            }
             dropAttempts(*state, "host-lost", [](const Attempt & /*attempt*/) { return true; });
         }
+        observeSilence(*state, now);
     }
 }
 
@@ -514,6 +547,7 @@
 
 void Scheduler::plan(TimePoint now, std::int64_t unixMs)
 {
+    m_waiting = {};
     releaseLostHosts(now);
     const bool supervisesAll = now - m_supervisedAt >= SuperviseInterval;
     if (supervisesAll) {
@@ -583,11 +617,13 @@
     for (Task &task : job.stepTasks(occurrence, step)) {
         if (!task.done && task.attempts.empty() && task.notBefore <= now) {
             Host *host = placement.choose(job, id, now);
-            if (host == nullptr && task.failedOn.empty()) {
-                // The tasks of a step are identical, so no other one fits either.
-                return;
-            }
-            if (host != nullptr) {
+            if (host == nullptr) {
+                noteUnplaced(id);
+                if (task.failedOn.empty()) {
+                    // The tasks of a step are identical, so no other one fits either.
+                    return;
+                }
+            } else {
                 place(job, id, *host, task.lastRun + 1, now);
                 if (placement.allowsInterference()) {
                     // A single task is started first, to measure its effect on the services.
@@ -599,6 +635,13 @@
     }
 }
 
+void Scheduler::noteUnplaced(const TaskId &id)
+{
+    if (++m_waiting.unplaced == 1) {
+        m_waiting.firstUnplaced = id.toString();
+    }
+}
+
 void Scheduler::placeGang(Job &job, const TaskId &first, const Placement &placement, TimePoint now)
 {
     const auto tasks = job.stepTasks(first.occurrence, first.step);
@@ -612,6 +655,7 @@
     for (; id.index < tasks.size(); ++id.index) {
         Host *host = placement.choose(job, id, now);
         if (host == nullptr) {
+            noteUnplaced(id);
             break;
         }
         place(job, id, *host, run, now);
@@ -826,8 +870,8 @@
 {
     std::vector<std::string> names;
     for (const auto &[name, state] : m_hosts) {
-        if (!state->stored && state->host.hasReported()) {
-            state->stored = true;
+        if (!state->taken && state->host.hasReported()) {
+            state->taken = true;
             names.push_back(name);
         }
     }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/scheduler/host.h"
 #include "carobflow/scheduler/job.h"
+#include "carobflow/scheduler/leasetimes.h"
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/orders.h"
 #include "carobflow/scheduler/placement.h"
@@ -20,6 +21,29 @@
 namespace Carobflow::Scheduling
 {
 
+/// A host on which runs are placed has become silent, has reported again, or has been given up.
+struct HostContactChange {
+    std::string_view host;
+    /// "silent", "reporting-again" or "given-up".
+    std::string_view event;
+    /// Number of runs that reserve resources on the host.
+    std::size_t runs = 0;
+    /// True when the host has reported to this leader, false when it is known from the store only.
+    bool hasReported = false;
+    /// Time until every lease on the host must have expired; its tasks start elsewhere then.
+    Milliseconds leasesExpireIn{0};
+};
+
+/// Tasks that are ready and have no run, and the hosts for whose leases others wait.
+struct WaitingTasks {
+    /// Steps and gangs for which the last plan found no host, and the first task among them in the order of the plan.
+    std::size_t unplaced = 0;
+    std::string firstUnplaced;
+    std::size_t silentHosts = 0;
+    /// Runs on silent hosts. Their tasks start elsewhere when the leases have expired.
+    std::size_t runsOnSilentHosts = 0;
+};
+
 /// Makes the decisions of a leader: which run starts where, which run stops, and what is acknowledged to clients. It
 /// does no input or output and reads no clock.
 ///
@@ -31,17 +55,13 @@
 public:
     struct Options {
         Epoch epoch = 1;
-        /// Time for which an agent may renew the leases of its upstream, from the sending of a report that was
-        /// answered.
-        Milliseconds grant{1500};
-        /// Longest lease of a run.
-        Milliseconds maxLease{6000};
-        /// Time after a change of leader for which the previous leader may have renewed grants.
-        Milliseconds predecessorGrant{6000};
+        LeaseTimes leaseTimes;
         /// Time without a report after which a host gets no starts; three report intervals.
         Milliseconds reportTimeout{1200};
         /// Called for the log whenever a run ends, is abandoned or fails its job.
         std::function<void(const RunId &run, std::string_view host, std::string_view event)> onDecision;
+        /// Called for the log when a host on which runs are placed stops reporting, reports again, or is given up.
+        std::function<void(const HostContactChange &change)> onHostContact;
     };
 
     enum class Submission { Accepted, Known };
@@ -69,9 +89,9 @@
     /// Takes over a job of a previous leader with its progress from the store.
     void restore(JobSpec spec, const JobProgress &progress, TimePoint acceptedAt, TimePoint now);
 
-    /// Adds a host of a previous leader. Runs placed there count as running until the host reports or every lease there
-    /// must have expired.
-    void expectHost(std::string_view name, TimePoint now);
+    /// Adds a host of previous leaders. Runs placed there count as running until the host reports or `leasesExpireBy`,
+    /// the time by which every lease that those leaders granted there has expired. Called before restore().
+    void expectHost(std::string_view name, TimePoint now, TimePoint leasesExpireBy);
 
     /// Processes a report. The agent's grant is counted from `now`.
     void onReport(const HostReport &report, TimePoint now);
@@ -99,7 +119,8 @@
     /// The state of a job that takeDirtyJobs() returned has been written.
     void commitJob(std::string_view id, TimePoint now);
 
-    /// Takes the hosts that have reported and are not in the store yet. The caller has to write them.
+    /// Takes the hosts that have reported to this leader for the first time. The caller has to write them together with
+    /// the epoch of this leader before it grants leases there.
     std::vector<std::string> takeNewHosts();
 
     /// Take the start orders whose decision is in the store, and the stop orders, since the last call.
@@ -120,6 +141,12 @@
 
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
+    /// What waited for resources or for leases at the last plan; for the log.
+    [[nodiscard]] const WaitingTasks &waitingTasks() const
+    {
+        return m_waiting;
+    }
+
     /// Headroom that services of one image lose per core of fillers of another.
     [[nodiscard]] double effect(std::string_view serviceImage, std::string_view fillerImage) const
     {
@@ -139,11 +166,15 @@
     void finishTask(Job &job, Task &task, const TaskId &id);
     void onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now);
     void releaseLostHosts(TimePoint now);
+    /// Notes hosts on which runs are placed and that have become silent.
+    void observeSilence(HostState &host, TimePoint now);
+    void reportContact(const HostState &host, std::string_view event, TimePoint now) const;
     template<typename Predicate>
     void dropAttempts(const HostState &host, std::string_view event, Predicate &&predicate);
     void dropAttempt(Job &job, const TaskId &id, std::uint32_t run, std::string_view host);
     void planJob(Job &job, const Placement &placement, TimePoint now, std::int64_t unixMs);
     void planStep(Job &job, std::uint32_t occurrence, std::uint32_t step, const Placement &placement, TimePoint now);
+    void noteUnplaced(const TaskId &id);
     void placeGang(Job &job, const TaskId &first, const Placement &placement, TimePoint now);
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
     void superviseAttempts(Job &job, TimePoint now);
@@ -171,6 +202,7 @@
     std::set<std::string, std::less<>> m_committing;
     /// Time since which unfinished jobs have had no attempt.
     std::map<std::string, TimePoint, std::less<>> m_idleSince;
+    WaitingTasks m_waiting;
     /// Time of the last check of all attempts.
     TimePoint m_supervisedAt;
     std::vector<StartOrder> m_starts;
