Give no grant for an upstream that is silent

What callers saw: possibly tasks of an upstream that is gone that do not start elsewhere while its agent is restarted in series. Cause: an agent that has just started must assume that its predecessor renewed the leases right before, and the leader extended its own bound with every report, also with those that say that the upstream does not answer. Restarts less than 6.4 s apart postponed the release without bound. Change: a report with a silent upstream is answered without a grant and does not extend the bound. Evidence: the test fails without the change (0 == 1 starts after 8.0 s of restarts every 0.4 s) and passes with it; a second section guards against TWICE when the upstream answers again.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -271,11 +271,13 @@
     m_directory.setPeers(std::move(peers));
 }
 
-Milliseconds LeaderTerm::grantFor(const std::string &host, TimePoint now) const
+Milliseconds LeaderTerm::grantFor(const Scheduling::HostReport &report, TimePoint now) const
 {
-    const auto contact = m_contacts.find(host);
+    const auto contact = m_contacts.find(report.host);
     const bool stored = contact != m_contacts.end() && contact->second.stored;
-    return stored ? m_options.leaseTimes.grantAt(now - m_ledger->confirmedAt()) : Milliseconds(0);
+    return stored && Scheduling::Scheduler::mayRenew(report)
+        ? m_options.leaseTimes.grantAt(now - m_ledger->confirmedAt())
+        : Milliseconds(0);
 }
 
 bool LeaderTerm::isStoreUnavailable(TimePoint now) const
@@ -657,7 +659,7 @@
         co_return reply;
     }
     reply.set_is_leader(true);
-    reply.set_grant_ms(grantFor(report.host, suspendAwareNow()).count());
+    reply.set_grant_ms(grantFor(report, suspendAwareNow()).count());
     if (report.upstream) {
         reply.set_acknowledged_end(m_scheduler.acknowledgedEnd(report.host, report.upstream->identity));
         reply.set_upstream_id(report.upstream->identity.id);
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -126,9 +126,9 @@
     void logWaitingTasks(TimePoint now);
     void checkContact(TimePoint now);
     void wakeWaiters();
-    /// The grant for a host; 0 while the store has not confirmed this leader for too long, or does not name it yet as
-    /// the one that grants leases there.
-    [[nodiscard]] Milliseconds grantFor(const std::string &host, TimePoint now) const;
+    /// The grant that answers a report; 0 while the upstream is silent, while the store has not confirmed this leader
+    /// for too long, and while it does not name this leader as the one that grants leases to the host.
+    [[nodiscard]] Milliseconds grantFor(const Scheduling::HostReport &report, TimePoint now) const;
     /// Time by which every lease has expired that former leaders granted to a host; `grantedBy` is the epoch of the
     /// last of them according to the store, or 0.
     [[nodiscard]] TimePoint leasesExpireBy(Epoch grantedBy, TimePoint now) const;
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -164,6 +164,8 @@
     ChannelPool channels;
     ControlCaller caller{channels};
     OperatorSync operators;
+    /// For the next term.
+    LeaderTerm::Options options;
     std::shared_ptr<LeaderTerm> term;
     std::size_t stored = 0;
     /// Number of replies to reports, and of those among them that a leader sent.
@@ -210,7 +212,7 @@
         REQUIRE(isOk(taken));
         directory.learn(ledger->epoch(), {});
         term = std::make_shared<LeaderTerm>(
-            io.get_executor(), LeaderTerm::Options{}, std::move(ledger), table, directory, operators, caller);
+            io.get_executor(), options, std::move(ledger), table, directory, operators, caller);
         asio::co_spawn(term->strand(), term->run(), asio::detached);
     }
 };
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -118,6 +118,11 @@
     return hosts;
 }
 
+bool Scheduler::mayRenew(const HostReport &report)
+{
+    return report.silence <= UpstreamSilenceLimit;
+}
+
 void Scheduler::setOperatorView(std::shared_ptr<const OperatorView> view)
 {
     m_view = std::move(view);
@@ -213,7 +218,9 @@
     if (std::exchange(state.silent, false)) {
         reportContact(state, "reporting-again", now);
     }
-    state.leaseFreeAt = now + m_options.leaseTimes.untilFreeAfterReport();
+    if (mayRenew(report)) {
+        state.leaseFreeAt = now + m_options.leaseTimes.untilFreeAfterReport();
+    }
     if (replaced) {
         // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
         dropAttempts(state, "upstream-replaced", [&](const Attempt &attempt) {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -141,6 +141,9 @@
 
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
+    /// True when the answer to a report may be a grant. A silent upstream gets none, so that its leases end.
+    [[nodiscard]] static bool mayRenew(const HostReport &report);
+
     /// What waited for resources or for leases at the last plan; for the log.
     [[nodiscard]] const WaitingTasks &waitingTasks() const
     {
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -217,6 +217,53 @@
     }
 }
 
+TEST_CASE("A silent upstream keeps its tasks no longer than its leases", "[scheduler]")
+{
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    fixture.reportAll(starts);
+    const TimePoint answeredAt = fixture.now;
+    HostReport silent = fixture.reportOf(starts[0].host);
+    std::erase(fixture.hostNames, starts[0].host);
+
+    SECTION("Also when its agent is restarted again and again")
+    {
+        // Guards against LOST: an agent that has just started assumes that its predecessor renewed the leases.
+        const TimePoint freeAt = answeredAt + LeaseTimes().untilFreeAfterReport();
+        silent.upstream.reset();
+        silent.silence = Milliseconds(1'000'000);
+        silent.leaseLeft = Milliseconds(6000);
+        for (std::uint64_t start = 2; fixture.now + Milliseconds(400) < freeAt; ++start) {
+            fixture.advance(Milliseconds(400));
+            silent.agentIncarnation = start;
+            fixture.scheduler->onReport(silent, fixture.now);
+            fixture.reportAll();
+            CHECK(fixture.step().empty());
+        }
+        fixture.advance(Milliseconds(800));
+        fixture.scheduler->onReport(silent, fixture.now);
+        fixture.reportAll();
+        CHECK(fixture.step().size() == 1);
+    }
+    SECTION("An upstream that answers again may renew them")
+    {
+        // Guards against TWICE: a report with a recent answer of the upstream is answered with a grant.
+        fixture.advance(Milliseconds(2000));
+        silent.silence = Milliseconds(2000);
+        silent.leaseLeft = Milliseconds(4000);
+        fixture.scheduler->onReport(silent, fixture.now);
+        fixture.advance(Milliseconds(2000));
+        silent.silence = Milliseconds(100);
+        silent.running.push_back({.run = starts[0].run, .percent = 50});
+        fixture.scheduler->onReport(silent, fixture.now);
+        fixture.now = answeredAt + LeaseTimes().untilFreeAfterReport() + Milliseconds(400);
+        fixture.reportAll();
+        CHECK(fixture.step().empty());
+    }
+}
+
 TEST_CASE("A new leader counts jobs as pending until one of their tasks has started", "[scheduler]")
 {
     // Guards against a count that leaves out jobs whose start orders the previous leader never sent.
