Do not count lost hosts as unreachable, and forget them

What callers saw: possibly a system without a stable leader after more than half of the hosts were replaced. Cause: a leader resigns when it hears fewer than half of its hosts, and it counted every host that was ever stored. Hosts that are gone stayed in the store for good. Change: only hosts that report or may still hold leases count. A host that has not reported for a minute and of which nothing is left is removed with its row. Evidence: without the change the new tests fail (expected 1 host, counted 3; the leader of one remaining host of three resigned 5 s after its load); with it they pass.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -377,6 +377,8 @@
             m_changed = true;
             break;
         }
+        // A forgotten host may report again before its row is removed.
+        std::erase(m_deletions, StoreLayout::keyOf(StoreLayout::HostPrefix, name));
         names.push_back(std::move(m_newHosts.front()));
         m_newHosts.pop_front();
     }
@@ -806,6 +808,11 @@
         return;
     }
     m_sweptAt = now;
+    for (const std::string &host : m_scheduler.forgetLostHosts(now)) {
+        logInfo("host-forgotten").with("host", host);
+        m_contacts.erase(host);
+        m_deletions.push_back(StoreLayout::keyOf(StoreLayout::HostPrefix, host));
+    }
     std::vector<std::string> forgotten;
     for (const auto &[id, job] : m_scheduler.jobs()) {
         if (job->isOver() && job->isIdle()
@@ -827,15 +834,11 @@
 
 void LeaderTerm::checkContact(TimePoint now)
 {
-    std::size_t reporting = 0;
-    const auto hosts = m_scheduler.hosts();
-    for (const Scheduling::Host *host : hosts) {
-        reporting += host->hasReported() && now - host->reportedAt() < ContactTimeout ? 1 : 0;
-    }
-    if (reporting * 2 >= hosts.size()) {
+    const Scheduling::HostContact contact = m_scheduler.contact(now, ContactTimeout);
+    if (contact.reporting * 2 >= contact.expected) {
         m_contactAt = now;
     } else if (now - m_contactAt > ContactTimeout && !m_resigning) {
-        logWarning("contact-lost").with("reporting", reporting).with("hosts", hosts.size());
+        logWarning("contact-lost").with("reporting", contact.reporting).with("hosts", contact.expected);
         m_resigning = true;
     }
 }
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -320,6 +320,24 @@
     });
 }
 
+TEST_CASE("A leader stays when most of its hosts are gone for good", "[leaderterm]")
+{
+    // Guards against an endless series of leaders that each resign because they count lost hosts as unreachable.
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.report("host-1");
+    fixture.report("host-2");
+    fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::HostPrefix) == 3; });
+    fixture.options.leaseTimes = {.lease = Milliseconds(300), .grant = Milliseconds(200)};
+    fixture.replaceLeader();
+    const auto until = std::chrono::steady_clock::now() + Milliseconds(6500);
+    while (std::chrono::steady_clock::now() < until) {
+        fixture.report("host-0");
+        fixture.io.run_for(Milliseconds(100));
+    }
+    CHECK(!fixture.term->isOver());
+}
+
 TEST_CASE("Tasks of a host that is lost with the leader start elsewhere in time", "[leaderterm]")
 {
     // Guards against LOST: each new leader waited 15 s for such a host, counted from its own load.
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -34,6 +34,9 @@
 /// Number of unanswered start orders for one run after which the upstream counts as hung. Each waits 400 ms for its
 /// answer.
 constexpr std::uint32_t MaxStartSends = 3;
+/// Time without a report after which a host of which nothing is left is forgotten. Longer than the restarts and
+/// partitions in the deployments' records; a host that reports later is added again.
+constexpr Seconds LostHostRetention{60};
 
 bool isMostlyFree(std::span<Host *const> hosts)
 {
@@ -123,6 +126,32 @@
     return report.silence <= UpstreamSilenceLimit;
 }
 
+HostContact Scheduler::contact(TimePoint now, Duration timeout) const
+{
+    HostContact contact;
+    for (const auto &[name, state] : m_hosts) {
+        const bool reporting = state->host.hasReported() && now - state->host.reportedAt() < timeout;
+        contact.reporting += reporting ? 1 : 0;
+        contact.expected += reporting || now <= state->leaseFreeAt ? 1 : 0;
+    }
+    return contact;
+}
+
+std::vector<std::string> Scheduler::forgetLostHosts(TimePoint now)
+{
+    std::vector<std::string> names;
+    std::erase_if(m_hosts, [&](const auto &entry) {
+        const HostState &state = *entry.second;
+        const TimePoint lastContact = state.host.hasReported() ? state.host.reportedAt() : state.expectedSince;
+        const bool lost = state.attempts.empty() && now > state.leaseFreeAt && now - lastContact > LostHostRetention;
+        if (lost) {
+            names.push_back(entry.first);
+        }
+        return lost;
+    });
+    return names;
+}
+
 void Scheduler::setOperatorView(std::shared_ptr<const OperatorView> view)
 {
     m_view = std::move(view);
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -44,6 +44,13 @@
     std::size_t runsOnSilentHosts = 0;
 };
 
+/// How many hosts a leader hears.
+struct HostContact {
+    std::size_t reporting = 0;
+    /// Those, and the hosts that may still hold leases.
+    std::size_t expected = 0;
+};
+
 /// Makes the decisions of a leader: which run starts where, which run stops, and what is acknowledged to clients. It
 /// does no input or output and reads no clock.
 ///
@@ -141,9 +148,16 @@
 
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
+    /// Counts hosts; those whose last report is younger than `timeout` are reporting.
+    [[nodiscard]] HostContact contact(TimePoint now, Duration timeout) const;
+
     /// True when the answer to a report may be a grant. A silent upstream gets none, so that its leases end.
     [[nodiscard]] static bool mayRenew(const HostReport &report);
 
+    /// Removes the hosts that have not reported for long and of which nothing is left. The caller has to remove their
+    /// rows. Returns their names.
+    std::vector<std::string> forgetLostHosts(TimePoint now);
+
     /// What waited for resources or for leases at the last plan; for the log.
     [[nodiscard]] const WaitingTasks &waitingTasks() const
     {
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -264,6 +264,35 @@
     }
 }
 
+TEST_CASE("Hosts that are gone are forgotten", "[scheduler]")
+{
+    // Guards against a leader that counts replaced hosts as unreachable and resigns when they are the majority.
+    SchedulerFixture fixture;
+    CHECK(fixture.scheduler->contact(fixture.now, Milliseconds(2500)).expected == 3);
+    fixture.hostNames = {"host-1"};
+
+    SECTION("As long as they may hold leases they are expected to report")
+    {
+        fixture.advance(Milliseconds(7000));
+        fixture.reportAll();
+        const HostContact contact = fixture.scheduler->contact(fixture.now, Milliseconds(2500));
+        CHECK(contact.reporting == 1);
+        CHECK(contact.expected == 3);
+        CHECK(fixture.scheduler->forgetLostHosts(fixture.now).empty());
+    }
+    SECTION("Then they are not, and after a while they are removed")
+    {
+        fixture.advance(Milliseconds(9000));
+        fixture.reportAll();
+        CHECK(fixture.scheduler->contact(fixture.now, Milliseconds(2500)).expected == 1);
+        CHECK(fixture.scheduler->forgetLostHosts(fixture.now).empty());
+        fixture.advance(Seconds(120));
+        fixture.reportAll();
+        CHECK(fixture.scheduler->forgetLostHosts(fixture.now) == std::vector<std::string>{"host-2", "host-3"});
+        CHECK(fixture.scheduler->hosts().size() == 1);
+    }
+}
+
 TEST_CASE("A new leader counts jobs as pending until one of their tasks has started", "[scheduler]")
 {
     // Guards against a count that leaves out jobs whose start orders the previous leader never sent.
