Store when the leases of a silent host expire

What callers saw: tasks of a lost host that waited up to 8.6 s longer when the leader that had heard the host last was lost some seconds later. Cause: the first leader knew when the leases of the silent host expire, but the store only had the time of that leader's last write. Change: the leader writes the expiry to the row of a host that becomes silent while runs are placed there, and gives it a grant again only after a row without it. Evidence: a section of the test of the incident, with the leader lost 4 s after the host, fails without the use of the expiry and passes with it; another test checks the order of row and grant.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -247,19 +247,24 @@
             known.Clear();
         }
         m_contacts[name] = {.address = known.address()};
-        m_scheduler.expectHost(name, now, leasesExpireBy(known.granted_by_epoch(), now));
+        m_scheduler.expectHost(name, now, leasesExpireBy(known, now));
     }
 }
 
-TimePoint LeaderTerm::leasesExpireBy(Epoch grantedBy, TimePoint now) const
+TimePoint LeaderTerm::leasesExpireBy(const wire::KnownHost &host, TimePoint now) const
 {
-    const TimePoint latest = now + m_options.leaseTimes.untilFreeAfterWrite();
-    const auto lastGrant = m_ledger->formerTerms().lastGrant(grantedBy);
+    TimePoint expiry = now + m_options.leaseTimes.untilFreeAfterWrite();
     const auto storeNow = m_table.clock().earliest(now);
-    if (!lastGrant || !storeNow) {
-        return latest;
+    if (!storeNow) {
+        return expiry;
     }
-    return std::min(latest, latest + (*lastGrant - *storeNow));
+    if (const auto lastGrant = m_ledger->formerTerms().lastGrant(host.granted_by_epoch())) {
+        expiry = std::min(expiry, expiry + (*lastGrant - *storeNow));
+    }
+    if (host.leases_expire_store_ms() > 0) {
+        expiry = std::min(expiry, now + (Milliseconds(host.leases_expire_store_ms()) - *storeNow));
+    }
+    return expiry;
 }
 
 void LeaderTerm::publishPeers()
@@ -363,26 +368,46 @@
     }
 }
 
+Mutation LeaderTerm::hostRow(const std::string &name) const
+{
+    wire::KnownHost known;
+    known.set_address(m_contacts.at(name).address);
+    known.set_granted_by_epoch(m_ledger->epoch());
+    const auto until = m_scheduler.silentUntil(name);
+    if (const auto expiry = until ? m_table.clock().latest(*until) : std::nullopt) {
+        known.set_leases_expire_store_ms(expiry->count());
+    }
+    return {.key = StoreLayout::keyOf(StoreLayout::HostPrefix, name), .value = known.SerializeAsString()};
+}
+
 std::vector<std::string> LeaderTerm::addHosts(TransactionBatch &batch)
 {
-    std::vector<std::string> names;
+    for (std::string &name : m_scheduler.takeSilentHosts()) {
+        // No grant until a later row says that the host reports again.
+        m_contacts[name].stored = false;
+        m_silentHosts.push_back(std::move(name));
+    }
     std::ranges::move(m_scheduler.takeNewHosts(), std::back_inserter(m_newHosts));
-    while (!m_newHosts.empty()) {
-        const std::string &name = m_newHosts.front();
-        wire::KnownHost known;
-        known.set_address(m_contacts[name].address);
-        known.set_granted_by_epoch(m_ledger->epoch());
-        if (!batch.add(
-                {{.key = StoreLayout::keyOf(StoreLayout::HostPrefix, name), .value = known.SerializeAsString()}})) {
-            m_changed = true;
-            break;
-        }
+    std::vector<std::string> reporting;
+    const auto addRows = [&](std::deque<std::string> &names, const auto &added) {
+        while (!names.empty()) {
+            if (!batch.add({hostRow(names.front())})) {
+                m_changed = true;
+                return;
+            }
+            added(names.front());
+            names.pop_front();
+        }
+    };
+    std::erase_if(m_silentHosts, [&](const std::string &name) { return !m_scheduler.silentUntil(name); });
+    std::erase_if(m_newHosts, [&](const std::string &name) { return m_scheduler.silentUntil(name).has_value(); });
+    addRows(m_silentHosts, [](const std::string & /*name*/) {});
+    addRows(m_newHosts, [&](const std::string &name) {
         // A forgotten host may report again before its row is removed.
         std::erase(m_deletions, StoreLayout::keyOf(StoreLayout::HostPrefix, name));
-        names.push_back(std::move(m_newHosts.front()));
-        m_newHosts.pop_front();
-    }
-    return names;
+        reporting.push_back(name);
+    });
+    return reporting;
 }
 
 std::vector<std::string> LeaderTerm::addJobs(TransactionBatch &batch)
@@ -811,6 +836,7 @@
     for (const std::string &host : m_scheduler.forgetLostHosts(now)) {
         logInfo("host-forgotten").with("host", host);
         m_contacts.erase(host);
+        std::erase(m_newHosts, host);
         m_deletions.push_back(StoreLayout::keyOf(StoreLayout::HostPrefix, host));
     }
     std::vector<std::string> forgotten;
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -109,7 +109,8 @@
     /// These functions fill a write up to its limits, in this order: other candidates wait for renewals, and a
     /// successor needs the address of each host on which a job's tasks are placed.
     void addLeadership(TransactionBatch &batch, TimePoint now);
-    /// Returns the hosts whose rows are part of the write.
+    /// Adds hosts that have reported for the first time, and when the leases of silent hosts expire. Returns the
+    /// former.
     std::vector<std::string> addHosts(TransactionBatch &batch);
     /// Returns the jobs whose changes are part of the write.
     std::vector<std::string> addJobs(TransactionBatch &batch);
@@ -129,9 +130,10 @@
     /// The grant that answers a report; 0 while the upstream is silent, while the store has not confirmed this leader
     /// for too long, and while it does not name this leader as the one that grants leases to the host.
     [[nodiscard]] Milliseconds grantFor(const Scheduling::HostReport &report, TimePoint now) const;
-    /// Time by which every lease has expired that former leaders granted to a host; `grantedBy` is the epoch of the
-    /// last of them according to the store, or 0.
-    [[nodiscard]] TimePoint leasesExpireBy(Epoch grantedBy, TimePoint now) const;
+    /// Time by which every lease has expired that former leaders granted to a host.
+    [[nodiscard]] TimePoint leasesExpireBy(const carobflow::control::KnownHost &host, TimePoint now) const;
+    /// The row of a host that has reported to this leader.
+    [[nodiscard]] Mutation hostRow(const std::string &name) const;
     /// Adds the hosts of former leaders.
     void restoreHosts(std::span<const Row> rows, TimePoint now);
     /// Waits until the store names this leader for the host or a time limit has passed.
@@ -176,6 +178,8 @@
     std::set<std::string> m_processedInboxKeys;
     /// Hosts whose addresses are not stored yet.
     std::deque<std::string> m_newHosts;
+    /// Hosts of which the store does not say yet that they are silent.
+    std::deque<std::string> m_silentHosts;
     /// Keys of rows to remove.
     std::deque<std::string> m_deletions;
     std::map<std::string, TimePoint> m_finishedSince;
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -135,6 +135,13 @@
         return progress;
     }
 
+    wire::KnownHost storedHost(const std::string &name) const
+    {
+        wire::KnownHost host;
+        host.ParseFromString(table.valueOf(StoreLayout::keyOf(StoreLayout::HostPrefix, name)));
+        return host;
+    }
+
     /// The host on which the only task of a job is placed; empty when there is none.
     std::string hostOf(const std::string &id) const
     {
@@ -320,6 +327,21 @@
     });
 }
 
+TEST_CASE("A host that reports again gets a grant when the store no longer says that its leases end", "[leaderterm]")
+{
+    // Guards against TWICE: a successor would rely on the end of leases that have been renewed since.
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.submit("job");
+    fixture.runUntil([&] { return fixture.hostOf("job") == "host-0"; });
+    fixture.runUntil([&] { return fixture.storedHost("host-0").leases_expire_store_ms() > 0; });
+    const std::size_t before = fixture.answered;
+    fixture.report("host-0");
+    fixture.runUntil([&] { return fixture.answered > before; });
+    CHECK(fixture.lastReply.grant_ms() > 0);
+    CHECK(fixture.storedHost("host-0").leases_expire_store_ms() == 0);
+}
+
 TEST_CASE("A leader stays when most of its hosts are gone for good", "[leaderterm]")
 {
     // Guards against an endless series of leaders that each resign because they count lost hosts as unreachable.
@@ -364,13 +386,21 @@
     {
         changes = 4;
     }
-    for (std::size_t change = 0; change < changes; ++change) {
-        fixture.replaceLeader();
-        const auto until = std::chrono::steady_clock::now() + Milliseconds(1500);
+    const auto reportRemaining = [&](Milliseconds duration) {
+        const auto until = std::chrono::steady_clock::now() + duration;
         while (std::chrono::steady_clock::now() < until) {
             fixture.report(remaining);
             fixture.io.run_for(reportInterval);
         }
+    };
+    SECTION("When the leader is lost some seconds after the host")
+    {
+        reportRemaining(Milliseconds(4000));
+        changes = 1;
+    }
+    for (std::size_t change = 0; change < changes; ++change) {
+        fixture.replaceLeader();
+        reportRemaining(Milliseconds(1500));
     }
     // The agent of the lost host may have renewed its leases until 7.5 s after its last report.
     constexpr Milliseconds longestLease{7500};
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -546,6 +546,10 @@
     ++m_waiting.silentHosts;
     m_waiting.runsOnSilentHosts += host.attempts.size();
     if (!std::exchange(host.silent, true)) {
+        if (host.host.hasReported()) {
+            host.taken = false;
+            m_silentHosts.push_back(host.host.name());
+        }
         reportContact(host, "silent", now);
     }
 }
@@ -906,7 +910,7 @@
 {
     std::vector<std::string> names;
     for (const auto &[name, state] : m_hosts) {
-        if (!state->taken && state->host.hasReported()) {
+        if (!state->taken && state->host.hasReported() && !state->silent) {
             state->taken = true;
             names.push_back(name);
         }
@@ -914,6 +918,17 @@
     return names;
 }
 
+std::vector<std::string> Scheduler::takeSilentHosts()
+{
+    return std::exchange(m_silentHosts, {});
+}
+
+std::optional<TimePoint> Scheduler::silentUntil(std::string_view host) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && found->second->silent ? std::optional(found->second->leaseFreeAt) : std::nullopt;
+}
+
 std::vector<StartOrder> Scheduler::takeStarts()
 {
     return std::exchange(m_starts, {});
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -130,6 +131,13 @@
     /// the epoch of this leader before it grants leases there.
     std::vector<std::string> takeNewHosts();
 
+    /// Takes the hosts with runs that have become silent. The caller has to write when their leases expire, so that the
+    /// next leader does not wait longer. A silent host that reports again counts as new.
+    std::vector<std::string> takeSilentHosts();
+
+    /// Time by which the leases of a silent host expire; empty for any other host.
+    [[nodiscard]] std::optional<TimePoint> silentUntil(std::string_view host) const;
+
     /// Take the start orders whose decision is in the store, and the stop orders, since the last call.
     std::vector<StartOrder> takeStarts();
     std::vector<StopOrder> takeStops();
@@ -220,6 +228,7 @@
     /// Time since which unfinished jobs have had no attempt.
     std::map<std::string, TimePoint, std::less<>> m_idleSince;
     WaitingTasks m_waiting;
+    std::vector<std::string> m_silentHosts;
     /// Time of the last check of all attempts.
     TimePoint m_supervisedAt;
     std::vector<StartOrder> m_starts;
