--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -34,6 +34,9 @@
 /// Number of unanswered start orders for one run after which the upstream counts as hung. Each waits 400 ms for its
 /// answer.
 constexpr std::uint32_t MaxStartSends = 3;
+/// Time without a report after which a host of which nothing is left is forgotten. Longer than the restarts and
+/// partitions in the deployments' records; a host that reports later is added again.
+constexpr Seconds LostHostRetention{60};
 
 bool isMostlyFree(std::span<Host *const> hosts)
 {
@@ -118,6 +121,37 @@
     return hosts;
 }
 
+bool Scheduler::mayRenew(const HostReport &report)
+{
+    return report.silence <= UpstreamSilenceLimit;
+}
+
+HostContact Scheduler::contact(TimePoint now, Duration timeout) const
+{
+    HostContact contact;
+    for (const auto &[name, state] : m_hosts) {
+        const bool reporting = state->host.hasReported() && now - state->host.reportedAt() < timeout;
+        contact.reporting += reporting ? 1 : 0;
+        contact.expected += reporting || now <= state->leaseFreeAt ? 1 : 0;
+    }
+    return contact;
+}
+
+std::vector<std::string> Scheduler::forgetLostHosts(TimePoint now)
+{
+    std::vector<std::string> names;
+    std::erase_if(m_hosts, [&](const auto &entry) {
+        const HostState &state = *entry.second;
+        const TimePoint lastContact = state.host.hasReported() ? state.host.reportedAt() : state.expectedSince;
+        const bool lost = state.attempts.empty() && now > state.leaseFreeAt && now - lastContact > LostHostRetention;
+        if (lost) {
+            names.push_back(entry.first);
+        }
+        return lost;
+    });
+    return names;
+}
+
 void Scheduler::setOperatorView(std::shared_ptr<const OperatorView> view)
 {
     m_view = std::move(view);
@@ -213,7 +247,9 @@
     if (std::exchange(state.silent, false)) {
         reportContact(state, "reporting-again", now);
     }
-    state.leaseFreeAt = now + m_options.leaseTimes.untilFreeAfterReport();
+    if (mayRenew(report)) {
+        state.leaseFreeAt = now + m_options.leaseTimes.untilFreeAfterReport();
+    }
     if (replaced) {
         // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
         dropAttempts(state, "upstream-replaced", [&](const Attempt &attempt) {
@@ -510,6 +546,10 @@
     ++m_waiting.silentHosts;
     m_waiting.runsOnSilentHosts += host.attempts.size();
     if (!std::exchange(host.silent, true)) {
+        if (host.host.hasReported()) {
+            host.taken = false;
+            m_silentHosts.push_back(host.host.name());
+        }
         reportContact(host, "silent", now);
     }
 }
@@ -870,7 +910,7 @@
 {
     std::vector<std::string> names;
     for (const auto &[name, state] : m_hosts) {
-        if (!state->taken && state->host.hasReported()) {
+        if (!state->taken && state->host.hasReported() && !state->silent) {
             state->taken = true;
             names.push_back(name);
         }
@@ -878,6 +918,17 @@
     return names;
 }
 
+std::vector<std::string> Scheduler::takeSilentHosts()
+{
+    return std::exchange(m_silentHosts, {});
+}
+
+std::optional<TimePoint> Scheduler::silentUntil(std::string_view host) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && found->second->silent ? std::optional(found->second->leaseFreeAt) : std::nullopt;
+}
+
 std::vector<StartOrder> Scheduler::takeStarts()
 {
     return std::exchange(m_starts, {});
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -44,6 +45,13 @@
     std::size_t runsOnSilentHosts = 0;
 };
 
+/// How many hosts a leader hears.
+struct HostContact {
+    std::size_t reporting = 0;
+    /// Those, and the hosts that may still hold leases.
+    std::size_t expected = 0;
+};
+
 /// Makes the decisions of a leader: which run starts where, which run stops, and what is acknowledged to clients. It
 /// does no input or output and reads no clock.
 ///
@@ -123,6 +131,13 @@
     /// the epoch of this leader before it grants leases there.
     std::vector<std::string> takeNewHosts();
 
+    /// Takes the hosts with runs that have become silent. The caller has to write when their leases expire, so that the
+    /// next leader does not wait longer. A silent host that reports again counts as new.
+    std::vector<std::string> takeSilentHosts();
+
+    /// Time by which the leases of a silent host expire; empty for any other host.
+    [[nodiscard]] std::optional<TimePoint> silentUntil(std::string_view host) const;
+
     /// Take the start orders whose decision is in the store, and the stop orders, since the last call.
     std::vector<StartOrder> takeStarts();
     std::vector<StopOrder> takeStops();
@@ -141,6 +156,16 @@
 
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
+    /// Counts hosts; those whose last report is younger than `timeout` are reporting.
+    [[nodiscard]] HostContact contact(TimePoint now, Duration timeout) const;
+
+    /// True when the answer to a report may be a grant. A silent upstream gets none, so that its leases end.
+    [[nodiscard]] static bool mayRenew(const HostReport &report);
+
+    /// Removes the hosts that have not reported for long and of which nothing is left. The caller has to remove their
+    /// rows. Returns their names.
+    std::vector<std::string> forgetLostHosts(TimePoint now);
+
     /// What waited for resources or for leases at the last plan; for the log.
     [[nodiscard]] const WaitingTasks &waitingTasks() const
     {
@@ -203,6 +228,7 @@
     /// Time since which unfinished jobs have had no attempt.
     std::map<std::string, TimePoint, std::less<>> m_idleSince;
     WaitingTasks m_waiting;
+    std::vector<std::string> m_silentHosts;
     /// Time of the last check of all attempts.
     TimePoint m_supervisedAt;
     std::vector<StartOrder> m_starts;
