Show a stored final state while ends of its runs are written

Callers saw "running" for a job right after its cancellation had been confirmed, and a repeated cancellation waited for writes that did not concern it.

LeaderTerm::query() and LeaderTerm::cancel() took any change of a job that was not stored for a change of its final state. Ends of the job's runs come after the cancellation, and each of them hid the stored state until its own write.

The scheduler now remembers the jobs whose final state a completed write contained, and those that were restored with one. A final state never changes, so this is enough to show it.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -533,7 +533,7 @@
         co_await waitForCommit(request.id());
     }
     // A repeated request finds the job cancelled already; it too is answered only when the cancellation is stored.
-    while (!m_over && m_scheduler.isDirty(request.id())) {
+    while (!m_over && !m_scheduler.isFinalStateStored(request.id())) {
         co_await sleepFor(CommitPollInterval);
     }
     if (!m_over) {
@@ -558,10 +558,8 @@
     }
     reply.set_outcome(wire::QueryReply::FOUND);
     // A final state that is not stored yet could be lost in a crash, so it is not reported.
-    const Scheduling::JobPhase phase = job->phase();
-    const bool final = phase != Scheduling::JobPhase::Queued && phase != Scheduling::JobPhase::Running;
-    reply.set_phase(
-        static_cast<std::uint32_t>(final && m_scheduler.isDirty(request.id()) ? Scheduling::JobPhase::Running : phase));
+    const bool isUnstored = job->isOver() && !m_scheduler.isFinalStateStored(request.id());
+    reply.set_phase(static_cast<std::uint32_t>(isUnstored ? Scheduling::JobPhase::Running : job->phase()));
     co_return reply;
 }
 
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -128,6 +128,37 @@
             asio::detached);
     }
 
+    /// Cancels a job and counts it when the reply confirms the cancellation.
+    void cancel(const std::string &id)
+    {
+        asio::co_spawn(
+            io,
+            [this, id]() -> asio::awaitable<void> {
+                wire::CancelRequest request;
+                request.set_id(id);
+                const wire::CancelReply reply = co_await term->cancel(std::move(request));
+                cancelled += reply.outcome() == wire::CancelReply::CANCELLED ? 1 : 0;
+            },
+            asio::detached);
+    }
+
+    /// Returns the phase that the leader gives for a job.
+    Scheduling::JobPhase query(const std::string &id)
+    {
+        std::optional<wire::QueryReply> reply;
+        asio::co_spawn(
+            io,
+            [this, id, &reply]() -> asio::awaitable<void> {
+                wire::QueryRequest request;
+                request.set_id(id);
+                reply = co_await term->query(std::move(request));
+            },
+            asio::detached);
+        runUntil([&] { return reply.has_value(); });
+        REQUIRE(reply->outcome() == wire::QueryReply::FOUND);
+        return static_cast<Scheduling::JobPhase>(reply->phase());
+    }
+
     wire::JobProgress storedProgress(const std::string &id) const
     {
         wire::JobProgress progress;
@@ -166,6 +197,7 @@
     OperatorSync operators;
     std::shared_ptr<LeaderTerm> term;
     std::size_t stored = 0;
+    std::size_t cancelled = 0;
     /// Number of replies to reports, and of those among them that a leader sent.
     std::size_t replies = 0;
     std::size_t answered = 0;
@@ -259,6 +291,64 @@
     CHECK(fixture.lastReply.acknowledged_end() == 1);
 }
 
+TEST_CASE("A final state is shown from its write on", "[leaderterm]")
+{
+    // Guards against a job that runs again after a confirmed cancellation, or is said to, while ends of its runs are
+    // written.
+    constexpr Milliseconds slowWrite{400};
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.submit("job");
+    fixture.runUntil([&] { return fixture.stored == 1 && !fixture.started("job").empty(); });
+    Scheduling::HostReport report = fixture.reportOf("host-0");
+    report.ended.push_back({.number = 1, .run = fixture.started("job").front(), .end = Scheduling::RunEnd::Stopped});
+    const auto isCancellationStored = [&] { return fixture.storedProgress("job").cancelled(); };
+
+    SECTION("A cancellation that is being written is not shown")
+    {
+        fixture.table.transactTime = slowWrite;
+        fixture.cancel("job");
+        fixture.io.run_for(slowWrite / 4);
+        REQUIRE_FALSE(isCancellationStored());
+        CHECK(fixture.query("job") == Scheduling::JobPhase::Running);
+        CHECK(fixture.cancelled == 0);
+        fixture.runUntil([&] { return fixture.cancelled == 1; });
+        CHECK(isCancellationStored());
+    }
+    SECTION("A stored cancellation is shown while the end of a run is written")
+    {
+        fixture.cancel("job");
+        fixture.runUntil([&] { return fixture.cancelled == 1; });
+        REQUIRE(isCancellationStored());
+        fixture.table.transactTime = slowWrite;
+        fixture.send(report);
+        fixture.io.run_for(slowWrite / 4);
+        REQUIRE(fixture.started("job").size() == 1);
+        CHECK(fixture.query("job") == Scheduling::JobPhase::Cancelled);
+
+        SECTION("A repeated cancellation is confirmed meanwhile")
+        {
+            fixture.cancel("job");
+            fixture.io.run_for(slowWrite / 8);
+            REQUIRE(fixture.started("job").size() == 1);
+            CHECK(fixture.cancelled == 2);
+        }
+    }
+    SECTION("A new leader shows a stored cancellation while the end of a run is written")
+    {
+        fixture.cancel("job");
+        fixture.runUntil([&] { return fixture.cancelled == 1; });
+        fixture.replaceLeader();
+        fixture.runUntil([&] { return fixture.countPending().is_leader(); });
+        fixture.table.transactTime = slowWrite;
+        report.fencedEpoch = fixture.directory.current().epoch;
+        fixture.send(report);
+        fixture.io.run_for(slowWrite / 4);
+        REQUIRE(fixture.started("job").size() == 1);
+        CHECK(fixture.query("job") == Scheduling::JobPhase::Cancelled);
+    }
+}
+
 TEST_CASE("A new leader answers only after it has loaded the jobs in the inbox", "[leaderterm]")
 {
     // Guards against counts of pending jobs that omit those that entries accepted while there was no leader.
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -187,6 +187,9 @@
     });
     m_active.insert(job->spec().id);
     const std::string id = job->spec().id;
+    if (job->isOver()) {
+        m_storedFinalStates.insert(id);
+    }
     m_jobs.insert_or_assign(id, std::move(job));
 }
 
@@ -826,7 +829,7 @@
                 end.committing = end.committing || end.job == id;
             }
         }
-        m_committing.insert(id);
+        m_committing.insert_or_assign(id, found->second->isOver());
         taken.push_back(std::move(id));
     }
     return taken;
@@ -834,7 +837,8 @@
 
 void Scheduler::commitJob(std::string_view id, TimePoint now)
 {
-    m_committing.erase(std::string(id));
+    const auto written = m_committing.extract(std::string(id));
+    const bool isFinal = !written.empty() && written.mapped();
     for (const auto &[name, host] : m_hosts) {
         std::erase_if(host->pendingEnds,
                       [&](const auto &entry) { return entry.second.committing && entry.second.job == id; });
@@ -843,6 +847,9 @@
     if (found == m_jobs.end()) {
         return;
     }
+    if (isFinal) {
+        m_storedFinalStates.insert(found->first);
+    }
     Job &job = *found->second;
     std::vector<std::pair<RunId, std::string>> withdrawn;
     job.forEachTask([&](const TaskId &taskId, Task &task) {
@@ -908,6 +915,7 @@
         std::erase(m_dirtyOrder, id);
     }
     m_active.erase(std::string(id));
+    m_storedFinalStates.erase(std::string(id));
     m_jobs.erase(found);
     return true;
 }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -116,6 +116,12 @@
         return m_dirty.contains(id) || m_committing.contains(id);
     }
 
+    /// True when the final state of a job is in the store, whether or not later changes of its runs are.
+    [[nodiscard]] bool isFinalStateStored(std::string_view id) const
+    {
+        return m_storedFinalStates.contains(id);
+    }
+
     /// The state of a job that takeDirtyJobs() returned has been written.
     void commitJob(std::string_view id, TimePoint now);
 
@@ -198,8 +204,10 @@
     std::set<std::string, std::less<>> m_dirty;
     /// The jobs of m_dirty in the order of their first change.
     std::deque<std::string> m_dirtyOrder;
-    /// Jobs of the write in progress.
-    std::set<std::string, std::less<>> m_committing;
+    /// Jobs of the write in progress, and whether it contains their final states.
+    std::map<std::string, bool, std::less<>> m_committing;
+    /// Jobs whose final states are in the store.
+    std::set<std::string, std::less<>> m_storedFinalStates;
     /// Time since which unfinished jobs have had no attempt.
     std::map<std::string, TimePoint, std::less<>> m_idleSince;
     WaitingTasks m_waiting;
