Reserve the ports of the hosted tests until their processes listen

A hosted test failed now and then with "timed out waiting until every entry is ready" when other programs ran beside it.

The test chose its ports by binding them and releasing them at once. Until the processes listen, the system may assign such a port to any other socket. An entry whose port is taken ends with "cannot listen ...: Address already in use", and nothing starts it again in these tests, so it never becomes ready.

The ports are now held by the PortReservation that the integration tests use already. The readiness check itself is unchanged. Log files are numbered instead of named after a released port.

--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -8,7 +8,6 @@
 #include <map>
 
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -26,13 +25,6 @@
 constexpr Milliseconds CallTimeout{4000};
 constexpr Milliseconds PollPause{20};
 
-std::uint16_t freePort()
-{
-    asio::io_context io;
-    asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 std::string configuration()
 {
     return json::serialize(json::object{{"version", 1},
@@ -76,8 +68,11 @@
     m_directory = pattern;
     m_store = std::make_unique<StandIn::StoreStandIn>(m_io);
     m_store->putOperatorRow("config", configuration());
-    const auto ports = [] {
-        return Ports{.http = freePort(), .ready = freePort(), .grpc = freePort(), .metrics = freePort()};
+    const auto ports = [this] {
+        return Ports{.http = m_ports.reserve(),
+                     .ready = m_ports.reserve(),
+                     .grpc = m_ports.reserve(),
+                     .metrics = m_ports.reserve()};
     };
     for (std::size_t index = 0; index < options.agents; ++index) {
         m_agentPorts.push_back(ports());
@@ -147,7 +142,7 @@
         ChildProcess::Options{.name = name,
                               .program = program,
                               .arguments = {"--settings", settings},
-                              .output = m_directory + "/" + name + "-" + std::to_string(freePort()) + ".log"});
+                              .output = m_directory + "/" + name + "-" + std::to_string(m_starts++) + ".log"});
 }
 
 void HostedSystem::startEntry(std::size_t index)
@@ -160,7 +155,7 @@
         ChildProcess::Options{.name = name,
                               .program = program,
                               .arguments = {"--settings", settings},
-                              .output = m_directory + "/" + name + "-" + std::to_string(freePort()) + ".log"});
+                              .output = m_directory + "/" + name + "-" + std::to_string(m_starts++) + ".log"});
 }
 
 HttpEndpoint HostedSystem::entryEndpoint(std::size_t entry) const
--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/bench/childprocess.h"
 #include "carobflow/bench/httpcaller.h"
+#include "carobflow/bench/internal/portreservation.h"
 #include "standins/serverstandin.h"
 #include "standins/storestandin.h"
 
@@ -92,6 +93,9 @@
     [[nodiscard]] HttpEndpoint entryEndpoint(std::size_t entry) const;
 
     Options m_options;
+    /// Number of processes started so far; makes the names of their log files unique.
+    std::size_t m_starts = 0;
+    PortReservation m_ports;
     std::string m_directory;
     boost::asio::io_context m_io;
     std::unique_ptr<StandIn::StoreStandIn> m_store;
