Choose a worker that runs tasks in the tests of lost workers

Two hosted tests require that worker 0 runs a task 0.5 s after a job of six tasks was submitted, and one of them failed with lost = 0.

The tests are wrong here, not the code. An entry is ready once it knows a leader, and the leader places a job on the hosts that have reported by then. The logs of 12 runs show all six tasks on one host in two runs and on two hosts in one: the leader's own agent reports first. When that host is not host 0, worker 0 runs nothing.

The tests now wait until all six tasks run and then disturb the worker that runs most of them. They are as strict as before: the number of lost tasks still has to be above 0, and each of them has to run again exactly once. No longer assumed is where the leader places them and how fast.

--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -5,7 +5,9 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <iterator>
 #include <map>
+#include <numeric>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -212,6 +214,20 @@
     return false;
 }
 
+std::size_t HostedSystem::waitForRunning(std::size_t tasks)
+{
+    std::vector<std::size_t> counts;
+    waitUntil("the tasks run", [&] {
+        counts.clear();
+        onStandIns([&] {
+            std::ranges::transform(
+                m_workers, std::back_inserter(counts), [](const auto &worker) { return worker->runningCount(); });
+        });
+        return std::accumulate(counts.begin(), counts.end(), std::size_t(0)) == tasks;
+    });
+    return static_cast<std::size_t>(std::ranges::max_element(counts) - counts.begin());
+}
+
 void HostedSystem::onStandIns(const std::function<void()> &function)
 {
     std::promise<void> done;
--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -44,6 +44,9 @@
     /// Waits until a job is reported in this state; false when the limit passes first.
     bool waitForState(const std::string &id, const std::string &state, Milliseconds limit);
 
+    /// Waits until this many tasks run and returns the index of the worker that runs most of them.
+    std::size_t waitForRunning(std::size_t tasks);
+
     /// Runs a function on the thread of the stand-ins.
     void onStandIns(const std::function<void()> &function);
 
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -144,11 +144,11 @@
     HostedSystem system({});
     system.waitUntilReady();
     REQUIRE(system.submit(jobId(1), 6, Milliseconds(1500)) == 200);
-    std::this_thread::sleep_for(Milliseconds(500));
+    const std::size_t worker = system.waitForRunning(6);
     std::size_t lost = 0;
     system.onStandIns([&] {
-        lost = system.worker(0).runningCount();
-        system.worker(0).restart();
+        lost = system.worker(worker).runningCount();
+        system.worker(worker).restart();
     });
     REQUIRE(lost > 0);
     CHECK(system.waitForState(jobId(1), "completed", Milliseconds(15000)));
@@ -161,11 +161,11 @@
     HostedSystem system({});
     system.waitUntilReady();
     REQUIRE(system.submit(jobId(1), 6, Milliseconds(1500)) == 200);
-    std::this_thread::sleep_for(Milliseconds(500));
+    const std::size_t worker = system.waitForRunning(6);
     std::size_t lost = 0;
     system.onStandIns([&] {
-        lost = system.worker(0).runningCount();
-        system.worker(0).silent = true;
+        lost = system.worker(worker).runningCount();
+        system.worker(worker).silent = true;
     });
     REQUIRE(lost > 0);
     // Guards against an agent whose unanswered calls renew the lease for ever.
