Let the awaited upstream be the fastest in the tests of shards

"Processes that start while the table is down wait for it" failed now and then with "timed out waiting until the upstream of host 3 serves", at a step that needs an entry to send four requests to the host that led.

The test is wrong, not the code. The entry prefers the upstreams of its own data centre and leaves it only for one that is more than twice as fast (chooseByLoad). Entry 1 has host 1 beside it; hosts 0, 2 and 3 are in other data centres. Ten requests at a time, at 50 a second, leave host 1 fast, so the entry has no reason to choose host 3 within 20 s.

The upstreams of the other hosts now answer 200 ms late while the test waits, which makes the awaited one the clear choice. The check is as strict as before: the entry has to know the host, and the host has to execute more than three requests in 20 s.

--- a/tests/integration/shards_test.cpp
+++ b/tests/integration/shards_test.cpp
@@ -111,16 +111,31 @@
     return cluster.hostLogs().at(host).at("executed").to_number<std::uint64_t>();
 }
 
-/// Sends requests for the counter service through an entry until the upstream of a host has executed some more.
+/// Sets the mode of the upstreams of all hosts but one.
+void setOtherUpstreams(Cluster &cluster, std::uint32_t host, const char *mode, Milliseconds lateBy = Milliseconds(0))
+{
+    for (std::uint32_t other = 0; other < cluster.deployment().hosts; ++other) {
+        if (other != host) {
+            cluster.caller().postJson(
+                cluster.hostControl(other), "/control", {{"upstream", mode}, {"lateMs", lateBy.count()}});
+        }
+    }
+}
+
+/// Sends requests for the counter service through an entry until the upstream of a host has executed some more. The
+/// other upstreams answer late meanwhile, because an entry leaves its data centre only for a clearly faster upstream.
 void waitUntilServes(Cluster &cluster, std::uint32_t entry, std::uint32_t host)
 {
+    constexpr Milliseconds late{200};
     const std::uint64_t before = executedBy(cluster, host);
+    setOtherUpstreams(cluster, host, "late", late);
     waitUntil("the upstream of host " + std::to_string(host) + " serves", [&] {
         Load::run(cluster.caller(),
                   {cluster.entry(entry)},
                   {.requestsPerSecond = 50, .duration = 200ms, .service = cluster.deployment().service});
         return executedBy(cluster, host) > before + 3;
     });
+    setOtherUpstreams(cluster, host, "normal");
 }
 
 } // namespace
