--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/bench/childprocess.h"
 #include "carobflow/bench/httpcaller.h"
+#include "carobflow/bench/internal/portreservation.h"
 #include "standins/serverstandin.h"
 #include "standins/storestandin.h"
 
@@ -43,6 +44,9 @@
     /// Waits until a job is reported in this state; false when the limit passes first.
     bool waitForState(const std::string &id, const std::string &state, Milliseconds limit);
 
+    /// Waits until this many tasks run and returns the index of the worker that runs most of them.
+    std::size_t waitForRunning(std::size_t tasks);
+
     /// Runs a function on the thread of the stand-ins.
     void onStandIns(const std::function<void()> &function);
 
@@ -92,6 +96,9 @@
     [[nodiscard]] HttpEndpoint entryEndpoint(std::size_t entry) const;
 
     Options m_options;
+    /// Number of processes started so far; makes the names of their log files unique.
+    std::size_t m_starts = 0;
+    PortReservation m_ports;
     std::string m_directory;
     boost::asio::io_context m_io;
     std::unique_ptr<StandIn::StoreStandIn> m_store;
