Avoid copies of identifiers in the checks of attempts

Cause: identifiers of jobs have 16 characters, so each copy of a TaskId allocates memory. The check of all attempts every 40 ms copied one for every task of every active job and searched the host of every attempt; each report searched all attempts of its host for restored ones, copied its own lists of runs into the host, and built a map of runs for the headroom model, which then compared the use by fillers anew for each service. Change: one identifier for all tasks of a job, hosts are searched only for attempts about which there may be something to decide, restored attempts only until the first list under this leader, the host keeps a report without its lists, and the headroom model keeps a vector and compares fillers once.

--- a/packages/scheduler/src/carobflow/scheduler/headroommodel.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/headroommodel.cpp
@@ -13,6 +13,12 @@
 /// Changes of processor use below this, in cores, are within the measurement error.
 constexpr double MinCoreChange = 0.2;
 
+/// A service that has just started has no tail latency yet.
+bool isMeasured(const HeadroomModel::Service &service)
+{
+    return service.tailMs > 0 && service.tailTarget.count() > 0;
+}
+
 } // namespace
 
 double HeadroomModel::headroom(Milliseconds tailTarget, std::int64_t tailMs)
@@ -33,14 +39,13 @@
         found = m_history.emplace(std::string(host), std::deque<Sample>()).first;
     }
     std::deque<Sample> &history = found->second;
-    Sample sample{.at = now, .headroom = {}, .cores = {}};
+    Sample sample{.at = now, .services = {}, .cores = {}};
     for (const Filler &filler : fillers) {
         sample.cores[filler.image] += filler.cores;
     }
     for (const Service &service : services) {
-        // A service that has just started has no tail latency yet.
-        if (service.tailMs > 0 && service.tailTarget.count() > 0) {
-            sample.headroom.emplace(service.run, headroom(service.tailTarget, service.tailMs));
+        if (isMeasured(service)) {
+            sample.services.push_back({.run = service.run, .headroom = headroom(service.tailTarget, service.tailMs)});
         }
     }
     while (history.size() > 1 && now - history[1].at >= m_options.sampleSpacing) {
@@ -48,19 +53,32 @@
     }
     const bool hasPredecessor = !history.empty() && now - history.front().at >= m_options.sampleSpacing
         && now - history.front().at < 2 * m_options.sampleSpacing;
-    if (hasPredecessor) {
+    const CoreChanges changes = hasPredecessor ? changesBetween(history.front(), sample) : CoreChanges();
+    if (!changes.empty()) {
         for (const Service &service : services) {
-            const auto before = history.front().headroom.find(service.run);
-            const auto after = sample.headroom.find(service.run);
-            if (before != history.front().headroom.end() && after != sample.headroom.end()) {
-                learn(service.image, history.front(), sample, after->second - before->second);
+            const auto before = std::ranges::find(history.front().services, service.run, &ServiceHeadroom::run);
+            if (isMeasured(service) && before != history.front().services.end()) {
+                learn(service.image, changes, headroom(service.tailTarget, service.tailMs) - before->headroom);
             }
         }
     }
     history.push_back(std::move(sample));
 }
 
-void HeadroomModel::learn(std::string_view image, const Sample &before, const Sample &after, double change)
+HeadroomModel::CoreChanges HeadroomModel::changesBetween(const Sample &before, const Sample &after)
+{
+    CoreChanges changes;
+    for (const auto &[filler, cores] : after.cores) {
+        changes[filler] += cores;
+    }
+    for (const auto &[filler, cores] : before.cores) {
+        changes[filler] -= cores;
+    }
+    std::erase_if(changes, [](const auto &entry) { return std::abs(entry.second) < MinCoreChange; });
+    return changes;
+}
+
+void HeadroomModel::learn(std::string_view image, const CoreChanges &changes, double headroomChange)
 {
     auto found = m_services.find(image);
     if (found == m_services.end()) {
@@ -73,18 +91,8 @@
     if (state.parameters.size() >= m_options.maxImages) {
         state = {};
     }
-    std::map<std::string_view, double> changes;
-    for (const auto &[filler, cores] : after.cores) {
-        changes[filler] += cores;
-    }
-    for (const auto &[filler, cores] : before.cores) {
-        changes[filler] -= cores;
-    }
     RecursiveRegression::Features features;
     for (const auto &[filler, cores] : changes) {
-        if (std::abs(cores) < MinCoreChange) {
-            continue;
-        }
         auto parameter = state.parameters.find(filler);
         if (parameter == state.parameters.end()) {
             const std::size_t index = state.regression.addParameter(
@@ -93,9 +101,7 @@
         }
         features.emplace_back(parameter->second, cores);
     }
-    if (!features.empty()) {
-        state.regression.observe(features, -change, m_options.noiseVariance, m_options.drift);
-    }
+    state.regression.observe(features, -headroomChange, m_options.noiseVariance, m_options.drift);
 }
 
 double HeadroomModel::effect(std::string_view service, std::string_view filler) const
--- a/packages/scheduler/src/carobflow/scheduler/headroommodel.h
+++ b/packages/scheduler/src/carobflow/scheduler/headroommodel.h
@@ -67,18 +67,27 @@
     static double headroom(Milliseconds tailTarget, std::int64_t tailMs);
 
 private:
+    struct ServiceHeadroom {
+        RunId run;
+        double headroom = 0;
+    };
+
     struct Sample {
         TimePoint at;
-        std::map<RunId, double> headroom;
+        std::vector<ServiceHeadroom> services;
         std::map<std::string, double, std::less<>> cores;
     };
 
+    /// Changes of the processor time in use, in cores, by image of the fillers.
+    using CoreChanges = std::map<std::string_view, double>;
+
     struct ServiceState {
         RecursiveRegression regression;
         std::map<std::string, std::size_t, std::less<>> parameters;
     };
 
-    void learn(std::string_view image, const Sample &before, const Sample &after, double change);
+    static CoreChanges changesBetween(const Sample &before, const Sample &after);
+    void learn(std::string_view image, const CoreChanges &changes, double headroomChange);
 
     Options m_options;
     std::map<std::string, std::deque<Sample>, std::less<>> m_history;
--- a/packages/scheduler/src/carobflow/scheduler/host.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/host.cpp
@@ -23,11 +23,17 @@
 {
     const bool replaced = report.upstream && m_report.upstream
         && report.upstream->identity != m_report.upstream->identity;
-    std::optional<UpstreamDescription> known = std::move(m_report.upstream);
-    m_report = report;
-    if (!m_report.upstream) {
-        m_report.upstream = std::move(known);
+    m_report.host = report.host;
+    m_report.address = report.address;
+    m_report.dataCentre = report.dataCentre;
+    m_report.agentIncarnation = report.agentIncarnation;
+    m_report.fencedEpoch = report.fencedEpoch;
+    if (report.upstream) {
+        m_report.upstream = report.upstream;
     }
+    m_report.silence = report.silence;
+    m_report.leaseLeft = report.leaseLeft;
+    m_report.tailPressure = report.tailPressure;
     m_reportedAt = now;
     m_reported = true;
     if (replaced) {
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -48,6 +48,7 @@
     /// Records a report. Returns true when the upstream has been replaced by another incarnation.
     bool apply(const HostReport &report, TimePoint now);
 
+    /// The latest report without its lists of runs, which the scheduler applies to its attempts.
     [[nodiscard]] const HostReport &report() const
     {
         return m_report;
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -122,15 +122,18 @@
     /// True when every task of the steps that this one depends on has finished and the occurrence is due.
     [[nodiscard]] bool isStepReady(std::uint32_t occurrence, std::uint32_t step, std::int64_t unixMs) const;
 
-    /// Calls `visit(TaskId, Task &)` for each task.
+    /// Calls `visit(const TaskId &, Task &)` for each task. The identifier is valid during the call.
     template<typename Visitor>
     void forEachTask(Visitor &&visit)
     {
-        for (std::uint32_t occurrence = 0; occurrence < m_spec.occurrences; ++occurrence) {
-            for (std::uint32_t step = 0; step < m_spec.steps.size(); ++step) {
-                std::uint32_t index = 0;
-                for (Task &task : stepTasks(occurrence, step)) {
-                    visit(TaskId{.job = m_spec.id, .occurrence = occurrence, .step = step, .index = index++}, task);
+        // One identifier for all tasks: each copy of the job's identifier allocates memory.
+        TaskId id{.job = m_spec.id};
+        for (id.occurrence = 0; id.occurrence < m_spec.occurrences; ++id.occurrence) {
+            for (id.step = 0; id.step < m_spec.steps.size(); ++id.step) {
+                id.index = 0;
+                for (Task &task : stepTasks(id.occurrence, id.step)) {
+                    visit(std::as_const(id), task);
+                    ++id.index;
                 }
             }
         }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -64,6 +64,8 @@
     Host host;
     /// Index of the attempts that reserve resources here. Reports arrive too often for a search through all jobs.
     std::set<RunId> attempts;
+    /// Attempts restored from the store may be among them, until the upstream's list under this leader.
+    bool hasRestored = false;
     /// Time at which every lease here must have expired unless a further report arrives.
     TimePoint leaseFreeAt;
     /// Time from which on the host has been known to this leader, for the silence of a host that has never reported.
@@ -183,6 +185,7 @@
             HostState &state = hostState(attempt.host);
             state.host.reserve(job->step(id));
             state.attempts.insert({.task = id, .run = attempt.run});
+            state.hasRestored = true;
         }
     });
     m_active.insert(job->spec().id);
@@ -383,7 +386,9 @@
 {
     // The upstream had stopped accepting orders of previous leaders before it made this list, so a restored attempt
     // that is not listed will never run.
-    dropAttempts(host, "not-running-after-takeover", [](const Attempt &attempt) { return attempt.restored; });
+    if (std::exchange(host.hasRestored, false)) {
+        dropAttempts(host, "not-running-after-takeover", [](const Attempt &attempt) { return attempt.restored; });
+    }
 }
 
 template<typename Predicate>
@@ -720,7 +725,14 @@
     if (attempt.phase == AttemptPhase::Planned || attempt.phase == AttemptPhase::Committing || attempt.restored) {
         return;
     }
-    const HostState &host = hostState(attempt.host);
+    const StepSpec &step = job.step(id);
+    const Duration stallLimit = std::max<Duration>(StallTime, step.estimate / 2);
+    if (attempt.phase == AttemptPhase::Running && isStillNeeded(job, task) && !step.longRunning
+        && attempt.share >= PacedShareThreshold && now - attempt.progressedAt <= stallLimit) {
+        // Nothing to decide, which is the case for most attempts.
+        return;
+    }
+    HostState &host = hostState(attempt.host);
     if (!isUsable(host, now)) {
         return;
     }
@@ -734,7 +746,6 @@
         stop(id, attempt, job.isCancelled() ? "cancelled" : "not-needed", now);
         return;
     }
-    const StepSpec &step = job.step(id);
     if (attempt.phase == AttemptPhase::Sent) {
         if (attempt.resend || now - attempt.since > ResendDelay) {
             attempt.resend = false;
@@ -762,7 +773,7 @@
             stop(id, attempt, "upstream-leaves", now);
         } else if (attempt.percent < ReadyPercent && now - attempt.startedAt > StartupLimit
                    && now - attempt.progressedAt > StartupLimit) {
-            hostState(attempt.host).host.recordStall(now);
+            host.host.recordStall(now);
             stop(id, attempt, "not-at-work", now);
         }
         return;
@@ -772,9 +783,8 @@
         attempt.progressedAt = now;
         return;
     }
-    const Duration stallLimit = std::max<Duration>(StallTime, step.estimate / 2);
     if (now - attempt.progressedAt > stallLimit) {
-        hostState(attempt.host).host.recordStall(now);
+        host.host.recordStall(now);
         stop(id, attempt, "stalled", now);
     }
 }
