--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -5,6 +5,14 @@
 namespace Carobflow::Scheduling
 {
 
+namespace
+{
+
+/// About 30 years; several times this still fits into a duration.
+constexpr std::chrono::hours LongestObjective{24 * 365 * 30};
+
+} // namespace
+
 Job::Job(JobSpec spec, Queue queue, TimePoint acceptedAt)
     : m_spec(std::move(spec))
     , m_queue(std::move(queue))
@@ -115,7 +123,9 @@
 
 TimePoint Job::objectiveEnd() const
 {
-    const auto work = std::chrono::duration<double, std::milli>(totalCriticalPath()) * m_queue.stretch;
+    const std::chrono::duration<double, std::milli> work = std::min(
+        std::chrono::duration<double, std::milli>(totalCriticalPath()) * m_queue.stretch,
+        std::chrono::duration<double, std::milli>(LongestObjective));
     return m_acceptedAt + std::chrono::duration_cast<Duration>(work) + m_queue.latencyAllowance;
 }
 
