Check jobs of rows and messages before they are run

What callers saw: nothing yet; found by reading. One row in the tables of jobs or of the inbox, or one message of a peer, ended each leader: a job with 2^64 tasks, without occurrences, or with a step that depends on a step that the job does not have. A row whose job has the id of another job replaced that job. Cause: only the decoder of client requests checked jobs; rows and messages were converted and used as they were. Change: the leader and the entry check each job that they read with findFault(), and that its id is that of its row. A row with a fault is named in the log and left out, and one in the inbox is removed; a message is answered OVERLOADED, which entries pass on as a rejection.

--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -1,6 +1,7 @@
 #include "carobflow/control/jobrouter.h"
 
 #include "carobflow/control/conversion.h"
+#include "carobflow/control/storedrows.h"
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
 #include "carobflow/daemon/internal/asyncwait.h"
@@ -202,7 +203,7 @@
     if (!isOk(rows)) {
         co_return JobOutcomeUnknown{};
     }
-    wire::Job message;
+    std::optional<StoredRows::StoredJob> job;
     wire::JobProgress progress;
     bool inInbox = false;
     bool stored = false;
@@ -210,7 +211,8 @@
         if (row.key == inboxKey) {
             inInbox = true;
         } else if (row.key == jobKey) {
-            stored = message.ParseFromString(row.value);
+            stored = true;
+            job = StoredRows::readJob(row, StoreLayout::JobPrefix);
         } else if (!progress.ParseFromString(row.value)) {
             logError("progress-unreadable")
                 .with("job", id)
@@ -219,9 +221,12 @@
         }
     }
     if (stored) {
-        Scheduling::Job job(fromMessage(message), {}, {});
-        job.restore(fromMessage(progress, id), {});
-        co_return job.phase();
+        if (!job) {
+            co_return JobOutcomeUnknown{};
+        }
+        Scheduling::Job restored(std::move(job->spec), {}, {});
+        restored.restore(fromMessage(progress, id), {});
+        co_return restored.phase();
     }
     if (inInbox) {
         co_return Scheduling::JobPhase::Queued;
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -1,10 +1,12 @@
 #include "carobflow/control/leaderterm.h"
 
 #include "carobflow/control/conversion.h"
+#include "carobflow/control/storedrows.h"
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
 #include "carobflow/core/invariant.h"
 #include "carobflow/logging/log.h"
+#include "carobflow/scheduler/jobcheck.h"
 
 #include <algorithm>
 #include <iterator>
@@ -205,25 +207,9 @@
         co_return false;
     }
     const TimePoint now = suspendAwareNow();
-    const std::int64_t unixNow = unixMilliseconds();
     m_scheduler.setOperatorView(m_view);
     restoreHosts(hosts, now);
-    std::map<std::string, wire::JobProgress> progressOf;
-    for (const Row &row : progress) {
-        const std::string id = row.key.substr(StoreLayout::ProgressPrefix.size());
-        if (!progressOf[id].ParseFromString(row.value)) {
-            logError("progress-unreadable").with("job", id).with("remedy", "its tasks are started again");
-        }
-    }
-    for (const Row &row : jobs) {
-        wire::Job message;
-        if (!message.ParseFromString(row.value)) {
-            logError("job-unreadable").with("row", row.key).with("remedy", "remove the row; the job is not run");
-            continue;
-        }
-        const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - message.accepted_unix_ms(), 0, 3'600'000));
-        m_scheduler.restore(fromMessage(message), fromMessage(progressOf[message.id()], message.id()), now - age, now);
-    }
+    restoreJobs(jobs, progress, now);
     processInboxRows(inbox);
     logInfo("state-loaded")
         .with("epoch", m_ledger->epoch())
@@ -237,6 +223,27 @@
     co_return true;
 }
 
+void LeaderTerm::restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now)
+{
+    std::map<std::string, wire::JobProgress> progressOf;
+    for (const Row &row : progress) {
+        const std::string id = StoredRows::nameOf(row, StoreLayout::ProgressPrefix);
+        if (!progressOf[id].ParseFromString(row.value)) {
+            logError("progress-unreadable").with("job", id).with("remedy", "its tasks are started again");
+        }
+    }
+    const std::int64_t unixNow = unixMilliseconds();
+    for (const Row &row : jobs) {
+        auto job = StoredRows::readJob(row, StoreLayout::JobPrefix);
+        if (!job) {
+            continue;
+        }
+        const std::string id = job->spec.id;
+        const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - job->acceptedUnixMs, 0, 3'600'000));
+        m_scheduler.restore(std::move(job->spec), fromMessage(progressOf[id], id), now - age, now);
+    }
+}
+
 void LeaderTerm::restoreHosts(std::span<const Row> rows, TimePoint now)
 {
     for (const Row &row : rows) {
@@ -477,12 +484,18 @@
         co_return reply;
     }
     const std::string id = request.job().id();
+    Scheduling::JobSpec spec = fromMessage(request.job());
+    if (const std::string_view fault = Scheduling::findFault(spec); !fault.empty()) {
+        logWarning("job-refused").with("job", id).with("reason", fault);
+        reply.set_outcome(wire::SubmitReply::OVERLOADED);
+        co_return reply;
+    }
     if (isStoreUnavailable(suspendAwareNow()) && m_scheduler.find(id) == nullptr) {
         logInfo("job-refused").with("job", id).with("reason", "store-away");
         reply.set_outcome(wire::SubmitReply::STORE_AWAY);
         co_return reply;
     }
-    const auto outcome = m_scheduler.submit(fromMessage(request.job()), suspendAwareNow());
+    const auto outcome = m_scheduler.submit(std::move(spec), suspendAwareNow());
     if (outcome == Scheduling::Scheduler::Submission::Accepted) {
         m_unstoredAcceptTimes[id] = unixMilliseconds();
         logInfo("job-taken")
@@ -840,8 +853,7 @@
 
 void LeaderTerm::processInboxRow(const Row &row)
 {
-    wire::Job message;
-    const std::string name = row.key.substr(StoreLayout::InboxPrefix.size());
+    const std::string name = StoredRows::nameOf(row, StoreLayout::InboxPrefix);
     const auto dot = name.find('.');
     const std::string id = name.substr(0, dot);
     if (dot != std::string::npos) {
@@ -849,13 +861,12 @@
             m_deletions.push_back(row.key);
             return;
         }
-    } else if (message.ParseFromString(row.value)) {
-        if (m_scheduler.submit(fromMessage(message), suspendAwareNow())
+    } else if (auto job = StoredRows::readJob(row, StoreLayout::InboxPrefix)) {
+        if (m_scheduler.submit(std::move(job->spec), suspendAwareNow())
             == Scheduling::Scheduler::Submission::Accepted) {
-            m_unstoredAcceptTimes[id] = message.accepted_unix_ms();
+            m_unstoredAcceptTimes[id] = job->acceptedUnixMs;
         }
     } else {
-        logError("inbox-unreadable").with("row", row.key).with("remedy", "the row is removed");
         m_deletions.push_back(row.key);
         return;
     }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -133,6 +133,7 @@
     /// last of them according to the store, or 0.
     [[nodiscard]] TimePoint leasesExpireBy(Epoch grantedBy, TimePoint now) const;
     /// Adds the hosts of former leaders.
+    void restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now);
     void restoreHosts(std::span<const Row> rows, TimePoint now);
     /// Waits until the store names this leader for the host or a time limit has passed.
     boost::asio::awaitable<void> waitUntilStored(std::string host);
--- /dev/null
+++ b/packages/control/src/carobflow/control/storedrows.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "carobflow/connectors/tableservice.h"
+#include "carobflow/scheduler/job.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Carobflow::StoredRows
+{
+
+/// A job as its row in the store or in the inbox describes it.
+struct StoredJob {
+    Scheduling::JobSpec spec;
+    std::int64_t acceptedUnixMs = 0;
+};
+
+/// Each function below decodes a row under `prefix`. The result is empty when another writer has left something there
+/// that cannot be used; the reason is in the log then.
+
+/// A job that can be run and that has the id of its row.
+std::optional<StoredJob> readJob(const Row &row, std::string_view prefix);
+
+/// The part of a key after its prefix.
+std::string nameOf(const Row &row, std::string_view prefix);
+
+} // namespace Carobflow::StoredRows
