Hold jobs whose progress cannot be read

What callers saw: nothing yet; found by reading. When the progress row of a job could not be decoded, or was left out because its base64 was damaged, a new leader started all tasks of the job again, from run 1: tasks that had finished or still ran under a lease ran twice, and cancelled jobs came back. Cause: a job without readable progress was taken for one that had not begun. Both rows are written in one transaction, so that it is always a damaged job. Run numbers near 2^32 ended the leader at the next start (run-numbers-grow). Change: such a job is held. Waiting for all leases would not do: which tasks have finished is not known either. Progress is checked for run numbers and for placements without a host.

--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -204,7 +204,7 @@
         co_return JobOutcomeUnknown{};
     }
     std::optional<StoredRows::StoredJob> job;
-    wire::JobProgress progress;
+    std::optional<Scheduling::JobProgress> progress;
     bool inInbox = false;
     bool stored = false;
     for (const Row &row : valueOf(rows)) {
@@ -213,19 +213,16 @@
         } else if (row.key == jobKey) {
             stored = true;
             job = StoredRows::readJob(row, StoreLayout::JobPrefix);
-        } else if (!progress.ParseFromString(row.value)) {
-            logError("progress-unreadable")
-                .with("job", id)
-                .with("remedy", "repeat the query; the leader holds the state");
-            co_return JobOutcomeUnknown{};
+        } else {
+            progress = StoredRows::readProgress(row, StoreLayout::ProgressPrefix);
         }
     }
     if (stored) {
-        if (!job) {
+        if (!job || !progress) {
             co_return JobOutcomeUnknown{};
         }
         Scheduling::Job restored(std::move(job->spec), {}, {});
-        restored.restore(fromMessage(progress, id), {});
+        restored.restore(*progress, {});
         co_return restored.phase();
     }
     if (inInbox) {
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -225,22 +225,30 @@
 
 void LeaderTerm::restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now)
 {
-    std::map<std::string, wire::JobProgress> progressOf;
+    std::map<std::string, Scheduling::JobProgress> progressOf;
     for (const Row &row : progress) {
-        const std::string id = StoredRows::nameOf(row, StoreLayout::ProgressPrefix);
-        if (!progressOf[id].ParseFromString(row.value)) {
-            logError("progress-unreadable").with("job", id).with("remedy", "its tasks are started again");
+        if (auto read = StoredRows::readProgress(row, StoreLayout::ProgressPrefix)) {
+            progressOf.emplace(StoredRows::nameOf(row, StoreLayout::ProgressPrefix), std::move(*read));
         }
     }
     const std::int64_t unixNow = unixMilliseconds();
     for (const Row &row : jobs) {
+        const std::string id = StoredRows::nameOf(row, StoreLayout::JobPrefix);
         auto job = StoredRows::readJob(row, StoreLayout::JobPrefix);
-        if (!job) {
+        const auto known = progressOf.find(id);
+        if (!job || known == progressOf.end()) {
+            // Which tasks have finished, and whether the job was cancelled, is not known, so none may be started. The
+            // two rows of a job are written together, and the job's is removed first.
+            logError("job-held")
+                .with("job", id)
+                .with("job_readable", job.has_value())
+                .with("progress_readable", known != progressOf.end())
+                .with("remedy", "submit the job under another id and remove its rows");
+            m_heldJobs.insert(id);
             continue;
         }
-        const std::string id = job->spec.id;
         const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - job->acceptedUnixMs, 0, 3'600'000));
-        m_scheduler.restore(std::move(job->spec), fromMessage(progressOf[id], id), now - age, now);
+        m_scheduler.restore(std::move(job->spec), known->second, now - age, now);
     }
 }
 
@@ -484,6 +492,10 @@
         co_return reply;
     }
     const std::string id = request.job().id();
+    if (m_heldJobs.contains(id)) {
+        reply.set_outcome(wire::SubmitReply::STORED);
+        co_return reply;
+    }
     Scheduling::JobSpec spec = fromMessage(request.job());
     if (const std::string_view fault = Scheduling::findFault(spec); !fault.empty()) {
         logWarning("job-refused").with("job", id).with("reason", fault);
@@ -861,7 +873,7 @@
             m_deletions.push_back(row.key);
             return;
         }
-    } else if (auto job = StoredRows::readJob(row, StoreLayout::InboxPrefix)) {
+    } else if (auto job = StoredRows::readJob(row, StoreLayout::InboxPrefix); job && !m_heldJobs.contains(id)) {
         if (m_scheduler.submit(std::move(job->spec), suspendAwareNow())
             == Scheduling::Scheduler::Submission::Accepted) {
             m_unstoredAcceptTimes[id] = job->acceptedUnixMs;
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -163,6 +163,8 @@
     TimePoint m_hostsCheckedAt;
     /// When at least half of the hosts were last in contact.
     TimePoint m_contactAt;
+    /// Accepted jobs that are not run, because a row of theirs is missing or unreadable.
+    std::set<std::string> m_heldJobs;
     /// Accept times, in Unix milliseconds, of jobs whose rows are not stored yet.
     std::map<std::string, std::int64_t, std::less<>> m_unstoredAcceptTimes;
     /// The last commit round that stored each job. A change is stored by the first round that begins after it; a round
--- a/packages/control/src/carobflow/control/storedrows.cpp
+++ b/packages/control/src/carobflow/control/storedrows.cpp
@@ -5,6 +5,8 @@
 #include "carobflow/scheduler/jobcheck.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 
 namespace Carobflow::StoredRows
 {
@@ -14,11 +16,33 @@
 namespace
 {
 
+/// Leaves room for the runs that follow. A task is started once in 150 ms at most, so that this takes years.
+constexpr std::uint32_t HighestRun = std::numeric_limits<std::uint32_t>::max() / 2;
+
 void logUnreadable(std::string_view event, const Row &row, std::string_view reason, std::string_view remedy)
 {
     logError(event).with("row", row.key).with("row_version", row.version).with("reason", reason).with("remedy", remedy);
 }
 
+std::string_view findFault(const Scheduling::JobProgress &progress)
+{
+    std::set<Scheduling::TaskId> tasks;
+    for (const Scheduling::TaskProgress &task : progress.tasks) {
+        if (!tasks.insert(task.id).second) {
+            return "a task is listed twice";
+        }
+        if (task.lastRun > HighestRun) {
+            return "the number of a run is out of range";
+        }
+        for (const auto &[host, run] : task.placements) {
+            if (host.empty() || run == 0 || run > task.lastRun) {
+                return "a run is placed on no host or has no valid number";
+            }
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 std::string nameOf(const Row &row, std::string_view prefix)
@@ -43,4 +67,19 @@
     return std::nullopt;
 }
 
+std::optional<Scheduling::JobProgress> readProgress(const Row &row, std::string_view prefix)
+{
+    wire::JobProgress message;
+    std::string_view fault = "its bytes cannot be decoded";
+    if (message.ParseFromString(row.value)) {
+        Scheduling::JobProgress progress = fromMessage(message, nameOf(row, prefix));
+        fault = findFault(progress);
+        if (fault.empty()) {
+            return progress;
+        }
+    }
+    logUnreadable("progress-unreadable", row, fault, "cancel what the job was for and submit it under another id");
+    return std::nullopt;
+}
+
 } // namespace Carobflow::StoredRows
--- a/packages/control/src/carobflow/control/storedrows.h
+++ b/packages/control/src/carobflow/control/storedrows.h
@@ -23,6 +23,9 @@
 /// A job that can be run and that has the id of its row.
 std::optional<StoredJob> readJob(const Row &row, std::string_view prefix);
 
+/// The progress of a job whose runs are numbered as the scheduler numbers them.
+std::optional<Scheduling::JobProgress> readProgress(const Row &row, std::string_view prefix);
+
 /// The part of a key after its prefix.
 std::string nameOf(const Row &row, std::string_view prefix);
 
--- a/packages/control/tests/oddrows_test.cpp
+++ b/packages/control/tests/oddrows_test.cpp
@@ -42,6 +42,15 @@
     return message.SerializeAsString();
 }
 
+std::string progressValue(const std::function<void(wire::TaskProgress &)> &change)
+{
+    wire::JobProgress message;
+    wire::TaskProgress &task = *message.add_tasks();
+    task.set_last_run(1);
+    change(task);
+    return message.SerializeAsString();
+}
+
 /// Runs a leader's term on rows that are in the store before it begins, with one host that reports nothing running.
 class OddRowsFixture
 {
@@ -199,6 +208,10 @@
                             job.set_occurrences(4'294'967'295);
                             job.mutable_steps(0)->set_count(4'294'967'295);
                         })},
+        OddRow{StoreLayout::ProgressPrefix, Garbage},
+        OddRow{StoreLayout::ProgressPrefix, progressValue([](auto &task) { task.set_last_run(4'294'967'295); })},
+        OddRow{StoreLayout::ProgressPrefix, progressValue([](auto &task) { task.set_step(77); })},
+        OddRow{StoreLayout::ProgressPrefix, progressValue([](auto &task) { task.add_placements()->set_run(7); })},
         OddRow{StoreLayout::HostPrefix, Garbage},
         OddRow{StoreLayout::HostPrefix, ""},
         OddRow{StoreLayout::InboxPrefix, Garbage},
@@ -213,6 +226,9 @@
     OddRowsFixture fixture;
     fixture.putJob("good");
     fixture.putJob("other");
+    if (odd.prefix == StoreLayout::ProgressPrefix) {
+        fixture.put(StoreLayout::JobPrefix, "odd", jobValue("odd"));
+    }
     fixture.put(odd.prefix, "odd", odd.value);
     fixture.lead();
 
@@ -220,6 +236,31 @@
     CHECK_FALSE(fixture.term->isOver());
 }
 
+// Guards against a second run of a task that has finished, or that still runs under a lease (TWICE).
+TEST_CASE("A job whose progress is not known is not run", "[leaderterm][odd]")
+{
+    const bool missing = GENERATE(true, false);
+    CAPTURE(missing);
+    OddRowsFixture fixture;
+    fixture.put(StoreLayout::JobPrefix, "odd", jobValue("odd"));
+    if (!missing) {
+        fixture.put(StoreLayout::ProgressPrefix, "odd", Garbage);
+    }
+    fixture.putJob("good");
+    fixture.lead();
+    REQUIRE(fixture.runWithReports([&] { return fixture.lastRun("good") == 1; }));
+
+    SECTION("After the load")
+    {
+        CHECK_FALSE(fixture.runWithReports([&] { return fixture.lastRun("odd") > 0; }, Milliseconds(300)));
+    }
+    SECTION("When its client submits it once more")
+    {
+        CHECK(fixture.submit(jobMessage("odd")).outcome() == wire::SubmitReply::STORED);
+        CHECK_FALSE(fixture.runWithReports([&] { return fixture.lastRun("odd") > 0; }, Milliseconds(300)));
+    }
+}
+
 // Guards against a leader that ends because a peer passes a job on that cannot be run.
 TEST_CASE("A job that cannot be run is rejected by the leader", "[leaderterm][odd]")
 {
