Leave out unreadable rows of hosts

What callers saw: nothing yet; found by reading. Rows of hosts that cannot be decoded counted as hosts that do not report: with more of them than hosts, each leader resigned after 2.5 s (contact-lost). Addresses of such rows, and empty ones, were given to all processes as peers to call. Cause: an unreadable row was taken for a host without an address, and addresses were not checked. Change: a row without a valid address is named in the log and left out. Runs that are placed on its host are unaffected: they keep their tasks from starting elsewhere for the longest time (untilFreeAfterWrite), as for a missing row. Evidence: with four such rows the test failed before, the term was over within 3.5 s; it passes now.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -255,14 +255,14 @@
 void LeaderTerm::restoreHosts(std::span<const Row> rows, TimePoint now)
 {
     for (const Row &row : rows) {
-        const std::string name = row.key.substr(StoreLayout::HostPrefix.size());
-        wire::KnownHost known;
-        if (!known.ParseFromString(row.value)) {
-            logError("host-unreadable").with("row", row.key).with("remedy", "the host is used when it reports");
-            known.Clear();
+        const auto known = StoredRows::readHost(row);
+        if (!known) {
+            // Runs that are placed on such a host keep their tasks from starting elsewhere for the longest time.
+            continue;
         }
-        m_contacts[name] = {.address = known.address()};
-        m_scheduler.expectHost(name, now, leasesExpireBy(known.granted_by_epoch(), now));
+        const std::string name = StoredRows::nameOf(row, StoreLayout::HostPrefix);
+        m_contacts[name] = {.address = known->address()};
+        m_scheduler.expectHost(name, now, leasesExpireBy(known->granted_by_epoch(), now));
     }
 }
 
@@ -281,7 +281,9 @@
 {
     std::vector<std::string> peers;
     for (const auto &[name, contact] : m_contacts) {
-        peers.push_back(contact.address);
+        if (!contact.address.empty()) {
+            peers.push_back(contact.address);
+        }
     }
     m_directory.setPeers(std::move(peers));
 }
--- a/packages/control/src/carobflow/control/storedrows.cpp
+++ b/packages/control/src/carobflow/control/storedrows.cpp
@@ -1,6 +1,7 @@
 #include "carobflow/control/storedrows.h"
 
 #include "carobflow/control/conversion.h"
+#include "carobflow/daemon/settings.h"
 #include "carobflow/logging/log.h"
 #include "carobflow/scheduler/jobcheck.h"
 
@@ -82,4 +83,21 @@
     return std::nullopt;
 }
 
+std::optional<wire::KnownHost> readHost(const Row &row)
+{
+    wire::KnownHost host;
+    if (host.ParseFromString(row.value)) {
+        // Whoever writes an empty row names neither an address nor a leader.
+        const bool usable = host.address().empty() ? host.granted_by_epoch() > 0 : isOk(parseEndpoint(host.address()));
+        if (usable) {
+            return host;
+        }
+    }
+    logUnreadable("host-unreadable",
+                  row,
+                  "it cannot be decoded or its address is none",
+                  "remove the row; the host is used when it reports");
+    return std::nullopt;
+}
+
 } // namespace Carobflow::StoredRows
--- a/packages/control/src/carobflow/control/storedrows.h
+++ b/packages/control/src/carobflow/control/storedrows.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include <control.pb.h>
+
 namespace Carobflow::StoredRows
 {
 
@@ -26,6 +28,8 @@
 /// The progress of a job whose runs are numbered as the scheduler numbers them.
 std::optional<Scheduling::JobProgress> readProgress(const Row &row, std::string_view prefix);
 
+std::optional<carobflow::control::KnownHost> readHost(const Row &row);
+
 /// The part of a key after its prefix.
 std::string nameOf(const Row &row, std::string_view prefix);
 
--- a/packages/control/tests/oddrows_test.cpp
+++ b/packages/control/tests/oddrows_test.cpp
@@ -261,6 +261,17 @@
     }
 }
 
+// Guards against a leader that resigns because most of the hosts that it expects do not exist.
+TEST_CASE("Unreadable rows of hosts do not count as silent hosts", "[leaderterm][odd]")
+{
+    OddRowsFixture fixture;
+    for (const std::string name : {"a", "b", "c", "d"}) {
+        fixture.put(StoreLayout::HostPrefix, name, Garbage);
+    }
+    fixture.lead();
+    CHECK_FALSE(fixture.runWithReports([&] { return fixture.term->isOver(); }, Milliseconds(3500)));
+}
+
 // Guards against a leader that ends because a peer passes a job on that cannot be run.
 TEST_CASE("A job that cannot be run is rejected by the leader", "[leaderterm][odd]")
 {
