Use the other entries of a worker's lists beside an odd one

What callers saw: nothing yet; found by reading. One entry that could not be decoded in the lists of a worker made the whole reply unusable: the worker counted as silent, its leases were not renewed, and all its tasks ended. Run numbers above 2^32 were taken for other runs, a negative number of an end made all later ends look known, and a percentage out of range is undefined. Cause: the decoder rejected the lists at the first odd entry, and converted numbers without a check of their range. Change: an entry that names no run is left out, and the agent logs it once. An entry of a running task that names its run is kept whatever else is in it, since a run that is not listed counts as ended. An end of a kind that is not known has the kind Unknown: the leader orders a stop and starts the task again only when the run is gone.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -78,6 +78,12 @@
     message.set_draining(upstream.draining);
 }
 
+model::RunEnd endOf(std::uint32_t number)
+{
+    return number < static_cast<std::uint32_t>(model::RunEnd::Unknown) ? static_cast<model::RunEnd>(number)
+                                                                       : model::RunEnd::Unknown;
+}
+
 model::UpstreamDescription upstreamOf(const wire::Upstream &message)
 {
     return {.identity = {.id = message.id(), .incarnation = message.incarnation()},
@@ -232,7 +238,7 @@
     for (const wire::EndedRun &entry : message.ended()) {
         report.ended.push_back({.number = entry.number(),
                                 .run = runOf(entry.task(), entry.run()),
-                                .end = static_cast<model::RunEnd>(entry.end()),
+                                .end = endOf(entry.end()),
                                 .checkpoint = entry.checkpoint()});
     }
     return report;
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -93,6 +93,7 @@
     m_clockAt = {};
     m_running.clear();
     m_ended.clear();
+    m_unreadable.clear();
     m_descriptions.clear();
     m_renewNow.notify();
 }
@@ -164,6 +165,9 @@
         }
         if (!answered || m_epoch == 0) {
             co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewRetryDelay);
+        } else if (!m_unreadable.empty()) {
+            // The upstream answers at once for as long as it lists such an end.
+            co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewRetryDelay);
         } else if (!m_ended.empty()) {
             co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + PendingEndsRenewInterval);
         }
@@ -217,6 +221,7 @@
         }
     }
     const bool newEnds = !m_ended.empty() && m_ended.back().number > newestBefore;
+    observeUnreadable(lists);
     if (epoch > m_fencedEpoch) {
         m_fencedEpoch = epoch;
         m_reportDue = true;
@@ -230,6 +235,23 @@
     updatePacing(receivedAt);
 }
 
+void HostAgent::observeUnreadable(const UpstreamLists &lists)
+{
+    for (const std::string &entry : lists.unreadable) {
+        if (std::ranges::find(m_unreadable, entry) == m_unreadable.end()) {
+            logWarning("list-entry-unreadable")
+                .with("upstream", m_upstream ? m_upstream->identity.id : "none")
+                .with("entry", entry)
+                .with("remedy", "check the program of the upstream; its other entries are used");
+        }
+    }
+    m_unreadable = lists.unreadable;
+    // An end that names no run concerns nobody. Ends before it have to be stored first.
+    if (lists.unreadableEnd > m_acknowledgedEnd && (m_ended.empty() || m_ended.front().number > lists.unreadableEnd)) {
+        m_acknowledgedEnd = lists.unreadableEnd;
+    }
+}
+
 void HostAgent::updatePacing(TimePoint now)
 {
     std::vector<Scheduling::PacedTask> tasks;
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -74,6 +74,8 @@
     boost::asio::awaitable<Scheduling::StopOutcome> stopRun(Scheduling::StopOrder order, Epoch epoch);
     boost::asio::awaitable<void> sendPace(Scheduling::Pacer::Command command);
     void apply(const UpstreamLists &lists, Epoch epoch, TimePoint receivedAt);
+    /// Logs entries that cannot be used, once each, and lets the upstream discard ends among them.
+    void observeUnreadable(const UpstreamLists &lists);
     void updatePacing(TimePoint now);
     void applyReply(const carobflow::control::ReportReply &reply, TimePoint sentAt);
     void adoptEpoch(Epoch epoch);
@@ -116,6 +118,8 @@
     TimePoint m_leasesExpireBy;
     std::vector<Scheduling::RunningRun> m_running;
     std::vector<Scheduling::EndedRun> m_ended;
+    /// The entries of the last lists that cannot be used.
+    std::vector<std::string> m_unreadable;
     std::map<Scheduling::TaskId, Description> m_descriptions;
     Scheduling::Pacer m_pacer{Scheduling::Pacer::Options{}};
     bool m_reportDue = false;
--- a/packages/control/src/carobflow/control/upstreamlink.h
+++ b/packages/control/src/carobflow/control/upstreamlink.h
@@ -33,6 +33,10 @@
     std::int64_t clockMs = 0;
     std::vector<Scheduling::RunningRun> running;
     std::vector<Scheduling::EndedRun> ended;
+    /// The beginning of each entry that cannot be used. None of them is in the lists above.
+    std::vector<std::string> unreadable;
+    /// The highest number of an end among them; 0 when there is none.
+    std::uint64_t unreadableEnd = 0;
 };
 
 /// A different incarnation of the upstream answered.
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -256,10 +256,18 @@
         return;
     }
     Job &job = *found->second;
-    const bool known = std::ranges::any_of(task->attempts, [&](const Attempt &attempt) {
-        return attempt.run == ended.run.run && attempt.host == host.host.name();
+    const auto attempt = std::ranges::find_if(task->attempts, [&](const Attempt &candidate) {
+        return candidate.run == ended.run.run && candidate.host == host.host.name();
     });
-    if (!known) {
+    if (ended.end == RunEnd::Unknown) {
+        // The outcome of a stop order shows whether the run is gone.
+        if (attempt != task->attempts.end() && attempt->phase != AttemptPhase::Stopping) {
+            report(ended.run, host.host.name(), endName(ended.end));
+            stop(ended.run.task, *attempt, "end-unknown", now);
+        }
+        return;
+    }
+    if (attempt == task->attempts.end()) {
         // The run was abandoned. A success still counts, because finished work must not be started again. A failure
         // does not: a previous leader may have counted it, and the task may have been started again since.
         if (ended.end == RunEnd::Done && !task->done && !job.isOver()) {
--- a/packages/scheduler/src/carobflow/scheduler/workload.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/workload.cpp
@@ -41,8 +41,8 @@
 
 std::string_view endName(RunEnd end)
 {
-    static constexpr std::array<std::string_view, 6> Names{
-        "done", "failed", "stopped", "lease-expired", "member-ended", "gang-incomplete"};
+    static constexpr std::array<std::string_view, 7> Names{
+        "done", "failed", "stopped", "lease-expired", "member-ended", "gang-incomplete", "unknown"};
     return Names.at(static_cast<std::size_t>(end));
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/workload.h
+++ b/packages/scheduler/src/carobflow/scheduler/workload.h
@@ -123,9 +123,9 @@
     auto operator<=>(const RunId &) const = default;
 };
 
-/// Why a run ended.
-enum class RunEnd { Done, Failed, Stopped, LeaseExpired, MemberEnded, GangIncomplete };
-BOOST_DESCRIBE_ENUM(RunEnd, Done, Failed, Stopped, LeaseExpired, MemberEnded, GangIncomplete)
+/// Why a run ended. Unknown is a reason that this build does not know; whether the run has ended is uncertain then.
+enum class RunEnd { Done, Failed, Stopped, LeaseExpired, MemberEnded, GangIncomplete, Unknown };
+BOOST_DESCRIBE_ENUM(RunEnd, Done, Failed, Stopped, LeaseExpired, MemberEnded, GangIncomplete, Unknown)
 
 /// State of a job as clients see it.
 enum class JobPhase { Queued, Running, Completed, Failed, Cancelled };
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -533,4 +533,29 @@
     CHECK(fixture.scheduler->find("small")->phase() == JobPhase::Completed);
 }
 
+TEST_CASE("A run whose end is of an unknown kind is stopped before its task starts again", "[scheduler]")
+{
+    // Guards against a second run of a task on the word of an entry that is not understood (TWICE).
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    fixture.reportAll(starts);
+    fixture.end(starts[0], RunEnd::Unknown, 1);
+    CHECK(fixture.step(Milliseconds(10)).empty());
+
+    const auto stops = fixture.stops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == starts[0].run);
+    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 1);
+
+    SECTION("And starts again when the run is known to be gone")
+    {
+        fixture.scheduler->onStopOutcome(starts[0].host, starts[0].run, StopOutcome::Absent, fixture.now);
+        const auto again = fixture.step(Milliseconds(10));
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].run.run == 2);
+    }
+}
+
 } // namespace Carobflow::Scheduling
