--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -1,6 +1,7 @@
 #include "carobflow/control/jobrouter.h"
 
 #include "carobflow/control/conversion.h"
+#include "carobflow/control/storedrows.h"
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
 #include "carobflow/daemon/internal/asyncwait.h"
@@ -222,26 +223,27 @@
     if (!isOk(rows)) {
         co_return JobOutcomeUnknown{};
     }
-    wire::Job message;
-    wire::JobProgress progress;
+    std::optional<StoredRows::StoredJob> job;
+    std::optional<Scheduling::JobProgress> progress;
     bool inInbox = false;
     bool stored = false;
     for (const Row &row : valueOf(rows)) {
         if (row.key == inboxKey) {
             inInbox = true;
         } else if (row.key == jobKey) {
-            stored = message.ParseFromString(row.value);
-        } else if (!progress.ParseFromString(row.value)) {
-            logError("progress-unreadable")
-                .with("job", id)
-                .with("remedy", "repeat the query; the leader holds the state");
-            co_return JobOutcomeUnknown{};
+            stored = true;
+            job = StoredRows::readJob(row, StoreLayout::JobPrefix);
+        } else {
+            progress = StoredRows::readProgress(row, StoreLayout::ProgressPrefix);
         }
     }
     if (stored) {
-        Scheduling::Job job(fromMessage(message), {}, {});
-        job.restore(fromMessage(progress, id), {});
-        co_return job.phase();
+        if (!job || !progress) {
+            co_return JobOutcomeUnknown{};
+        }
+        Scheduling::Job restored(std::move(job->spec), {}, {});
+        restored.restore(*progress, {});
+        co_return restored.phase();
     }
     if (inInbox) {
         co_return Scheduling::JobPhase::Queued;
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -1,10 +1,12 @@
 #include "carobflow/control/leaderterm.h"
 
 #include "carobflow/control/conversion.h"
+#include "carobflow/control/storedrows.h"
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
 #include "carobflow/core/invariant.h"
 #include "carobflow/logging/log.h"
+#include "carobflow/scheduler/jobcheck.h"
 
 #include <algorithm>
 #include <iterator>
@@ -207,25 +209,9 @@
         co_return false;
     }
     const TimePoint now = suspendAwareNow();
-    const std::int64_t unixNow = unixMilliseconds();
     m_scheduler.setOperatorView(m_view);
     restoreHosts(hosts, now);
-    std::map<std::string, wire::JobProgress> progressOf;
-    for (const Row &row : progress) {
-        const std::string id = row.key.substr(StoreLayout::ProgressPrefix.size());
-        if (!progressOf[id].ParseFromString(row.value)) {
-            logError("progress-unreadable").with("job", id).with("remedy", "its tasks are started again");
-        }
-    }
-    for (const Row &row : jobs) {
-        wire::Job message;
-        if (!message.ParseFromString(row.value)) {
-            logError("job-unreadable").with("row", row.key).with("remedy", "remove the row; the job is not run");
-            continue;
-        }
-        const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - message.accepted_unix_ms(), 0, 3'600'000));
-        m_scheduler.restore(fromMessage(message), fromMessage(progressOf[message.id()], message.id()), now - age, now);
-    }
+    restoreJobs(jobs, progress, now);
     processInboxRows(inbox);
     noteInboxRead(inboxReadAt);
     logInfo("state-loaded")
@@ -240,17 +226,46 @@
     co_return true;
 }
 
+void LeaderTerm::restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now)
+{
+    std::map<std::string, Scheduling::JobProgress> progressOf;
+    for (const Row &row : progress) {
+        if (auto read = StoredRows::readProgress(row, StoreLayout::ProgressPrefix)) {
+            progressOf.emplace(StoredRows::nameOf(row, StoreLayout::ProgressPrefix), std::move(*read));
+        }
+    }
+    const std::int64_t unixNow = unixMilliseconds();
+    for (const Row &row : jobs) {
+        const std::string id = StoredRows::nameOf(row, StoreLayout::JobPrefix);
+        auto job = StoredRows::readJob(row, StoreLayout::JobPrefix);
+        const auto known = progressOf.find(id);
+        if (!job || known == progressOf.end()) {
+            // Which tasks have finished, and whether the job was cancelled, is not known, so none may be started. The
+            // two rows of a job are written together, and the job's is removed first.
+            logError("job-held")
+                .with("job", id)
+                .with("job_readable", job.has_value())
+                .with("progress_readable", known != progressOf.end())
+                .with("remedy", "submit the job under another id and remove its rows");
+            m_heldJobs.insert(id);
+            continue;
+        }
+        const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - job->acceptedUnixMs, 0, 3'600'000));
+        m_scheduler.restore(std::move(job->spec), known->second, now - age, now);
+    }
+}
+
 void LeaderTerm::restoreHosts(std::span<const Row> rows, TimePoint now)
 {
     for (const Row &row : rows) {
-        const std::string name = row.key.substr(StoreLayout::HostPrefix.size());
-        wire::KnownHost known;
-        if (!known.ParseFromString(row.value)) {
-            logError("host-unreadable").with("row", row.key).with("remedy", "the host is used when it reports");
-            known.Clear();
+        const auto known = StoredRows::readHost(row);
+        if (!known) {
+            // Runs that are placed on such a host keep their tasks from starting elsewhere for the longest time.
+            continue;
         }
-        m_contacts[name] = {.address = known.address()};
-        m_scheduler.expectHost(name, now, leasesExpireBy(known, now));
+        const std::string name = StoredRows::nameOf(row, StoreLayout::HostPrefix);
+        m_contacts[name] = {.address = known->address()};
+        m_scheduler.expectHost(name, now, leasesExpireBy(*known, now));
     }
 }
 
@@ -274,7 +289,9 @@
 {
     std::vector<std::string> peers;
     for (const auto &[name, contact] : m_contacts) {
-        peers.push_back(contact.address);
+        if (!contact.address.empty()) {
+            peers.push_back(contact.address);
+        }
     }
     m_directory.setPeers(std::move(peers));
 }
@@ -509,12 +526,22 @@
         co_return reply;
     }
     const std::string id = request.job().id();
+    if (m_heldJobs.contains(id)) {
+        reply.set_outcome(wire::SubmitReply::STORED);
+        co_return reply;
+    }
+    Scheduling::JobSpec spec = fromMessage(request.job());
+    if (const std::string_view fault = Scheduling::findFault(spec); !fault.empty()) {
+        logWarning("job-refused").with("job", id).with("reason", fault);
+        reply.set_outcome(wire::SubmitReply::OVERLOADED);
+        co_return reply;
+    }
     if (isStoreUnavailable(suspendAwareNow()) && m_scheduler.find(id) == nullptr) {
         logInfo("job-refused").with("job", id).with("reason", "store-away");
         reply.set_outcome(wire::SubmitReply::STORE_AWAY);
         co_return reply;
     }
-    const auto outcome = m_scheduler.submit(fromMessage(request.job()), suspendAwareNow());
+    const auto outcome = m_scheduler.submit(std::move(spec), suspendAwareNow());
     if (outcome == Scheduling::Scheduler::Submission::Accepted) {
         m_unstoredAcceptTimes[id] = unixMilliseconds();
         logInfo("job-taken")
@@ -875,8 +902,7 @@
 
 void LeaderTerm::processInboxRow(const Row &row)
 {
-    wire::Job message;
-    const std::string name = row.key.substr(StoreLayout::InboxPrefix.size());
+    const std::string name = StoredRows::nameOf(row, StoreLayout::InboxPrefix);
     const auto dot = name.find('.');
     const std::string id = name.substr(0, dot);
     if (dot != std::string::npos) {
@@ -884,13 +910,12 @@
             m_deletions.push_back(row.key);
             return;
         }
-    } else if (message.ParseFromString(row.value)) {
-        if (m_scheduler.submit(fromMessage(message), suspendAwareNow())
+    } else if (auto job = StoredRows::readJob(row, StoreLayout::InboxPrefix); job && !m_heldJobs.contains(id)) {
+        if (m_scheduler.submit(std::move(job->spec), suspendAwareNow())
             == Scheduling::Scheduler::Submission::Accepted) {
-            m_unstoredAcceptTimes[id] = message.accepted_unix_ms();
+            m_unstoredAcceptTimes[id] = job->acceptedUnixMs;
         }
     } else {
-        logError("inbox-unreadable").with("row", row.key).with("remedy", "the row is removed");
         m_deletions.push_back(row.key);
         return;
     }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -137,6 +137,7 @@
     /// The row of a host that has reported to this leader.
     [[nodiscard]] Mutation hostRow(const std::string &name) const;
     /// Adds the hosts of former leaders.
+    void restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now);
     void restoreHosts(std::span<const Row> rows, TimePoint now);
     /// Waits until the store names this leader for the host or a time limit has passed.
     boost::asio::awaitable<void> waitUntilStored(std::string host);
@@ -166,6 +167,8 @@
     TimePoint m_hostsCheckedAt;
     /// When at least half of the hosts were last in contact.
     TimePoint m_contactAt;
+    /// Accepted jobs that are not run, because a row of theirs is missing or unreadable.
+    std::set<std::string> m_heldJobs;
     /// Accept times, in Unix milliseconds, of jobs whose rows are not stored yet.
     std::map<std::string, std::int64_t, std::less<>> m_unstoredAcceptTimes;
     /// The last commit round that stored each job. A change is stored by the first round that begins after it; a round
