Shorten leases instead of ending them when writes are slow

Cause: an overloaded leader's writes take 1.4 to 2.1 s there, and a leader whose last write was 2.1 s old gave no grants at all. Change: the answer to a report says how long leases may last, at most 8.3 s from the leader's last confirmed write, and the agent asks for leases up to that limit. The limit is the same as a successor's wait, as before. Leases that have become short are renewed at once when they may be longer. A bound from the store is not shortened by a report, and the wait covers leaders of earlier builds, whose rows lack the time.

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -44,6 +44,10 @@
 constexpr std::size_t MaxDescriptions = 1000;
 /// Covers the delay of a message.
 constexpr Milliseconds LeaseMargin{200};
+/// A run is not started under a shorter lease; renewals arrive every 0.4 s.
+constexpr Milliseconds ShortestStartLease{1000};
+/// Leases that end sooner are renewed at once when the leader allows longer ones again.
+constexpr Milliseconds ShortLease{2000};
 
 } // namespace
 
@@ -65,7 +69,7 @@
     , m_leaderAnsweredAt(suspendAwareNow())
 {
     // The process before this one may have renewed the leases.
-    recordLeaseRequest(suspendAwareNow());
+    recordLeaseRequest(suspendAwareNow(), m_options.leaseTimes.lease);
 }
 
 void HostAgent::start()
@@ -127,27 +131,28 @@
     }
 }
 
-bool HostAgent::holdsGrant(TimePoint now) const
-{
-    return now < m_grantUntil;
-}
-
-std::optional<std::int64_t> HostAgent::leaseUntil(TimePoint now) const
+Milliseconds HostAgent::allowedLease(TimePoint now) const
 {
     // A call without an answer may still renew the lease. A silent upstream therefore gets no renewals; otherwise its
     // runs could never be considered ended.
-    if (!holdsGrant(now) || m_clockAt == TimePoint{} || now - m_answeredAt > RenewalSilenceLimit) {
-        return std::nullopt;
+    if (m_clockAt == TimePoint{} || now - m_answeredAt > RenewalSilenceLimit) {
+        return Milliseconds(0);
     }
+    const auto left = std::chrono::duration_cast<Milliseconds>(m_leaseLimit - now);
+    return std::clamp(left, Milliseconds(0), m_options.leaseTimes.lease);
+}
+
+std::int64_t HostAgent::leaseUntil(TimePoint now, Milliseconds lease) const
+{
     // A lower bound of the upstream's clock, since the answer was sent before it arrived here.
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - m_clockAt);
-    return m_clockMs + elapsed.count() + m_options.leaseTimes.lease.count();
+    return m_clockMs + elapsed.count() + lease.count();
 }
 
-void HostAgent::recordLeaseRequest(TimePoint now)
+void HostAgent::recordLeaseRequest(TimePoint now, Milliseconds lease)
 {
-    const auto lease = m_options.leaseTimes.lease * Scheduling::LeaseTimes::ClockFactor;
-    m_leasesExpireBy = now + std::chrono::duration_cast<Duration>(lease) + LeaseMargin;
+    const auto longest = lease * Scheduling::LeaseTimes::ClockFactor;
+    m_leasesExpireBy = std::max(m_leasesExpireBy, now + std::chrono::duration_cast<Duration>(longest) + LeaseMargin);
 }
 
 asio::awaitable<void> HostAgent::renewLoop()
@@ -186,11 +191,12 @@
     LeaseRequest request{.upstream = m_upstream->identity,
                          .fencingToken = epoch,
                          .acknowledgedEnd = m_acknowledgedEnd,
-                         .leaseUntilMs = leaseUntil(sentAt),
+                         .leaseUntilMs = std::nullopt,
                          .wait = wait};
     const auto identity = request.upstream;
-    if (request.leaseUntilMs) {
-        recordLeaseRequest(sentAt);
+    if (const Milliseconds lease = allowedLease(sentAt); lease > Milliseconds(0)) {
+        request.leaseUntilMs = leaseUntil(sentAt, lease);
+        recordLeaseRequest(sentAt, lease);
     }
     const LeaseOutcome outcome = co_await m_link.renew(std::move(request));
     const auto *lists = std::get_if<UpstreamLists>(&outcome);
@@ -326,7 +332,9 @@
         const bool answered = co_await reportOnce();
         if (!answered) {
             co_await sleepFor(ReportRetryDelay);
-        } else if (!m_reportDue) {
+            continue;
+        }
+        if (!m_reportDue) {
             const Milliseconds interval = m_ended.empty() ? ReportInterval : PendingEndsReportInterval;
             co_await m_reportNow.waitUntil(std::chrono::steady_clock::now() + interval);
         }
@@ -368,7 +376,14 @@
     }
     adoptEpoch(reply.leader().epoch());
     m_leaderAnsweredAt = suspendAwareNow();
-    m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grant_ms()));
+    const TimePoint limit = std::max(m_leaseLimit, sentAt + Milliseconds(reply.lease_ms()));
+    const bool wasShort = m_leaseLimit - m_leaderAnsweredAt < ShortLease;
+    m_leaseLimit = limit;
+    if (wasShort && m_upstream && limit - m_leaderAnsweredAt >= ShortLease) {
+        // The pending long poll may last longer than the leases.
+        asio::co_spawn(
+            m_strand, [this]() -> asio::awaitable<void> { co_await renewOnce(Milliseconds(0)); }, asio::detached);
+    }
     const Scheduling::UpstreamIdentity acknowledged{.id = reply.upstream_id(),
                                                     .incarnation = reply.upstream_incarnation()};
     if (m_upstream && acknowledged == m_upstream->identity && reply.acknowledged_end() > m_acknowledgedEnd) {
@@ -418,14 +433,15 @@
         co_return epoch < m_epoch ? StartOutcome::Fenced : StartOutcome::NotAccepted;
     }
     const TimePoint now = suspendAwareNow();
-    const auto until = leaseUntil(now);
-    if (!until) {
+    const Milliseconds lease = allowedLease(now);
+    if (lease < ShortestStartLease) {
         co_return StartOutcome::LeaseOver;
     }
-    recordLeaseRequest(now);
+    const std::int64_t until = leaseUntil(now, lease);
+    recordLeaseRequest(now, lease);
     m_descriptions[order.run.task] = {
         .image = order.image, .tailTarget = order.tailTarget, .fillsLeftover = order.fillsLeftover};
-    co_return co_await m_link.start(std::move(order), epoch, *until);
+    co_return co_await m_link.start(std::move(order), epoch, until);
 }
 
 asio::awaitable<StopOutcome> HostAgent::stopRun(Scheduling::StopOrder order, Epoch epoch)
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -21,7 +21,7 @@
 namespace Carobflow
 {
 
-/// The agent of an upstream, and the only process that calls it. Renews the upstream's leases under the leader's grant,
+/// The agent of an upstream, and the only process that calls it. Renews the upstream's leases as the leader allows,
 /// executes the leader's orders, reports running and ended runs, and paces fillers.
 ///
 /// All members but the constructor run on the agent's strand.
@@ -80,9 +80,11 @@
     void applyReply(const carobflow::control::ReportReply &reply, TimePoint sentAt);
     void adoptEpoch(Epoch epoch);
     void resetUpstream(const Scheduling::UpstreamDescription &upstream);
-    [[nodiscard]] std::optional<std::int64_t> leaseUntil(TimePoint now) const;
-    void recordLeaseRequest(TimePoint now);
-    [[nodiscard]] bool holdsGrant(TimePoint now) const;
+    /// The time on the upstream's clock at which a lease of this duration ends.
+    [[nodiscard]] std::int64_t leaseUntil(TimePoint now, Milliseconds lease) const;
+    void recordLeaseRequest(TimePoint now, Milliseconds lease);
+    /// Duration of the lease to ask for; 0 when none may be.
+    [[nodiscard]] Milliseconds allowedLease(TimePoint now) const;
     [[nodiscard]] bool mayStart(const Scheduling::StartOrder &order, Epoch epoch) const;
     [[nodiscard]] Scheduling::HostReport makeReport() const;
     [[nodiscard]] bool isListed(const Scheduling::RunId &run) const;
@@ -107,7 +109,8 @@
     std::uint64_t m_sequence = 0;
     Epoch m_epoch = 0;
     Epoch m_fencedEpoch = 0;
-    TimePoint m_grantUntil;
+    /// Time up to which the leader allows leases.
+    TimePoint m_leaseLimit;
     TimePoint m_leaderAnsweredAt;
     std::uint64_t m_acknowledgedEnd = 0;
     /// The upstream's clock in its last answer, and the local time at which the answer arrived.
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -29,6 +29,9 @@
 /// Takes about 0.2 s with the processor share of a small host, so that renewals between two reads come in time.
 constexpr std::size_t RowsPerRead = 100;
 constexpr Milliseconds LoadRetryDelay{50};
+/// Longest time for which a leader waits for the leases of a host that it does not hear, whatever the rows of the store
+/// say. Leaders of builds before 0.2 allowed renewals for 8.5 s after their last write, and leases of up to 10 s.
+constexpr Seconds LongestLeaseWait{20};
 /// Other candidates take over after 1.8 s without a renewal.
 constexpr Milliseconds RenewInterval{600};
 /// Longest time between two plans, for decisions that depend on time alone.
@@ -271,18 +274,17 @@
 
 TimePoint LeaderTerm::leasesExpireBy(const wire::KnownHost &host, TimePoint now) const
 {
-    TimePoint expiry = now + m_options.leaseTimes.untilFreeAfterWrite();
+    const TimePoint latest = now + LongestLeaseWait;
     const auto storeNow = m_table.clock().earliest(now);
-    if (!storeNow) {
-        return expiry;
-    }
-    if (const auto lastGrant = m_ledger->formerTerms().lastGrant(host.granted_by_epoch())) {
-        expiry = std::min(expiry, expiry + (*lastGrant - *storeNow));
+    const auto lastGrant = m_ledger->formerTerms().lastGrant(host.granted_by_epoch());
+    if (!storeNow || !lastGrant) {
+        return latest;
     }
+    TimePoint expiry = now + (*lastGrant - *storeNow) + m_options.leaseTimes.untilFreeAfterWrite();
     if (host.leases_expire_store_ms() > 0) {
         expiry = std::min(expiry, now + (Milliseconds(host.leases_expire_store_ms()) - *storeNow));
     }
-    return expiry;
+    return std::min(expiry, latest);
 }
 
 void LeaderTerm::publishPeers()
@@ -296,12 +298,12 @@
     m_directory.setPeers(std::move(peers));
 }
 
-Milliseconds LeaderTerm::grantFor(const Scheduling::HostReport &report, TimePoint now) const
+Milliseconds LeaderTerm::leaseFor(const Scheduling::HostReport &report, TimePoint now) const
 {
     const auto contact = m_contacts.find(report.host);
     const bool stored = contact != m_contacts.end() && contact->second.stored;
     return stored && Scheduling::Scheduler::mayRenew(report)
-        ? m_options.leaseTimes.grantAt(now - m_ledger->confirmedAt())
+        ? m_options.leaseTimes.leaseAfterReport(now - m_ledger->confirmedAt())
         : Milliseconds(0);
 }
 
@@ -403,7 +405,7 @@
 std::vector<std::string> LeaderTerm::addHosts(TransactionBatch &batch)
 {
     for (std::string &name : m_scheduler.takeSilentHosts()) {
-        // No grant until a later row says that the host reports again.
+        // No leases until a later row says that the host reports again.
         m_contacts[name].stored = false;
         m_silentHosts.push_back(std::move(name));
     }
@@ -707,7 +709,7 @@
     }
     const Scheduling::HostReport report = fromMessage(request);
     processReport(report, suspendAwareNow());
-    if (!m_contacts[report.host].stored) {
+    if (!m_contacts[report.host].stored && Scheduling::Scheduler::mayRenew(report)) {
         co_await waitUntilStored(report.host);
     }
     if (report.upstream && !report.ended.empty()) {
@@ -717,7 +719,7 @@
         co_return reply;
     }
     reply.set_is_leader(true);
-    reply.set_grant_ms(grantFor(report, suspendAwareNow()).count());
+    reply.set_lease_ms(leaseFor(report, suspendAwareNow()).count());
     if (report.upstream) {
         reply.set_acknowledged_end(m_scheduler.acknowledgedEnd(report.host, report.upstream->identity));
         reply.set_upstream_id(report.upstream->identity.id);
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -129,9 +129,9 @@
     void logWaitingTasks(TimePoint now);
     void checkContact(TimePoint now);
     void wakeWaiters();
-    /// The grant that answers a report; 0 while the upstream is silent, while the store has not confirmed this leader
-    /// for too long, and while it does not name this leader as the one that grants leases to the host.
-    [[nodiscard]] Milliseconds grantFor(const Scheduling::HostReport &report, TimePoint now) const;
+    /// How long leases may last from an answered report on; 0 while the upstream is silent, while the store has not
+    /// confirmed this leader for too long, and while it does not name this leader as the one that grants leases there.
+    [[nodiscard]] Milliseconds leaseFor(const Scheduling::HostReport &report, TimePoint now) const;
     /// Time by which every lease has expired that former leaders granted to a host.
     [[nodiscard]] TimePoint leasesExpireBy(const carobflow::control::KnownHost &host, TimePoint now) const;
     /// The row of a host that has reported to this leader.
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -27,6 +27,8 @@
 /// up to 24 bytes, and there are at most 12.
 constexpr std::size_t HeadEntries = 2;
 constexpr std::size_t HeadBytes = 500;
+/// Leases of leaders of builds before 0.2 may last this much longer after their last write.
+constexpr Seconds EarlierBuildExtra{11};
 /// Delay after a lost reply; the call itself has already waited for its time-out.
 constexpr Milliseconds LostReplyDelay{10};
 
@@ -69,8 +71,9 @@
     }
     m_formerTerms = Scheduling::TermHistory(std::move(terms));
     const Milliseconds storeNow = m_table.clock().latest(now).value_or(Milliseconds(0));
-    // A row without the time dates from an earlier build; its leader may have written until now.
-    const Milliseconds lastWrite = before.sent_store_ms() > 0 ? Milliseconds(before.sent_store_ms()) : storeNow;
+    // A row without the time dates from an earlier build, whose leader may have written until now.
+    const Milliseconds lastWrite = before.sent_store_ms() > 0 ? Milliseconds(before.sent_store_ms())
+                                                              : storeNow + EarlierBuildExtra;
     m_formerTerms.add({.epoch = before.epoch(), .lastWrite = lastWrite},
                       storeNow - std::chrono::duration_cast<Milliseconds>(m_options.termRetention));
 }
--- a/packages/scheduler/src/carobflow/scheduler/leasetimes.h
+++ b/packages/scheduler/src/carobflow/scheduler/leasetimes.h
@@ -9,18 +9,19 @@
 
 /// The times that bound how long a host which nobody hears may still run its tasks.
 ///
-/// An agent renews the leases of its upstream only under a leader's grant, and a leader shortens its grants when the
-/// store has not confirmed its leadership for a while. So every lease has ended a fixed time after the last report that
-/// the leader answered, and a fixed time after the last write of the leader that granted it, whichever comes first.
+/// The answer to a report says until when the leases of the host's upstream may last. A leader sets that limit by its
+/// own last confirmed write, too. So every lease has ended a fixed time after the last report that was answered, and a
+/// fixed time after the last write of the leader that answered it, whichever comes first.
 struct LeaseTimes {
-    /// Duration of a lease. Longer than an outage of the store in the deployments' records (5.3 s). With the grant it
-    /// has to stay below nine seconds, within which callers expect the tasks of a lost host to run again.
+    /// Longest lease that an agent asks its upstream for. Longer than an outage of the store in the deployments'
+    /// records (5.3 s). Together with the other times it has to stay below nine seconds, within which callers expect
+    /// the tasks of a lost host to run again.
     Milliseconds lease{6000};
-    /// Time for which an agent may renew the leases of its upstream, from the sending of a report that was answered.
-    Milliseconds grant{1500};
-    /// Age of the leader's last confirmed write up to which its grants have full length; the leader writes at least
-    /// this often.
-    Milliseconds fullGrantAge{600};
+    /// Time without contact to the leader for which an agent still asks for leases of full length.
+    Milliseconds contactGap{1500};
+    /// Age of the leader's last confirmed write up to which it allows full leases. A leader that is not overloaded
+    /// writes every 0.6 s.
+    Milliseconds fullLeaseAge{800};
 
     /// Lease times for upstreams that shorten longer leases to `upstreamMaximum`.
     static LeaseTimes within(Milliseconds upstreamMaximum)
@@ -30,23 +31,25 @@
         return times;
     }
 
-    /// The grant that a leader gives when its last confirmed write was sent `age` ago; 0 for none.
-    [[nodiscard]] Milliseconds grantAt(Duration age) const
+    /// How long from an answered report on the leases of its upstream may last when the leader's last confirmed write
+    /// was sent `age` ago; 0 for no renewal. Leases get shorter with that age rather than ending at once, so that an
+    /// overloaded leader, whose writes take seconds, still keeps tasks running.
+    [[nodiscard]] Milliseconds leaseAfterReport(Duration age) const
     {
-        const auto left = fullGrantAge + grant - std::chrono::duration_cast<Milliseconds>(age);
-        return std::clamp(left, Milliseconds(0), grant);
+        const Milliseconds longest = contactGap + lease;
+        return std::clamp(fullLeaseAge + longest - std::chrono::ceil<Milliseconds>(age), Milliseconds(0), longest);
     }
 
     /// Time after an answered report by which every lease on its host has ended unless there is a further one.
     [[nodiscard]] Duration untilFreeAfterReport() const
     {
-        return grant + std::chrono::duration_cast<Duration>(lease * ClockFactor) + Slack;
+        return contactGap + std::chrono::duration_cast<Duration>(lease * ClockFactor) + Slack;
     }
 
-    /// Time after a leader's last write by which every lease that it granted has ended.
+    /// Time after a leader's last write by which every lease that it allowed has ended.
     [[nodiscard]] Duration untilFreeAfterWrite() const
     {
-        return fullGrantAge + untilFreeAfterReport();
+        return fullLeaseAge + untilFreeAfterReport();
     }
 
     /// Upstream clocks may be 2% slow; the slack covers the delay of messages.
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -254,7 +254,7 @@
         reportContact(state, "reporting-again", now);
     }
     if (mayRenew(report)) {
-        state.leaseFreeAt = now + m_options.leaseTimes.untilFreeAfterReport();
+        state.leaseFreeAt = std::max(state.leaseFreeAt, now + m_options.leaseTimes.untilFreeAfterReport());
     }
     if (replaced) {
         // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
