Report less often to a leader that answers slowly

Cause: an agent with ended runs reports every 60 ms and with each further end. A leader of 66 hosts that answers slowly gets all these reports in its queue, and its own calls to the store wait behind them, which makes it slower still. Change: after an answer that took 50 ms or longer, the agent waits for twice that time, 0.4 s at most, and then reports all that has happened meanwhile.

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -48,6 +48,8 @@
 constexpr Milliseconds ShortestStartLease{1000};
 /// Leases that end sooner are renewed at once when the leader allows longer ones again.
 constexpr Milliseconds ShortLease{2000};
+/// A report that is answered within this time has not waited for a busy leader; a write of the store takes 5 to 10 ms.
+constexpr Milliseconds PromptAnswer{50};
 
 } // namespace
 
@@ -334,6 +336,7 @@
             co_await sleepFor(ReportRetryDelay);
             continue;
         }
+        co_await sleepFor(reportPause());
         if (!m_reportDue) {
             const Milliseconds interval = m_ended.empty() ? ReportInterval : PendingEndsReportInterval;
             co_await m_reportNow.waitUntil(std::chrono::steady_clock::now() + interval);
@@ -341,6 +344,14 @@
     }
 }
 
+Milliseconds HostAgent::reportPause() const
+{
+    // The leader reads the reports of all hosts. When it answers slowly, reports come less often, each with more news.
+    return m_reportTook < PromptAnswer
+        ? Milliseconds(0)
+        : std::min(std::chrono::duration_cast<Milliseconds>(m_reportTook * 2), ReportInterval);
+}
+
 asio::awaitable<bool> HostAgent::reportOnce()
 {
     const LeaderDirectory::Leader leader = m_directory.current();
@@ -365,6 +376,7 @@
     if (!reply->is_leader()) {
         co_return false;
     }
+    m_reportTook = suspendAwareNow() - sentAt;
     applyReply(*reply, sentAt);
     co_return true;
 }
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -85,6 +85,8 @@
     void recordLeaseRequest(TimePoint now, Milliseconds lease);
     /// Duration of the lease to ask for; 0 when none may be.
     [[nodiscard]] Milliseconds allowedLease(TimePoint now) const;
+    /// Time for which the agent waits after an answered report although there is something to report.
+    [[nodiscard]] Milliseconds reportPause() const;
     [[nodiscard]] bool mayStart(const Scheduling::StartOrder &order, Epoch epoch) const;
     [[nodiscard]] Scheduling::HostReport makeReport() const;
     [[nodiscard]] bool isListed(const Scheduling::RunId &run) const;
@@ -111,6 +113,8 @@
     Epoch m_fencedEpoch = 0;
     /// Time up to which the leader allows leases.
     TimePoint m_leaseLimit;
+    /// Duration of the last report that was answered.
+    Duration m_reportTook{0};
     TimePoint m_leaderAnsweredAt;
     std::uint64_t m_acknowledgedEnd = 0;
     /// The upstream's clock in its last answer, and the local time at which the answer arrived.
