Replace a table's clock reading that a newer reply contradicts

What callers saw: nothing yet. Cause: TableClock keeps its most precise reading for 5 s, also when a later, slower reply shows that the clock has started anew. A leader that loads in this time compares the rows written since with the old, larger clock, counts all leases as expired, and starts tasks that may still run (TWICE). Change: a reply that no steady clock can have shown after the reading in use replaces it, whatever its precision.

--- a/packages/connectors/src/carobflow/connectors/tableclock.h
+++ b/packages/connectors/src/carobflow/connectors/tableclock.h
@@ -30,6 +30,9 @@
         {
             return repliedAt - sentAt;
         }
+
+        /// True when no steady clock can have shown both readings.
+        [[nodiscard]] bool contradicts(const Observation &later) const;
     };
 
     mutable std::mutex m_mutex;
--- a/packages/connectors/tests/tableclock_test.cpp
+++ b/packages/connectors/tests/tableclock_test.cpp
@@ -23,6 +23,15 @@
         CHECK(clock.earliest(later + Milliseconds(4)) == Milliseconds(6200));
         CHECK(clock.latest(later + Milliseconds(4)) == Milliseconds(6204));
     }
+    SECTION("A reply that contradicts the bounds replaces them, however slow it is")
+    {
+        // Guards against TWICE: after a new start of the clock, leases would count as expired for up to 5 s.
+        clock.observe(Milliseconds(40), later, later + Milliseconds(500));
+        CHECK(clock.latest(later + Milliseconds(500)) == Milliseconds(540));
+        CHECK(clock.earliest(later + Milliseconds(500)) == Milliseconds(40));
+        clock.observe(Milliseconds(90000), later, later + Milliseconds(600));
+        CHECK(clock.earliest(later + Milliseconds(600)) == Milliseconds(90000));
+    }
     SECTION("A slower reply is used only when the last observation is old")
     {
         clock.observe(Milliseconds(6200), later, later + Milliseconds(500));
