Name a leader in a host's row only when it may grant leases there

What callers saw: possibly tasks of a lost upstream that do not start elsewhere while its agent and the leaders are restarted in series. Cause: each leader wrote its epoch into the row of every host that reported, also of a host whose upstream is silent, which gets no grant. The next leader counted the leases there from the last write of that leader, and the row lost the expiry that an earlier leader had stored. Change: the row is written only after a report that may be answered with a grant. Other reports do not wait for the row. Evidence: the new section of the test of the incident fails without the change (the task is still on its lost host after 9 s) and passes with it; the check that nothing starts before 7.5 s holds as well.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -676,7 +676,7 @@
     }
     const Scheduling::HostReport report = fromMessage(request);
     processReport(report, suspendAwareNow());
-    if (!m_contacts[report.host].stored) {
+    if (Scheduling::Scheduler::mayRenew(report) && !m_contacts[report.host].stored) {
         co_await waitUntilStored(report.host);
     }
     if (report.upstream && !report.ended.empty()) {
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -387,10 +387,22 @@
     {
         changes = 4;
     }
+    bool agentRestarts = false;
+    SECTION("When only its upstream is lost, and its agent is restarted in series with the leaders")
+    {
+        changes = 4;
+        agentRestarts = true;
+    }
+    // A restarted agent has no answer of its upstream, and assumes that its predecessor has just renewed the leases.
+    Scheduling::HostReport restarted{.host = lost, .silence = Milliseconds(1'000'000), .leaseLeft = Milliseconds(6000)};
     const auto reportRemaining = [&](Milliseconds duration) {
         const auto until = std::chrono::steady_clock::now() + duration;
         while (std::chrono::steady_clock::now() < until) {
             fixture.report(remaining);
+            if (agentRestarts) {
+                ++restarted.agentIncarnation;
+                fixture.send(restarted);
+            }
             fixture.io.run_for(reportInterval);
         }
     };
@@ -406,8 +418,7 @@
     // The agent of the lost host may have renewed its leases until 7.5 s after its last report.
     constexpr Milliseconds longestLease{7500};
     while (fixture.hostOf("job") != remaining && std::chrono::steady_clock::now() < lostAt + startupLimit) {
-        fixture.report(remaining);
-        fixture.io.run_for(reportInterval);
+        reportRemaining(reportInterval);
     }
     CHECK(fixture.hostOf("job") == remaining);
     CHECK(std::chrono::steady_clock::now() - lostAt > longestLease);
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -910,7 +910,7 @@
 {
     std::vector<std::string> names;
     for (const auto &[name, state] : m_hosts) {
-        if (!state->taken && state->host.hasReported() && !state->silent) {
+        if (!state->taken && state->host.hasReported() && !state->silent && mayRenew(state->host.report())) {
             state->taken = true;
             names.push_back(name);
         }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -127,8 +127,8 @@
     /// The state of a job that takeDirtyJobs() returned has been written.
     void commitJob(std::string_view id, TimePoint now);
 
-    /// Takes the hosts that have reported to this leader for the first time. The caller has to write them together with
-    /// the epoch of this leader before it grants leases there.
+    /// Takes the hosts that have reported to this leader for the first time and whose reports may be answered with a
+    /// grant. The caller has to write them together with the epoch of this leader before it grants leases there.
     std::vector<std::string> takeNewHosts();
 
     /// Takes the hosts with runs that have become silent. The caller has to write when their leases expire, so that the
