Release the tasks of many lost hosts in several plans

Cause: a term began with a plan that gave up the runs of all 66 hosts at once. On 0.15 of a core it took longer than other candidates wait for a renewal, and the next leader began with the same. Change: a leader renews its leadership before its first plan, and a plan gives up hosts only until 100 runs are released; the rest follows in the next one.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -314,6 +314,10 @@
 
 asio::awaitable<void> LeaderTerm::lead()
 {
+    // The first plan after a loss of power takes long.
+    if (!co_await renewWhileLoading()) {
+        co_return;
+    }
     while (!m_over) {
         const TimePoint now = suspendAwareNow();
         if (m_directory.current().epoch > m_ledger->epoch()) {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -34,6 +34,9 @@
 /// Number of unanswered start orders for one run after which the upstream counts as hung. Each waits 400 ms for its
 /// answer.
 constexpr std::uint32_t MaxStartSends = 3;
+/// Number of runs after which the release of lost hosts goes on with the next plan. The leader renews its leadership
+/// between two plans, and on a small host's share the release of 2,000 runs takes a second.
+constexpr std::size_t MaxReleasedRuns = 100;
 /// Time without a report after which a host of which nothing is left is forgotten. Longer than the restarts and
 /// partitions in the deployments' records; a host that reports later is added again.
 constexpr Seconds LostHostRetention{60};
@@ -572,10 +575,12 @@
 
 void Scheduler::releaseLostHosts(TimePoint now)
 {
+    std::size_t released = 0;
     for (const auto &[name, state] : m_hosts) {
-        if (now > state->leaseFreeAt) {
+        if (now > state->leaseFreeAt && released < MaxReleasedRuns) {
             if (!state->attempts.empty()) {
                 reportContact(*state, "given-up", now);
+                released += state->attempts.size();
             }
             dropAttempts(*state, "host-lost", [](const Attempt & /*attempt*/) { return true; });
         }
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -264,6 +264,36 @@
     }
 }
 
+TEST_CASE("The tasks of many lost hosts are released in several plans", "[scheduler]")
+{
+    // Guards against a leader that is replaced during its first plan after a loss of power of all hosts.
+    SchedulerFixture fixture;
+    fixture.hostNames.clear();
+    for (int host = 0; host < 10; ++host) {
+        fixture.hostNames.push_back("large-" + std::to_string(host));
+        HostReport report = fixture.reportOf(fixture.hostNames.back());
+        report.upstream->capacity = {.cpuMillis = 40000, .memoryMiB = 64000};
+        fixture.scheduler->onReport(report, fixture.now);
+    }
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job", 400), fixture.now);
+    REQUIRE(fixture.step().size() == 400);
+    const auto countPlaced = [&] {
+        std::size_t placed = 0;
+        for (const TaskProgress &task : fixture.scheduler->find("job")->progress().tasks) {
+            placed += task.placements.size();
+        }
+        return placed;
+    };
+    fixture.advance(Milliseconds(20000));
+    fixture.step();
+    CHECK(countPlaced() < 400);
+    CHECK(countPlaced() >= 200);
+    fixture.step();
+    fixture.step();
+    fixture.step();
+    CHECK(countPlaced() == 0);
+}
+
 TEST_CASE("Hosts that are gone are forgotten", "[scheduler]")
 {
     // Guards against a leader that counts replaced hosts as unreachable and resigns when they are the majority.
