Receive HTTP responses in reads of 16 KB

Beast reads as many bytes as fit into the free capacity of the buffer, and into a new buffer 512. The body leaves the buffer with each read, so that the capacity never grows: a response of 200 KB took 791 handlers of the event loop. On a busy process each of them waits for its turn, and each is a system call. The more the inbox holds, the larger is the response and the longer the leader takes to read it. A deadline that passes meanwhile ends nothing, because the next bytes are always there already.

The buffer now has room for 16 KB from the start.

The new test failed before with 791 handlers, where two for each read of 4 KB are allowed, and passes with the change.

--- a/packages/connectors/src/carobflow/connectors/httpclient.cpp
+++ b/packages/connectors/src/carobflow/connectors/httpclient.cpp
@@ -27,6 +27,8 @@
 using Detail::Connection;
 
 constexpr auto Tuple = asio::as_tuple(asio::use_awaitable);
+/// Beast reads as much as fits into the capacity of the buffer, but only 512 bytes into a new one.
+constexpr std::size_t ReadBytes = 16384;
 
 bool isToken(std::string_view text)
 {
@@ -191,6 +193,7 @@
     asio::awaitable<Received> receive(Connection &connection, bool isHead) const
     {
         beast::flat_buffer buffer(m_options.maxHeaderBytes + m_options.maxBodyBytes);
+        buffer.reserve(ReadBytes);
         for (;;) {
             http::response_parser<http::string_body> parser;
             parser.header_limit(static_cast<std::uint32_t>(m_options.maxHeaderBytes));
--- a/packages/connectors/tests/httpclient_test.cpp
+++ b/packages/connectors/tests/httpclient_test.cpp
@@ -230,6 +230,38 @@
     }
 }
 
+TEST_CASE_METHOD(ConnectorFixture, "A large response is received in few reads", "[httpclient]")
+{
+    // Guards against reads of 512 bytes each: on a busy process each waits for its turn, and a response of 100 KB took
+    // seconds.
+    constexpr std::size_t bodyBytes = 200'000;
+    // Two for each read of 4 KB.
+    constexpr std::size_t maxHandlers = 2 * bodyBytes / 4096;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+        + std::string(bodyBytes, 'x');
+    asio::io_context serverContext;
+    RawServer server(serverContext, answer);
+    std::thread thread([&serverContext] { serverContext.run_for(std::chrono::seconds(10)); });
+    const auto outcome = std::make_shared<std::optional<HttpOutcome>>();
+    asio::co_spawn(
+        io,
+        client->call({.host = "127.0.0.1", .port = server.port()}, {}),
+        [outcome](const std::exception_ptr & /*exception*/, HttpOutcome result) { *outcome = std::move(result); });
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    std::size_t handlers = 0;
+    while (!*outcome && std::chrono::steady_clock::now() < until) {
+        // Lets the bytes arrive, so that the number of reads does not depend on their pace.
+        std::this_thread::sleep_for(std::chrono::milliseconds(handlers < 10 ? 20 : 0));
+        handlers += io.run_one_for(std::chrono::milliseconds(20));
+        io.restart();
+    }
+    serverContext.stop();
+    thread.join();
+    REQUIRE(*outcome);
+    CHECK(bodyOf(**outcome).size() == bodyBytes);
+    CHECK(handlers < maxHandlers);
+}
+
 TEST_CASE_METHOD(ConnectorFixture,
                  "The client handles network faults between itself and the server",
                  "[httpclient][proxy]")
