Wait for the unconfirmed job in the test of a store outage

The test is wrong, not the code. A submission that is answered with 504 during the outage stays with the leader, which stores it in the same write as the end of job 1 once the store is back. The test counts the runs as soon as job 1 is shown as completed, and job 2 starts only after that write. The logs show job 2 stored 5.9 s after it was taken, at the end of the outage.

The test now waits until job 2 is completed too when it was answered with 504, and requires that it is. The counts and the other checks are unchanged.

--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -224,6 +224,9 @@
     std::this_thread::sleep_for(Milliseconds(1000));
     system.onStandIns([&] { system.store().refusing = false; });
     CHECK(system.waitForState(jobId(1), "completed", Milliseconds(10000)));
+    if (status == 504) {
+        CHECK(system.waitForState(jobId(2), "completed", Milliseconds(10000)));
+    }
     // Guards against leases that end with an outage of the store.
     CHECK(system.runs().size() == (status == 504 ? 5 : 4));
     CHECK(system.violations().empty());
