Move reports instead of copying them

Cause: the content of every call to the leader was copied before it was handled, and a report was copied once more while the ends in it waited for their write. A report lists all runs of its host with several strings each. Change: the content is moved out of the message, which belongs to its call alone, and the wait refers to the report of its caller.

--- a/packages/control/src/carobflow/control/controlservices.cpp
+++ b/packages/control/src/carobflow/control/controlservices.cpp
@@ -19,8 +19,10 @@
         reactor->Finish(grpc::Status::OK);
         return reactor;
     }
-    return serveUnary(context, term->strand(), [term, request, reply, handler]() -> asio::awaitable<grpc::Status> {
-        *reply = co_await handler(*term, *request);
+    // The message belongs to this call alone, so its content is moved; reports hold hundreds of strings.
+    auto *content = const_cast<Request *>(request);
+    return serveUnary(context, term->strand(), [term, content, reply, handler]() -> asio::awaitable<grpc::Status> {
+        *reply = co_await handler(*term, std::move(*content));
         co_return grpc::Status::OK;
     });
 }
@@ -29,8 +31,8 @@
                                                         const wire::SubmitRequest *request,
                                                         wire::SubmitReply *reply)
 {
-    return serve(context, request, reply, [](LeaderTerm &term, const wire::SubmitRequest &message) {
-        return term.submit(message);
+    return serve(context, request, reply, [](LeaderTerm &term, wire::SubmitRequest message) {
+        return term.submit(std::move(message));
     });
 }
 
@@ -38,8 +40,8 @@
                                                         const wire::CancelRequest *request,
                                                         wire::CancelReply *reply)
 {
-    return serve(context, request, reply, [](LeaderTerm &term, const wire::CancelRequest &message) {
-        return term.cancel(message);
+    return serve(context, request, reply, [](LeaderTerm &term, wire::CancelRequest message) {
+        return term.cancel(std::move(message));
     });
 }
 
@@ -47,8 +49,8 @@
                                                        const wire::QueryRequest *request,
                                                        wire::QueryReply *reply)
 {
-    return serve(context, request, reply, [](LeaderTerm &term, const wire::QueryRequest &message) {
-        return term.query(message);
+    return serve(context, request, reply, [](LeaderTerm &term, wire::QueryRequest message) {
+        return term.query(std::move(message));
     });
 }
 
@@ -56,21 +58,20 @@
                                                               const wire::CountPendingRequest *request,
                                                               wire::CountPendingReply *reply)
 {
-    return serve(
-        context,
-        request,
-        reply,
-        [](LeaderTerm &term, const wire::CountPendingRequest &message) -> asio::awaitable<wire::CountPendingReply> {
-            co_return term.countPending(message);
-        });
+    return serve(context,
+                 request,
+                 reply,
+                 [](LeaderTerm &term, wire::CountPendingRequest message) -> asio::awaitable<wire::CountPendingReply> {
+                     co_return term.countPending(message);
+                 });
 }
 
 grpc::ServerUnaryReactor *LeaderServiceFrontend::Report(grpc::CallbackServerContext *context,
                                                         const wire::ReportRequest *request,
                                                         wire::ReportReply *reply)
 {
-    return serve(context, request, reply, [](LeaderTerm &term, const wire::ReportRequest &message) {
-        return term.report(message);
+    return serve(context, request, reply, [](LeaderTerm &term, wire::ReportRequest message) {
+        return term.report(std::move(message));
     });
 }
 
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -599,7 +599,7 @@
     return m_scheduler.acknowledgedEnd(waiter.host, waiter.upstream) >= waiter.number;
 }
 
-asio::awaitable<void> LeaderTerm::waitForEnds(Scheduling::HostReport report)
+asio::awaitable<void> LeaderTerm::waitForEnds(const Scheduling::HostReport &report)
 {
     const auto until = std::chrono::steady_clock::now() + StoredTimeout;
     const auto waiter = m_endWaiters.insert(m_endWaiters.end(),
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -102,7 +102,7 @@
     boost::asio::awaitable<void> waitForCommit(std::string job);
     void processReport(const Scheduling::HostReport &report, TimePoint now);
     /// Waits until the ended runs that a report lists are stored or a time limit has passed.
-    boost::asio::awaitable<void> waitForEnds(Scheduling::HostReport report);
+    boost::asio::awaitable<void> waitForEnds(const Scheduling::HostReport &report);
     [[nodiscard]] bool isAcknowledged(const EndWaiter &waiter) const;
     void wakeEndWaiters();
     void processInboxRow(const Row &row);
