Take over beside unreadable rows of leadership

What callers saw: nothing yet; found by reading. With a head row that could not be decoded no process became the leader until somebody removed the row; a head row whose base64 was damaged passed for a missing one, with the same result. An empty head row gave the next leader epoch 1, below the fencing tokens that workers had seen. An epoch that no leader had had, in the leader's row, deposed each later leader at once. An unreadable row of the leader passed for a vacancy, so that each copy of it cost a change of leader. Cause: the next epoch came from the head row alone, and the rows were not checked. Change: the next epoch is above the head's and above the one that is known from the leader's row; epochs beyond 2^53 are ignored. Without a readable head nothing is known of former terms, so that the longest wait applies to all leases. A row that is asked for by its key is there with an empty value when it is damaged. An unreadable leader's row is one that was not renewed yet.

--- a/packages/control/src/carobflow/control/election.cpp
+++ b/packages/control/src/carobflow/control/election.cpp
@@ -55,10 +55,17 @@
 void Election::onLeaderRow(const Row *row, TimePoint now)
 {
     wire::Leadership leadership;
-    if (row == nullptr || !leadership.ParseFromString(row->value)) {
+    if (row == nullptr) {
         m_candidacy.onRow(0, false, now);
         return;
     }
+    if (!leadership.ParseFromString(row->value) || leadership.epoch() == 0
+        || leadership.epoch() > StoreLayout::HighestEpoch) {
+        // A leader writes its row again within its renewal interval, so the row says nothing about a vacancy.
+        logWarning("leader-row-unreadable").with("row", row->key).with("row_version", row->version);
+        m_candidacy.onRow(row->version, false, now);
+        return;
+    }
     m_directory.learn(leadership.epoch(), leadership.address());
     // A row that names this process while it neither leads nor is taking over dates from before a restart.
     const bool isOwn = leadership.address() == m_options.ledger.address && !m_takingOver;
--- a/packages/control/src/carobflow/control/leaderdirectory.cpp
+++ b/packages/control/src/carobflow/control/leaderdirectory.cpp
@@ -1,5 +1,6 @@
 #include "carobflow/control/leaderdirectory.h"
 
+#include "carobflow/control/storelayout.h"
 #include "carobflow/logging/log.h"
 
 namespace Carobflow
@@ -7,6 +8,10 @@
 
 bool LeaderDirectory::learn(Epoch epoch, std::string_view address)
 {
+    if (epoch > StoreLayout::HighestEpoch) {
+        logWarning("leader-ignored").with("epoch", epoch).with("address", address);
+        return false;
+    }
     const std::lock_guard lock(m_mutex);
     // Within an epoch only the resignation of its leader changes the address.
     const bool newer = epoch > m_leader.epoch;
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -107,14 +107,25 @@
     m_headVersion = 0;
     if (!valueOf(rows).empty()) {
         m_headVersion = valueOf(rows).front().version;
-        if (!before.ParseFromString(valueOf(rows).front().value)) {
-            co_return Error{ErrorKind::Internal, "the row ledger/head cannot be read; remove it while no leader runs"};
+        if (!before.ParseFromString(valueOf(rows).front().value) || before.epoch() == 0
+            || before.epoch() > StoreLayout::HighestEpoch) {
+            logError("head-unreadable")
+                .with("row", StoreLayout::LedgerHeadKey)
+                .with("row_version", m_headVersion)
+                .with("remedy", "none needed; the next leader writes it again");
+            const auto epoch = co_await readLeaderEpoch();
+            if (!isOk(epoch)) {
+                co_return errorOf(epoch);
+            }
+            // Nothing is known of former terms, so the longest wait applies to every host.
+            before.Clear();
+            lastKnown = std::max(lastKnown, valueOf(epoch));
         }
     }
     if (before.epoch() > lastKnown) {
         co_return deposed();
     }
-    m_epoch = before.epoch() + 1;
+    m_epoch = std::max(before.epoch(), lastKnown) + 1;
     m_sequence = 0;
     const TimePoint sentAt = suspendAwareNow();
     recordFormerTerms(before, sentAt);
@@ -143,6 +154,21 @@
     co_return std::monostate{};
 }
 
+asio::awaitable<Result<Epoch>> Ledger::readLeaderEpoch()
+{
+    const std::vector<std::string> keys{std::string(StoreLayout::LeaderKey)};
+    const auto rows = co_await m_table.read(keys);
+    if (!isOk(rows)) {
+        co_return errorOf(rows);
+    }
+    wire::Leadership leadership;
+    if (!valueOf(rows).empty() && leadership.ParseFromString(valueOf(rows).front().value)
+        && leadership.epoch() <= StoreLayout::HighestEpoch) {
+        co_return leadership.epoch();
+    }
+    co_return Epoch{0};
+}
+
 asio::awaitable<Status> Ledger::findToken(std::uint64_t token)
 {
     const std::vector<std::string> keys{std::string(StoreLayout::LedgerHeadKey)};
--- a/packages/control/src/carobflow/control/ledger.h
+++ b/packages/control/src/carobflow/control/ledger.h
@@ -34,7 +34,8 @@
 
     Ledger(Options options, WatchableTable &table);
 
-    /// Becomes the leader with the next epoch. `lastKnown` is the epoch of the leader to be replaced. Errors: Conflict
+    /// Becomes the leader with an epoch above that of the head row and above `lastKnown`, the epoch of the leader to be
+    /// replaced. When the head row cannot be read, the leader's row stands in for it. Errors: Conflict
     /// when another process was faster, Unavailable when the outcome is not known; the caller may retry.
     boost::asio::awaitable<Status> takeOver(Epoch lastKnown);
 
@@ -80,6 +81,8 @@
     /// Adds the term that the head row of the previous leader describes to the former ones.
     void recordFormerTerms(const carobflow::control::LedgerHead &before, TimePoint now);
     [[nodiscard]] std::string leaderValue(const std::string &address) const;
+    /// The epoch in the leader's row; 0 when there is none or it cannot be read.
+    boost::asio::awaitable<Result<Epoch>> readLeaderEpoch();
     /// Determines from the head row whether the write with this token was applied. Errors: NotFound when it was not,
     /// Conflict when another process leads.
     boost::asio::awaitable<Status> findToken(std::uint64_t token);
--- a/packages/control/src/carobflow/control/storelayout.h
+++ b/packages/control/src/carobflow/control/storelayout.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,9 @@
 /// Rows that operators write.
 inline constexpr std::string_view OperatorPrefix = "operators/";
 
+/// Higher epochs are not from a leader: the platform's fencing tokens are JSON numbers, exact up to here only.
+inline constexpr std::uint64_t HighestEpoch = 9'007'199'254'740'992;
+
 inline std::string keyOf(std::string_view prefix, std::string_view name)
 {
     return std::string(prefix).append(name);
