Check numbers in the replies of peers

What callers saw: nothing yet; found by reading. A peer of another version that names an outcome or a state of a job with a number that a process does not know ends that process, in the table of names. A grant of any length was believed, so that leases could be renewed without a leader. Cause: the numbers were cast to the enumerations. Change: an unknown outcome counts as no answer, and an unknown state is asked for again; a grant has at most the length that leaders give.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -291,4 +291,25 @@
             .reason = {}};
 }
 
+model::StartOutcome startOutcomeOf(std::uint32_t number)
+{
+    return number <= static_cast<std::uint32_t>(model::StartOutcome::Unanswered)
+        ? static_cast<model::StartOutcome>(number)
+        : model::StartOutcome::Unanswered;
+}
+
+model::StopOutcome stopOutcomeOf(std::uint32_t number)
+{
+    return number <= static_cast<std::uint32_t>(model::StopOutcome::Unanswered)
+        ? static_cast<model::StopOutcome>(number)
+        : model::StopOutcome::Unanswered;
+}
+
+std::optional<model::JobPhase> phaseOf(std::uint32_t number)
+{
+    return number <= static_cast<std::uint32_t>(model::JobPhase::Cancelled)
+        ? std::optional(static_cast<model::JobPhase>(number))
+        : std::nullopt;
+}
+
 } // namespace Carobflow
--- a/packages/control/src/carobflow/control/conversion.h
+++ b/packages/control/src/carobflow/control/conversion.h
@@ -4,6 +4,9 @@
 #include "carobflow/scheduler/job.h"
 #include "carobflow/scheduler/orders.h"
 
+#include <cstdint>
+#include <optional>
+
 #include <control.pb.h>
 
 namespace Carobflow
@@ -29,4 +32,12 @@
 /// The run that a message identifies by the text form of its task id; the id is empty when the text is malformed.
 Scheduling::RunId runOf(const std::string &task, std::uint32_t run);
 
+/// What a peer says became of an order. A number that this build does not know counts as no answer, so that the order
+/// is sent again or the run is stopped.
+Scheduling::StartOutcome startOutcomeOf(std::uint32_t number);
+Scheduling::StopOutcome stopOutcomeOf(std::uint32_t number);
+
+/// The state of a job that a peer names; empty for one that this build does not know.
+std::optional<Scheduling::JobPhase> phaseOf(std::uint32_t number);
+
 } // namespace Carobflow
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -368,7 +368,8 @@
     }
     adoptEpoch(reply.leader().epoch());
     m_leaderAnsweredAt = suspendAwareNow();
-    m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grant_ms()));
+    m_grantUntil = std::max(
+        m_grantUntil, sentAt + std::clamp(Milliseconds(reply.grant_ms()), Milliseconds(0), m_options.leaseTimes.grant));
     const Scheduling::UpstreamIdentity acknowledged{.id = reply.upstream_id(),
                                                     .incarnation = reply.upstream_incarnation()};
     if (m_upstream && acknowledged == m_upstream->identity && reply.acknowledged_end() > m_acknowledgedEnd) {
--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -244,8 +244,9 @@
             const auto reply = co_await m_caller.query(leader, request, callTimeout(deadline));
             if (reply) {
                 m_directory.learn(reply->leader());
-                if (reply->outcome() == wire::QueryReply::FOUND) {
-                    co_return static_cast<Scheduling::JobPhase>(reply->phase());
+                const auto phase = phaseOf(reply->phase());
+                if (reply->outcome() == wire::QueryReply::FOUND && phase) {
+                    co_return *phase;
                 }
                 unknown = reply->outcome() == wire::QueryReply::UNKNOWN_JOB;
             }
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -788,13 +788,12 @@
         co_return;
     }
     for (const wire::StartResult &result : reply->starts()) {
-        const auto outcome = static_cast<Scheduling::StartOutcome>(result.outcome());
+        const auto outcome = startOutcomeOf(result.outcome());
         m_scheduler.onStartOutcome(host, runOf(result.task(), result.run()), outcome, now);
         m_changed = m_changed || outcome != Scheduling::StartOutcome::Started;
     }
     for (const wire::StopResult &result : reply->stops()) {
-        m_scheduler.onStopOutcome(
-            host, runOf(result.task(), result.run()), static_cast<Scheduling::StopOutcome>(result.outcome()), now);
+        m_scheduler.onStopOutcome(host, runOf(result.task(), result.run()), stopOutcomeOf(result.outcome()), now);
         m_changed = true;
     }
     if (m_changed) {
