--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -390,7 +390,8 @@
     m_leaderAnsweredAt = suspendAwareNow();
     const Milliseconds allowed(reply.lease_ms());
     const TimePoint limit = std::max(
-        m_leaseLimit, sentAt + std::clamp(allowed, Milliseconds(0), m_options.leaseTimes.leaseAfterReport(Duration(0))));
+        m_leaseLimit,
+        sentAt + std::clamp(allowed, Milliseconds(0), m_options.leaseTimes.leaseAfterReport(Duration(0))));
     const bool wasShort = m_leaseLimit - m_leaderAnsweredAt < ShortLease;
     m_leaseLimit = limit;
     if (wasShort && m_upstream && limit - m_leaderAnsweredAt >= ShortLease) {
