--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -170,10 +170,8 @@
             reachable = answered;
             logInfo(answered ? "upstream-regained" : "upstream-lost").with("upstream", m_upstream->identity.id);
         }
-        if (!answered || m_epoch == 0) {
-            co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewRetryDelay);
-        } else if (!m_unreadable.empty()) {
-            // The upstream answers at once for as long as it lists such an end.
+        // The upstream answers at once for as long as it lists an end that cannot be read.
+        if (!answered || m_epoch == 0 || !m_unreadable.empty()) {
             co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewRetryDelay);
         } else if (!m_ended.empty()) {
             co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + PendingEndsRenewInterval);
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -30,7 +30,8 @@
 constexpr std::size_t RowsPerRead = 100;
 constexpr Milliseconds LoadRetryDelay{50};
 /// Longest time for which a leader waits for the leases of a host that it does not hear, whatever the rows of the store
-/// say. Leaders of builds before 0.2 allowed renewals for 8.5 s after their last write, and leases of up to 10 s.
+/// say. Leaders of earlier builds, which did not store when they wrote, allowed renewals for 8.5 s after their last
+/// write, and leases of up to 10 s.
 constexpr Seconds LongestLeaseWait{20};
 /// Other candidates take over after 1.8 s without a renewal.
 constexpr Milliseconds RenewInterval{600};
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -27,7 +27,7 @@
 /// up to 24 bytes, and there are at most 12.
 constexpr std::size_t HeadEntries = 2;
 constexpr std::size_t HeadBytes = 500;
-/// Leases of leaders of builds before 0.2 may last this much longer after their last write.
+/// Leases of leaders of earlier builds may last this much longer after their last write.
 constexpr Seconds EarlierBuildExtra{11};
 /// Delay after a lost reply; the call itself has already waited for its time-out.
 constexpr Milliseconds LostReplyDelay{10};
