--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -78,6 +78,12 @@
     message.set_draining(upstream.draining);
 }
 
+model::RunEnd endOf(std::uint32_t number)
+{
+    return number < static_cast<std::uint32_t>(model::RunEnd::Unknown) ? static_cast<model::RunEnd>(number)
+                                                                       : model::RunEnd::Unknown;
+}
+
 model::UpstreamDescription upstreamOf(const wire::Upstream &message)
 {
     return {.identity = {.id = message.id(), .incarnation = message.incarnation()},
@@ -232,7 +238,7 @@
     for (const wire::EndedRun &entry : message.ended()) {
         report.ended.push_back({.number = entry.number(),
                                 .run = runOf(entry.task(), entry.run()),
-                                .end = static_cast<model::RunEnd>(entry.end()),
+                                .end = endOf(entry.end()),
                                 .checkpoint = entry.checkpoint()});
     }
     return report;
@@ -285,4 +291,25 @@
             .reason = {}};
 }
 
+model::StartOutcome startOutcomeOf(std::uint32_t number)
+{
+    return number <= static_cast<std::uint32_t>(model::StartOutcome::Unanswered)
+        ? static_cast<model::StartOutcome>(number)
+        : model::StartOutcome::Unanswered;
+}
+
+model::StopOutcome stopOutcomeOf(std::uint32_t number)
+{
+    return number <= static_cast<std::uint32_t>(model::StopOutcome::Unanswered)
+        ? static_cast<model::StopOutcome>(number)
+        : model::StopOutcome::Unanswered;
+}
+
+std::optional<model::JobPhase> phaseOf(std::uint32_t number)
+{
+    return number <= static_cast<std::uint32_t>(model::JobPhase::Cancelled)
+        ? std::optional(static_cast<model::JobPhase>(number))
+        : std::nullopt;
+}
+
 } // namespace Carobflow
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -44,6 +44,12 @@
 constexpr std::size_t MaxDescriptions = 1000;
 /// Covers the delay of a message.
 constexpr Milliseconds LeaseMargin{200};
+/// A run is not started under a shorter lease; renewals arrive every 0.4 s.
+constexpr Milliseconds ShortestStartLease{1000};
+/// Leases that end sooner are renewed at once when the leader allows longer ones again.
+constexpr Milliseconds ShortLease{2000};
+/// A report that is answered within this time has not waited for a busy leader; a write of the store takes 5 to 10 ms.
+constexpr Milliseconds PromptAnswer{50};
 
 } // namespace
 
@@ -65,7 +71,7 @@
     , m_leaderAnsweredAt(suspendAwareNow())
 {
     // The process before this one may have renewed the leases.
-    recordLeaseRequest(suspendAwareNow());
+    recordLeaseRequest(suspendAwareNow(), m_options.leaseTimes.lease);
 }
 
 void HostAgent::start()
@@ -93,6 +99,7 @@
     m_clockAt = {};
     m_running.clear();
     m_ended.clear();
+    m_unreadable.clear();
     m_descriptions.clear();
     m_renewNow.notify();
 }
@@ -126,27 +133,28 @@
     }
 }
 
-bool HostAgent::holdsGrant(TimePoint now) const
-{
-    return now < m_grantUntil;
-}
-
-std::optional<std::int64_t> HostAgent::leaseUntil(TimePoint now) const
+Milliseconds HostAgent::allowedLease(TimePoint now) const
 {
     // A call without an answer may still renew the lease. A silent upstream therefore gets no renewals; otherwise its
     // runs could never be considered ended.
-    if (!holdsGrant(now) || m_clockAt == TimePoint{} || now - m_answeredAt > RenewalSilenceLimit) {
-        return std::nullopt;
+    if (m_clockAt == TimePoint{} || now - m_answeredAt > RenewalSilenceLimit) {
+        return Milliseconds(0);
     }
+    const auto left = std::chrono::duration_cast<Milliseconds>(m_leaseLimit - now);
+    return std::clamp(left, Milliseconds(0), m_options.leaseTimes.lease);
+}
+
+std::int64_t HostAgent::leaseUntil(TimePoint now, Milliseconds lease) const
+{
     // A lower bound of the upstream's clock, since the answer was sent before it arrived here.
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - m_clockAt);
-    return m_clockMs + elapsed.count() + m_options.leaseTimes.lease.count();
+    return m_clockMs + elapsed.count() + lease.count();
 }
 
-void HostAgent::recordLeaseRequest(TimePoint now)
+void HostAgent::recordLeaseRequest(TimePoint now, Milliseconds lease)
 {
-    const auto lease = m_options.leaseTimes.lease * Scheduling::LeaseTimes::ClockFactor;
-    m_leasesExpireBy = now + std::chrono::duration_cast<Duration>(lease) + LeaseMargin;
+    const auto longest = lease * Scheduling::LeaseTimes::ClockFactor;
+    m_leasesExpireBy = std::max(m_leasesExpireBy, now + std::chrono::duration_cast<Duration>(longest) + LeaseMargin);
 }
 
 asio::awaitable<void> HostAgent::renewLoop()
@@ -162,7 +170,8 @@
             reachable = answered;
             logInfo(answered ? "upstream-regained" : "upstream-lost").with("upstream", m_upstream->identity.id);
         }
-        if (!answered || m_epoch == 0) {
+        // The upstream answers at once for as long as it lists an end that cannot be read.
+        if (!answered || m_epoch == 0 || !m_unreadable.empty()) {
             co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + RenewRetryDelay);
         } else if (!m_ended.empty()) {
             co_await m_renewNow.waitUntil(std::chrono::steady_clock::now() + PendingEndsRenewInterval);
@@ -182,11 +191,12 @@
     LeaseRequest request{.upstream = m_upstream->identity,
                          .fencingToken = epoch,
                          .acknowledgedEnd = m_acknowledgedEnd,
-                         .leaseUntilMs = leaseUntil(sentAt),
+                         .leaseUntilMs = std::nullopt,
                          .wait = wait};
     const auto identity = request.upstream;
-    if (request.leaseUntilMs) {
-        recordLeaseRequest(sentAt);
+    if (const Milliseconds lease = allowedLease(sentAt); lease > Milliseconds(0)) {
+        request.leaseUntilMs = leaseUntil(sentAt, lease);
+        recordLeaseRequest(sentAt, lease);
     }
     const LeaseOutcome outcome = co_await m_link.renew(std::move(request));
     const auto *lists = std::get_if<UpstreamLists>(&outcome);
@@ -217,6 +227,7 @@
         }
     }
     const bool newEnds = !m_ended.empty() && m_ended.back().number > newestBefore;
+    observeUnreadable(lists);
     if (epoch > m_fencedEpoch) {
         m_fencedEpoch = epoch;
         m_reportDue = true;
@@ -230,6 +241,23 @@
     updatePacing(receivedAt);
 }
 
+void HostAgent::observeUnreadable(const UpstreamLists &lists)
+{
+    for (const std::string &entry : lists.unreadable) {
+        if (std::ranges::find(m_unreadable, entry) == m_unreadable.end()) {
+            logWarning("list-entry-unreadable")
+                .with("upstream", m_upstream ? m_upstream->identity.id : "none")
+                .with("entry", entry)
+                .with("remedy", "check the program of the upstream; its other entries are used");
+        }
+    }
+    m_unreadable = lists.unreadable;
+    // An end that names no run concerns nobody. Ends before it have to be stored first.
+    if (lists.unreadableEnd > m_acknowledgedEnd && (m_ended.empty() || m_ended.front().number > lists.unreadableEnd)) {
+        m_acknowledgedEnd = lists.unreadableEnd;
+    }
+}
+
 void HostAgent::updatePacing(TimePoint now)
 {
     std::vector<Scheduling::PacedTask> tasks;
@@ -304,13 +332,24 @@
         const bool answered = co_await reportOnce();
         if (!answered) {
             co_await sleepFor(ReportRetryDelay);
-        } else if (!m_reportDue) {
+            continue;
+        }
+        co_await sleepFor(reportPause());
+        if (!m_reportDue) {
             const Milliseconds interval = m_ended.empty() ? ReportInterval : PendingEndsReportInterval;
             co_await m_reportNow.waitUntil(std::chrono::steady_clock::now() + interval);
         }
     }
 }
 
+Milliseconds HostAgent::reportPause() const
+{
+    // The leader reads the reports of all hosts. When it answers slowly, reports come less often, each with more news.
+    return m_reportTook < PromptAnswer
+        ? Milliseconds(0)
+        : std::min(std::chrono::duration_cast<Milliseconds>(m_reportTook * 2), ReportInterval);
+}
+
 asio::awaitable<bool> HostAgent::reportOnce()
 {
     const LeaderDirectory::Leader leader = m_directory.current();
@@ -335,6 +374,7 @@
     if (!reply->is_leader()) {
         co_return false;
     }
+    m_reportTook = suspendAwareNow() - sentAt;
     applyReply(*reply, sentAt);
     co_return true;
 }
@@ -346,7 +386,17 @@
     }
     adoptEpoch(reply.leader().epoch());
     m_leaderAnsweredAt = suspendAwareNow();
-    m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grant_ms()));
+    const Milliseconds allowed(reply.lease_ms());
+    const TimePoint limit = std::max(
+        m_leaseLimit,
+        sentAt + std::clamp(allowed, Milliseconds(0), m_options.leaseTimes.leaseAfterReport(Duration(0))));
+    const bool wasShort = m_leaseLimit - m_leaderAnsweredAt < ShortLease;
+    m_leaseLimit = limit;
+    if (wasShort && m_upstream && limit - m_leaderAnsweredAt >= ShortLease) {
+        // The pending long poll may last longer than the leases.
+        asio::co_spawn(
+            m_strand, [this]() -> asio::awaitable<void> { co_await renewOnce(Milliseconds(0)); }, asio::detached);
+    }
     const Scheduling::UpstreamIdentity acknowledged{.id = reply.upstream_id(),
                                                     .incarnation = reply.upstream_incarnation()};
     if (m_upstream && acknowledged == m_upstream->identity && reply.acknowledged_end() > m_acknowledgedEnd) {
@@ -396,14 +446,15 @@
         co_return epoch < m_epoch ? StartOutcome::Fenced : StartOutcome::NotAccepted;
     }
     const TimePoint now = suspendAwareNow();
-    const auto until = leaseUntil(now);
-    if (!until) {
+    const Milliseconds lease = allowedLease(now);
+    if (lease < ShortestStartLease) {
         co_return StartOutcome::LeaseOver;
     }
-    recordLeaseRequest(now);
+    const std::int64_t until = leaseUntil(now, lease);
+    recordLeaseRequest(now, lease);
     m_descriptions[order.run.task] = {
         .image = order.image, .tailTarget = order.tailTarget, .fillsLeftover = order.fillsLeftover};
-    co_return co_await m_link.start(std::move(order), epoch, *until);
+    co_return co_await m_link.start(std::move(order), epoch, until);
 }
 
 asio::awaitable<StopOutcome> HostAgent::stopRun(Scheduling::StopOrder order, Epoch epoch)
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -21,7 +21,7 @@
 namespace Carobflow
 {
 
-/// The agent of an upstream, and the only process that calls it. Renews the upstream's leases under the leader's grant,
+/// The agent of an upstream, and the only process that calls it. Renews the upstream's leases as the leader allows,
 /// executes the leader's orders, reports running and ended runs, and paces fillers.
 ///
 /// All members but the constructor run on the agent's strand.
@@ -74,13 +74,19 @@
     boost::asio::awaitable<Scheduling::StopOutcome> stopRun(Scheduling::StopOrder order, Epoch epoch);
     boost::asio::awaitable<void> sendPace(Scheduling::Pacer::Command command);
     void apply(const UpstreamLists &lists, Epoch epoch, TimePoint receivedAt);
+    /// Logs entries that cannot be used, once each, and lets the upstream discard ends among them.
+    void observeUnreadable(const UpstreamLists &lists);
     void updatePacing(TimePoint now);
     void applyReply(const carobflow::control::ReportReply &reply, TimePoint sentAt);
     void adoptEpoch(Epoch epoch);
     void resetUpstream(const Scheduling::UpstreamDescription &upstream);
-    [[nodiscard]] std::optional<std::int64_t> leaseUntil(TimePoint now) const;
-    void recordLeaseRequest(TimePoint now);
-    [[nodiscard]] bool holdsGrant(TimePoint now) const;
+    /// The time on the upstream's clock at which a lease of this duration ends.
+    [[nodiscard]] std::int64_t leaseUntil(TimePoint now, Milliseconds lease) const;
+    void recordLeaseRequest(TimePoint now, Milliseconds lease);
+    /// Duration of the lease to ask for; 0 when none may be.
+    [[nodiscard]] Milliseconds allowedLease(TimePoint now) const;
+    /// Time for which the agent waits after an answered report although there is something to report.
+    [[nodiscard]] Milliseconds reportPause() const;
     [[nodiscard]] bool mayStart(const Scheduling::StartOrder &order, Epoch epoch) const;
     [[nodiscard]] Scheduling::HostReport makeReport() const;
     [[nodiscard]] bool isListed(const Scheduling::RunId &run) const;
@@ -105,7 +111,10 @@
     std::uint64_t m_sequence = 0;
     Epoch m_epoch = 0;
     Epoch m_fencedEpoch = 0;
-    TimePoint m_grantUntil;
+    /// Time up to which the leader allows leases.
+    TimePoint m_leaseLimit;
+    /// Duration of the last report that was answered.
+    Duration m_reportTook{0};
     TimePoint m_leaderAnsweredAt;
     std::uint64_t m_acknowledgedEnd = 0;
     /// The upstream's clock in its last answer, and the local time at which the answer arrived.
@@ -116,6 +125,8 @@
     TimePoint m_leasesExpireBy;
     std::vector<Scheduling::RunningRun> m_running;
     std::vector<Scheduling::EndedRun> m_ended;
+    /// The entries of the last lists that cannot be used.
+    std::vector<std::string> m_unreadable;
     std::map<Scheduling::TaskId, Description> m_descriptions;
     Scheduling::Pacer m_pacer{Scheduling::Pacer::Options{}};
     bool m_reportDue = false;
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -1,10 +1,12 @@
 #include "carobflow/control/leaderterm.h"
 
 #include "carobflow/control/conversion.h"
+#include "carobflow/control/storedrows.h"
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
 #include "carobflow/core/invariant.h"
 #include "carobflow/logging/log.h"
+#include "carobflow/scheduler/jobcheck.h"
 
 #include <algorithm>
 #include <iterator>
@@ -27,6 +29,10 @@
 /// Takes about 0.2 s with the processor share of a small host, so that renewals between two reads come in time.
 constexpr std::size_t RowsPerRead = 100;
 constexpr Milliseconds LoadRetryDelay{50};
+/// Longest time for which a leader waits for the leases of a host that it does not hear, whatever the rows of the store
+/// say. Leaders of earlier builds, which did not store when they wrote, allowed renewals for 8.5 s after their last
+/// write, and leases of up to 10 s.
+constexpr Seconds LongestLeaseWait{20};
 /// Other candidates take over after 1.8 s without a renewal.
 constexpr Milliseconds RenewInterval{600};
 /// Longest time between two plans, for decisions that depend on time alone.
@@ -49,7 +55,8 @@
 constexpr Milliseconds SweepInterval{5000};
 /// Limits the log to one line a second, however often tasks are planned.
 constexpr Milliseconds WaitLogInterval{1000};
-constexpr Milliseconds InboxWatchTimeout{1500};
+/// The leader knows the inbox as of up to twice this time ago; entries read it themselves after 2.5 s.
+constexpr Milliseconds InboxWatchTimeout{1000};
 constexpr Milliseconds InboxRetryDelay{200};
 /// A leader that receives reports from fewer than half of its hosts for this long resigns.
 constexpr Milliseconds ContactTimeout{2500};
@@ -192,6 +199,7 @@
     }
     // Jobs in the inbox are accepted. A leader that has not loaded them would return wrong counts of pending jobs.
     std::vector<Row> inbox;
+    const TimePoint inboxReadAt = suspendAwareNow();
     if (complete) {
         const auto snapshot = co_await m_table.snapshot(StoreLayout::InboxPrefix);
         complete = isOk(snapshot);
@@ -205,26 +213,11 @@
         co_return false;
     }
     const TimePoint now = suspendAwareNow();
-    const std::int64_t unixNow = unixMilliseconds();
     m_scheduler.setOperatorView(m_view);
     restoreHosts(hosts, now);
-    std::map<std::string, wire::JobProgress> progressOf;
-    for (const Row &row : progress) {
-        const std::string id = row.key.substr(StoreLayout::ProgressPrefix.size());
-        if (!progressOf[id].ParseFromString(row.value)) {
-            logError("progress-unreadable").with("job", id).with("remedy", "its tasks are started again");
-        }
-    }
-    for (const Row &row : jobs) {
-        wire::Job message;
-        if (!message.ParseFromString(row.value)) {
-            logError("job-unreadable").with("row", row.key).with("remedy", "remove the row; the job is not run");
-            continue;
-        }
-        const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - message.accepted_unix_ms(), 0, 3'600'000));
-        m_scheduler.restore(fromMessage(message), fromMessage(progressOf[message.id()], message.id()), now - age, now);
-    }
+    restoreJobs(jobs, progress, now);
     processInboxRows(inbox);
+    noteInboxRead(inboxReadAt);
     logInfo("state-loaded")
         .with("epoch", m_ledger->epoch())
         .with("jobs", jobs.size())
@@ -237,51 +230,81 @@
     co_return true;
 }
 
+void LeaderTerm::restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now)
+{
+    std::map<std::string, Scheduling::JobProgress> progressOf;
+    for (const Row &row : progress) {
+        if (auto read = StoredRows::readProgress(row, StoreLayout::ProgressPrefix)) {
+            progressOf.emplace(StoredRows::nameOf(row, StoreLayout::ProgressPrefix), std::move(*read));
+        }
+    }
+    const std::int64_t unixNow = unixMilliseconds();
+    for (const Row &row : jobs) {
+        const std::string id = StoredRows::nameOf(row, StoreLayout::JobPrefix);
+        auto job = StoredRows::readJob(row, StoreLayout::JobPrefix);
+        const auto known = progressOf.find(id);
+        if (!job || known == progressOf.end()) {
+            // Which tasks have finished, and whether the job was cancelled, is not known, so none may be started. The
+            // two rows of a job are written together, and the job's is removed first.
+            logError("job-held")
+                .with("job", id)
+                .with("job_readable", job.has_value())
+                .with("progress_readable", known != progressOf.end())
+                .with("remedy", "submit the job under another id and remove its rows");
+            m_heldJobs.insert(id);
+            continue;
+        }
+        const auto age = Milliseconds(std::clamp<std::int64_t>(unixNow - job->acceptedUnixMs, 0, 3'600'000));
+        m_scheduler.restore(std::move(job->spec), known->second, now - age, now);
+    }
+}
+
 void LeaderTerm::restoreHosts(std::span<const Row> rows, TimePoint now)
 {
     for (const Row &row : rows) {
-        const std::string name = row.key.substr(StoreLayout::HostPrefix.size());
-        wire::KnownHost known;
-        if (!known.ParseFromString(row.value)) {
-            logError("host-unreadable").with("row", row.key).with("remedy", "the host is used when it reports");
-            known.Clear();
+        const auto known = StoredRows::readHost(row);
+        if (!known) {
+            // Runs that are placed on such a host keep their tasks from starting elsewhere for the longest time.
+            continue;
         }
-        m_contacts[name] = {.address = known.address()};
-        m_scheduler.expectHost(name, now, leasesExpireBy(known, now));
+        const std::string name = StoredRows::nameOf(row, StoreLayout::HostPrefix);
+        m_contacts[name] = {.address = known->address()};
+        m_scheduler.expectHost(name, now, leasesExpireBy(*known, now));
     }
 }
 
 TimePoint LeaderTerm::leasesExpireBy(const wire::KnownHost &host, TimePoint now) const
 {
-    TimePoint expiry = now + m_options.leaseTimes.untilFreeAfterWrite();
+    const TimePoint latest = now + LongestLeaseWait;
     const auto storeNow = m_table.clock().earliest(now);
-    if (!storeNow) {
-        return expiry;
-    }
-    if (const auto lastGrant = m_ledger->formerTerms().lastGrant(host.granted_by_epoch())) {
-        expiry = std::min(expiry, expiry + (*lastGrant - *storeNow));
+    const auto lastGrant = m_ledger->formerTerms().lastGrant(host.granted_by_epoch());
+    if (!storeNow || !lastGrant) {
+        return latest;
     }
+    TimePoint expiry = now + (*lastGrant - *storeNow) + m_options.leaseTimes.untilFreeAfterWrite();
     if (host.leases_expire_store_ms() > 0) {
         expiry = std::min(expiry, now + (Milliseconds(host.leases_expire_store_ms()) - *storeNow));
     }
-    return expiry;
+    return std::min(expiry, latest);
 }
 
 void LeaderTerm::publishPeers()
 {
     std::vector<std::string> peers;
     for (const auto &[name, contact] : m_contacts) {
-        peers.push_back(contact.address);
+        if (!contact.address.empty()) {
+            peers.push_back(contact.address);
+        }
     }
     m_directory.setPeers(std::move(peers));
 }
 
-Milliseconds LeaderTerm::grantFor(const Scheduling::HostReport &report, TimePoint now) const
+Milliseconds LeaderTerm::leaseFor(const Scheduling::HostReport &report, TimePoint now) const
 {
     const auto contact = m_contacts.find(report.host);
     const bool stored = contact != m_contacts.end() && contact->second.stored;
     return stored && Scheduling::Scheduler::mayRenew(report)
-        ? m_options.leaseTimes.grantAt(now - m_ledger->confirmedAt())
+        ? m_options.leaseTimes.leaseAfterReport(now - m_ledger->confirmedAt())
         : Milliseconds(0);
 }
 
@@ -292,6 +315,10 @@
 
 asio::awaitable<void> LeaderTerm::lead()
 {
+    // The first plan after a loss of power takes long.
+    if (!co_await renewWhileLoading()) {
+        co_return;
+    }
     while (!m_over) {
         const TimePoint now = suspendAwareNow();
         if (m_directory.current().epoch > m_ledger->epoch()) {
@@ -383,7 +410,7 @@
 std::vector<std::string> LeaderTerm::addHosts(TransactionBatch &batch)
 {
     for (std::string &name : m_scheduler.takeSilentHosts()) {
-        // No grant until a later row says that the host reports again.
+        // No leases until a later row says that the host reports again.
         m_contacts[name].stored = false;
         m_silentHosts.push_back(std::move(name));
     }
@@ -506,12 +533,22 @@
         co_return reply;
     }
     const std::string id = request.job().id();
+    if (m_heldJobs.contains(id)) {
+        reply.set_outcome(wire::SubmitReply::STORED);
+        co_return reply;
+    }
+    Scheduling::JobSpec spec = fromMessage(request.job());
+    if (const std::string_view fault = Scheduling::findFault(spec); !fault.empty()) {
+        logWarning("job-refused").with("job", id).with("reason", fault);
+        reply.set_outcome(wire::SubmitReply::OVERLOADED);
+        co_return reply;
+    }
     if (isStoreUnavailable(suspendAwareNow()) && m_scheduler.find(id) == nullptr) {
         logInfo("job-refused").with("job", id).with("reason", "store-away");
         reply.set_outcome(wire::SubmitReply::STORE_AWAY);
         co_return reply;
     }
-    const auto outcome = m_scheduler.submit(fromMessage(request.job()), suspendAwareNow());
+    const auto outcome = m_scheduler.submit(std::move(spec), suspendAwareNow());
     if (outcome == Scheduling::Scheduler::Submission::Accepted) {
         m_unstoredAcceptTimes[id] = unixMilliseconds();
         logInfo("job-taken")
@@ -562,7 +599,7 @@
         co_await waitForCommit(request.id());
     }
     // A repeated request finds the job cancelled already; it too is answered only when the cancellation is stored.
-    while (!m_over && m_scheduler.isDirty(request.id())) {
+    while (!m_over && !m_scheduler.isFinalStateStored(request.id())) {
         co_await sleepFor(CommitPollInterval);
     }
     if (!m_over) {
@@ -587,10 +624,8 @@
     }
     reply.set_outcome(wire::QueryReply::FOUND);
     // A final state that is not stored yet could be lost in a crash, so it is not reported.
-    const Scheduling::JobPhase phase = job->phase();
-    const bool final = phase != Scheduling::JobPhase::Queued && phase != Scheduling::JobPhase::Running;
-    reply.set_phase(
-        static_cast<std::uint32_t>(final && m_scheduler.isDirty(request.id()) ? Scheduling::JobPhase::Running : phase));
+    const bool isUnstored = job->isOver() && !m_scheduler.isFinalStateStored(request.id());
+    reply.set_phase(static_cast<std::uint32_t>(isUnstored ? Scheduling::JobPhase::Running : job->phase()));
     co_return reply;
 }
 
@@ -599,8 +634,11 @@
     wire::CountPendingReply reply;
     *reply.mutable_leader() = m_directory.hint();
     if (m_loaded && !m_over) {
+        const auto inboxAge = std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - m_inboxKnownAt);
         reply.set_is_leader(true);
         reply.set_pending(static_cast<std::uint32_t>(m_scheduler.countPending(request.queue())));
+        reply.set_inbox_age_ms(static_cast<std::uint32_t>(std::max(inboxAge, Milliseconds(0)).count()));
+        reply.set_inbox_version(m_inboxKnownVersion);
     }
     return reply;
 }
@@ -628,7 +666,7 @@
     return m_scheduler.acknowledgedEnd(waiter.host, waiter.upstream) >= waiter.number;
 }
 
-asio::awaitable<void> LeaderTerm::waitForEnds(Scheduling::HostReport report)
+asio::awaitable<void> LeaderTerm::waitForEnds(const Scheduling::HostReport &report)
 {
     const auto until = std::chrono::steady_clock::now() + StoredTimeout;
     const auto waiter = m_endWaiters.insert(m_endWaiters.end(),
@@ -676,7 +714,7 @@
     }
     const Scheduling::HostReport report = fromMessage(request);
     processReport(report, suspendAwareNow());
-    if (!m_contacts[report.host].stored) {
+    if (!m_contacts[report.host].stored && Scheduling::Scheduler::mayRenew(report)) {
         co_await waitUntilStored(report.host);
     }
     if (report.upstream && !report.ended.empty()) {
@@ -686,7 +724,7 @@
         co_return reply;
     }
     reply.set_is_leader(true);
-    reply.set_grant_ms(grantFor(report, suspendAwareNow()).count());
+    reply.set_lease_ms(leaseFor(report, suspendAwareNow()).count());
     if (report.upstream) {
         reply.set_acknowledged_end(m_scheduler.acknowledgedEnd(report.host, report.upstream->identity));
         reply.set_upstream_id(report.upstream->identity.id);
@@ -790,13 +828,12 @@
         co_return;
     }
     for (const wire::StartResult &result : reply->starts()) {
-        const auto outcome = static_cast<Scheduling::StartOutcome>(result.outcome());
+        const auto outcome = startOutcomeOf(result.outcome());
         m_scheduler.onStartOutcome(host, runOf(result.task(), result.run()), outcome, now);
         m_changed = m_changed || outcome != Scheduling::StartOutcome::Started;
     }
     for (const wire::StopResult &result : reply->stops()) {
-        m_scheduler.onStopOutcome(
-            host, runOf(result.task(), result.run()), static_cast<Scheduling::StopOutcome>(result.outcome()), now);
+        m_scheduler.onStopOutcome(host, runOf(result.task(), result.run()), stopOutcomeOf(result.outcome()), now);
         m_changed = true;
     }
     if (m_changed) {
@@ -871,8 +908,7 @@
 
 void LeaderTerm::processInboxRow(const Row &row)
 {
-    wire::Job message;
-    const std::string name = row.key.substr(StoreLayout::InboxPrefix.size());
+    const std::string name = StoredRows::nameOf(row, StoreLayout::InboxPrefix);
     const auto dot = name.find('.');
     const std::string id = name.substr(0, dot);
     if (dot != std::string::npos) {
@@ -880,13 +916,12 @@
             m_deletions.push_back(row.key);
             return;
         }
-    } else if (message.ParseFromString(row.value)) {
-        if (m_scheduler.submit(fromMessage(message), suspendAwareNow())
+    } else if (auto job = StoredRows::readJob(row, StoreLayout::InboxPrefix); job && !m_heldJobs.contains(id)) {
+        if (m_scheduler.submit(std::move(job->spec), suspendAwareNow())
             == Scheduling::Scheduler::Submission::Accepted) {
-            m_unstoredAcceptTimes[id] = message.accepted_unix_ms();
+            m_unstoredAcceptTimes[id] = job->acceptedUnixMs;
         }
     } else {
-        logError("inbox-unreadable").with("row", row.key).with("remedy", "the row is removed");
         m_deletions.push_back(row.key);
         return;
     }
@@ -911,9 +946,16 @@
     }
 }
 
+void LeaderTerm::noteInboxRead(TimePoint readAt)
+{
+    m_inboxKnownVersion = m_inboxVersion;
+    m_inboxKnownAt = readAt;
+}
+
 asio::awaitable<void> LeaderTerm::watchInbox()
 {
     while (!m_over) {
+        const TimePoint readAt = suspendAwareNow();
         std::vector<Row> rows;
         bool answered = false;
         if (m_inboxVersion == 0) {
@@ -945,6 +987,9 @@
             co_return;
         }
         processInboxRows(rows);
+        if (answered && m_inboxVersion > 0) {
+            noteInboxRead(readAt);
+        }
         if (!answered) {
             co_await sleepFor(InboxRetryDelay);
         }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -99,10 +99,12 @@
     boost::asio::awaitable<bool> commitChanges();
     boost::asio::awaitable<void> watchInbox();
     void processInboxRows(std::span<const Row> rows);
+    /// Notes that the inbox has been processed up to m_inboxVersion by a call that began at `readAt`.
+    void noteInboxRead(TimePoint readAt);
     boost::asio::awaitable<void> waitForCommit(std::string job);
     void processReport(const Scheduling::HostReport &report, TimePoint now);
     /// Waits until the ended runs that a report lists are stored or a time limit has passed.
-    boost::asio::awaitable<void> waitForEnds(Scheduling::HostReport report);
+    boost::asio::awaitable<void> waitForEnds(const Scheduling::HostReport &report);
     [[nodiscard]] bool isAcknowledged(const EndWaiter &waiter) const;
     void wakeEndWaiters();
     void processInboxRow(const Row &row);
@@ -127,14 +129,15 @@
     void logWaitingTasks(TimePoint now);
     void checkContact(TimePoint now);
     void wakeWaiters();
-    /// The grant that answers a report; 0 while the upstream is silent, while the store has not confirmed this leader
-    /// for too long, and while it does not name this leader as the one that grants leases to the host.
-    [[nodiscard]] Milliseconds grantFor(const Scheduling::HostReport &report, TimePoint now) const;
+    /// How long leases may last from an answered report on; 0 while the upstream is silent, while the store has not
+    /// confirmed this leader for too long, and while it does not name this leader as the one that grants leases there.
+    [[nodiscard]] Milliseconds leaseFor(const Scheduling::HostReport &report, TimePoint now) const;
     /// Time by which every lease has expired that former leaders granted to a host.
     [[nodiscard]] TimePoint leasesExpireBy(const carobflow::control::KnownHost &host, TimePoint now) const;
     /// The row of a host that has reported to this leader.
     [[nodiscard]] Mutation hostRow(const std::string &name) const;
     /// Adds the hosts of former leaders.
+    void restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now);
     void restoreHosts(std::span<const Row> rows, TimePoint now);
     /// Waits until the store names this leader for the host or a time limit has passed.
     boost::asio::awaitable<void> waitUntilStored(std::string host);
@@ -164,6 +167,8 @@
     TimePoint m_hostsCheckedAt;
     /// When at least half of the hosts were last in contact.
     TimePoint m_contactAt;
+    /// Accepted jobs that are not run, because a row of theirs is missing or unreadable.
+    std::set<std::string> m_heldJobs;
     /// Accept times, in Unix milliseconds, of jobs whose rows are not stored yet.
     std::map<std::string, std::int64_t, std::less<>> m_unstoredAcceptTimes;
     /// The last commit round that stored each job. A change is stored by the first round that begins after it; a round
@@ -174,6 +179,10 @@
     std::map<std::string, std::set<std::string>> m_inboxKeys;
     /// Table version up to which the inbox has been read; 0 when it has to be read as a whole.
     std::uint64_t m_inboxVersion = 0;
+    /// Table version up to which the scheduler knows the jobs of the inbox, and the time as of which it knows all of
+    /// them: when the call began whose reply was processed last.
+    std::uint64_t m_inboxKnownVersion = 0;
+    TimePoint m_inboxKnownAt;
     /// Keys of inbox rows that were processed and are not removed yet.
     std::set<std::string> m_processedInboxKeys;
     /// Hosts whose addresses are not stored yet.
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -27,6 +27,8 @@
 /// up to 24 bytes, and there are at most 12.
 constexpr std::size_t HeadEntries = 2;
 constexpr std::size_t HeadBytes = 500;
+/// Leases of leaders of earlier builds may last this much longer after their last write.
+constexpr Seconds EarlierBuildExtra{11};
 /// Delay after a lost reply; the call itself has already waited for its time-out.
 constexpr Milliseconds LostReplyDelay{10};
 
@@ -69,8 +71,9 @@
     }
     m_formerTerms = Scheduling::TermHistory(std::move(terms));
     const Milliseconds storeNow = m_table.clock().latest(now).value_or(Milliseconds(0));
-    // A row without the time dates from an earlier build; its leader may have written until now.
-    const Milliseconds lastWrite = before.sent_store_ms() > 0 ? Milliseconds(before.sent_store_ms()) : storeNow;
+    // A row without the time dates from an earlier build, whose leader may have written until now.
+    const Milliseconds lastWrite = before.sent_store_ms() > 0 ? Milliseconds(before.sent_store_ms())
+                                                              : storeNow + EarlierBuildExtra;
     m_formerTerms.add({.epoch = before.epoch(), .lastWrite = lastWrite},
                       storeNow - std::chrono::duration_cast<Milliseconds>(m_options.termRetention));
 }
@@ -107,14 +110,25 @@
     m_headVersion = 0;
     if (!valueOf(rows).empty()) {
         m_headVersion = valueOf(rows).front().version;
-        if (!before.ParseFromString(valueOf(rows).front().value)) {
-            co_return Error{ErrorKind::Internal, "the row ledger/head cannot be read; remove it while no leader runs"};
+        if (!before.ParseFromString(valueOf(rows).front().value) || before.epoch() == 0
+            || before.epoch() > StoreLayout::HighestEpoch) {
+            logError("head-unreadable")
+                .with("row", StoreLayout::LedgerHeadKey)
+                .with("row_version", m_headVersion)
+                .with("remedy", "none needed; the next leader writes it again");
+            const auto epoch = co_await readLeaderEpoch();
+            if (!isOk(epoch)) {
+                co_return errorOf(epoch);
+            }
+            // Nothing is known of former terms, so the longest wait applies to every host.
+            before.Clear();
+            lastKnown = std::max(lastKnown, valueOf(epoch));
         }
     }
     if (before.epoch() > lastKnown) {
         co_return deposed();
     }
-    m_epoch = before.epoch() + 1;
+    m_epoch = std::max(before.epoch(), lastKnown) + 1;
     m_sequence = 0;
     const TimePoint sentAt = suspendAwareNow();
     recordFormerTerms(before, sentAt);
@@ -143,6 +157,21 @@
     co_return std::monostate{};
 }
 
+asio::awaitable<Result<Epoch>> Ledger::readLeaderEpoch()
+{
+    const std::vector<std::string> keys{std::string(StoreLayout::LeaderKey)};
+    const auto rows = co_await m_table.read(keys);
+    if (!isOk(rows)) {
+        co_return errorOf(rows);
+    }
+    wire::Leadership leadership;
+    if (!valueOf(rows).empty() && leadership.ParseFromString(valueOf(rows).front().value)
+        && leadership.epoch() <= StoreLayout::HighestEpoch) {
+        co_return leadership.epoch();
+    }
+    co_return Epoch{0};
+}
+
 asio::awaitable<Status> Ledger::findToken(std::uint64_t token)
 {
     const std::vector<std::string> keys{std::string(StoreLayout::LedgerHeadKey)};
--- /dev/null
+++ b/packages/control/src/carobflow/control/storedrows.cpp
@@ -0,0 +1,103 @@
+#include "carobflow/control/storedrows.h"
+
+#include "carobflow/control/conversion.h"
+#include "carobflow/daemon/settings.h"
+#include "carobflow/logging/log.h"
+#include "carobflow/scheduler/jobcheck.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace Carobflow::StoredRows
+{
+
+namespace wire = carobflow::control;
+
+namespace
+{
+
+/// Leaves room for the runs that follow. A task is started once in 150 ms at most, so that this takes years.
+constexpr std::uint32_t HighestRun = std::numeric_limits<std::uint32_t>::max() / 2;
+
+void logUnreadable(std::string_view event, const Row &row, std::string_view reason, std::string_view remedy)
+{
+    logError(event).with("row", row.key).with("row_version", row.version).with("reason", reason).with("remedy", remedy);
+}
+
+std::string_view findFault(const Scheduling::JobProgress &progress)
+{
+    std::set<Scheduling::TaskId> tasks;
+    for (const Scheduling::TaskProgress &task : progress.tasks) {
+        if (!tasks.insert(task.id).second) {
+            return "a task is listed twice";
+        }
+        if (task.lastRun > HighestRun) {
+            return "the number of a run is out of range";
+        }
+        for (const auto &[host, run] : task.placements) {
+            if (host.empty() || run == 0 || run > task.lastRun) {
+                return "a run is placed on no host or has no valid number";
+            }
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+std::string nameOf(const Row &row, std::string_view prefix)
+{
+    return row.key.substr(std::min(prefix.size(), row.key.size()));
+}
+
+std::optional<StoredJob> readJob(const Row &row, std::string_view prefix)
+{
+    wire::Job message;
+    std::string_view fault = "its bytes cannot be decoded";
+    if (message.ParseFromString(row.value)) {
+        StoredJob job{
+            .spec = fromMessage(message),
+            .acceptedUnixMs = std::clamp<std::int64_t>(message.accepted_unix_ms(), 0, Scheduling::JobLimits::UnixMs)};
+        fault = job.spec.id == nameOf(row, prefix) ? Scheduling::findFault(job.spec) : "its id is not that of the row";
+        if (fault.empty()) {
+            return job;
+        }
+    }
+    logUnreadable("job-unreadable", row, fault, "remove the row; the job is not run");
+    return std::nullopt;
+}
+
+std::optional<Scheduling::JobProgress> readProgress(const Row &row, std::string_view prefix)
+{
+    wire::JobProgress message;
+    std::string_view fault = "its bytes cannot be decoded";
+    if (message.ParseFromString(row.value)) {
+        Scheduling::JobProgress progress = fromMessage(message, nameOf(row, prefix));
+        fault = findFault(progress);
+        if (fault.empty()) {
+            return progress;
+        }
+    }
+    logUnreadable("progress-unreadable", row, fault, "cancel what the job was for and submit it under another id");
+    return std::nullopt;
+}
+
+std::optional<wire::KnownHost> readHost(const Row &row)
+{
+    wire::KnownHost host;
+    if (host.ParseFromString(row.value)) {
+        // Whoever writes an empty row names neither an address nor a leader.
+        const bool usable = host.address().empty() ? host.granted_by_epoch() > 0 : isOk(parseEndpoint(host.address()));
+        if (usable) {
+            return host;
+        }
+    }
+    logUnreadable("host-unreadable",
+                  row,
+                  "it cannot be decoded or its address is none",
+                  "remove the row; the host is used when it reports");
+    return std::nullopt;
+}
+
+} // namespace Carobflow::StoredRows
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -128,6 +128,58 @@
             asio::detached);
     }
 
+    /// Puts a job into the inbox, as an entry does that reaches no leader.
+    void addToInbox(const std::string &id)
+    {
+        asio::co_spawn(
+            io,
+            [this, id]() -> asio::awaitable<void> {
+                const Transaction write{.conditions = {},
+                                        .mutations = {{.key = StoreLayout::keyOf(StoreLayout::InboxPrefix, id),
+                                                       .value = jobMessage(id).SerializeAsString()}}};
+                co_await table.transact(write);
+            },
+            asio::detached);
+        runUntil([&] { return versionInInbox(id) > 0; });
+    }
+
+    /// The version of a job's row in the inbox; 0 when there is none.
+    std::uint64_t versionInInbox(const std::string &id) const
+    {
+        return table.versionOf(StoreLayout::keyOf(StoreLayout::InboxPrefix, id));
+    }
+
+    /// Cancels a job and counts it when the reply confirms the cancellation.
+    void cancel(const std::string &id)
+    {
+        asio::co_spawn(
+            io,
+            [this, id]() -> asio::awaitable<void> {
+                wire::CancelRequest request;
+                request.set_id(id);
+                const wire::CancelReply reply = co_await term->cancel(std::move(request));
+                cancelled += reply.outcome() == wire::CancelReply::CANCELLED ? 1 : 0;
+            },
+            asio::detached);
+    }
+
+    /// Returns the phase that the leader gives for a job.
+    Scheduling::JobPhase query(const std::string &id)
+    {
+        std::optional<wire::QueryReply> reply;
+        asio::co_spawn(
+            io,
+            [this, id, &reply]() -> asio::awaitable<void> {
+                wire::QueryRequest request;
+                request.set_id(id);
+                reply = co_await term->query(std::move(request));
+            },
+            asio::detached);
+        runUntil([&] { return reply.has_value(); });
+        REQUIRE(reply->outcome() == wire::QueryReply::FOUND);
+        return static_cast<Scheduling::JobPhase>(reply->phase());
+    }
+
     wire::JobProgress storedProgress(const std::string &id) const
     {
         wire::JobProgress progress;
@@ -175,6 +227,7 @@
     LeaderTerm::Options options;
     std::shared_ptr<LeaderTerm> term;
     std::size_t stored = 0;
+    std::size_t cancelled = 0;
     /// Number of replies to reports, and of those among them that a leader sent.
     std::size_t replies = 0;
     std::size_t answered = 0;
@@ -269,6 +322,64 @@
     CHECK(fixture.lastReply.acknowledged_end() == 1);
 }
 
+TEST_CASE("A final state is shown from its write on", "[leaderterm]")
+{
+    // Guards against a job that runs again after a confirmed cancellation, or is said to, while ends of its runs are
+    // written.
+    constexpr Milliseconds slowWrite{400};
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.submit("job");
+    fixture.runUntil([&] { return fixture.stored == 1 && !fixture.started("job").empty(); });
+    Scheduling::HostReport report = fixture.reportOf("host-0");
+    report.ended.push_back({.number = 1, .run = fixture.started("job").front(), .end = Scheduling::RunEnd::Stopped});
+    const auto isCancellationStored = [&] { return fixture.storedProgress("job").cancelled(); };
+
+    SECTION("A cancellation that is being written is not shown")
+    {
+        fixture.table.transactTime = slowWrite;
+        fixture.cancel("job");
+        fixture.io.run_for(slowWrite / 4);
+        REQUIRE_FALSE(isCancellationStored());
+        CHECK(fixture.query("job") == Scheduling::JobPhase::Running);
+        CHECK(fixture.cancelled == 0);
+        fixture.runUntil([&] { return fixture.cancelled == 1; });
+        CHECK(isCancellationStored());
+    }
+    SECTION("A stored cancellation is shown while the end of a run is written")
+    {
+        fixture.cancel("job");
+        fixture.runUntil([&] { return fixture.cancelled == 1; });
+        REQUIRE(isCancellationStored());
+        fixture.table.transactTime = slowWrite;
+        fixture.send(report);
+        fixture.io.run_for(slowWrite / 4);
+        REQUIRE(fixture.started("job").size() == 1);
+        CHECK(fixture.query("job") == Scheduling::JobPhase::Cancelled);
+
+        SECTION("A repeated cancellation is confirmed meanwhile")
+        {
+            fixture.cancel("job");
+            fixture.io.run_for(slowWrite / 8);
+            REQUIRE(fixture.started("job").size() == 1);
+            CHECK(fixture.cancelled == 2);
+        }
+    }
+    SECTION("A new leader shows a stored cancellation while the end of a run is written")
+    {
+        fixture.cancel("job");
+        fixture.runUntil([&] { return fixture.cancelled == 1; });
+        fixture.replaceLeader();
+        fixture.runUntil([&] { return fixture.countPending().is_leader(); });
+        fixture.table.transactTime = slowWrite;
+        report.fencedEpoch = fixture.directory.current().epoch;
+        fixture.send(report);
+        fixture.io.run_for(slowWrite / 4);
+        REQUIRE(fixture.started("job").size() == 1);
+        CHECK(fixture.query("job") == Scheduling::JobPhase::Cancelled);
+    }
+}
+
 TEST_CASE("A new leader answers only after it has loaded the jobs in the inbox", "[leaderterm]")
 {
     // Guards against counts of pending jobs that omit those that entries accepted while there was no leader.
@@ -277,6 +388,28 @@
     CHECK(fixture.countPending().pending() == 2);
 }
 
+TEST_CASE("A leader says how much of the inbox its count of pending jobs contains", "[leaderterm]")
+{
+    // Guards against counts that silently omit what entries put into the inbox while the leader reads it late.
+    constexpr Milliseconds stall{300};
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.table.changesTime = stall;
+    // Lets the call that is in progress end.
+    fixture.io.run_for(Milliseconds(50));
+    fixture.addToInbox("job-0");
+    fixture.io.run_for(stall / 2);
+    const wire::CountPendingReply before = fixture.countPending();
+    CHECK(before.pending() == 0);
+    CHECK(Milliseconds(before.inbox_age_ms()) >= stall / 2);
+    CHECK(before.inbox_version() < fixture.versionInInbox("job-0"));
+    const std::uint64_t version = fixture.versionInInbox("job-0");
+    fixture.runUntil([&] { return fixture.countPending().pending() == 1; });
+    const wire::CountPendingReply after = fixture.countPending();
+    CHECK(after.inbox_version() >= version);
+    CHECK(Milliseconds(after.inbox_age_ms()) >= stall);
+}
+
 TEST_CASE("A leader whose load takes long keeps its leadership", "[leaderterm]")
 {
     // Guards against an endless series of leaders, each replaced while it loads: other candidates take over when the
@@ -307,7 +440,7 @@
     CHECK(fixture.lastReply.is_leader());
 }
 
-TEST_CASE("A host gets no grant before the store names the leader that gives it", "[leaderterm]")
+TEST_CASE("A host gets no leases before the store names the leader that allows them", "[leaderterm]")
 {
     // Guards against TWICE: the next leader relies on the store for which leaders may have granted leases to a host.
     TermFixture fixture;
@@ -319,16 +452,16 @@
     fixture.report("host-1");
     fixture.runUntil([&] { return fixture.answered > before; });
     CHECK(fixture.table.valueOf(StoreLayout::keyOf(StoreLayout::HostPrefix, "host-1")).empty());
-    CHECK(fixture.lastReply.grant_ms() == 0);
+    CHECK(fixture.lastReply.lease_ms() == 0);
     fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::HostPrefix) == 2; });
     fixture.table.transactTime = Milliseconds(2);
     fixture.runUntil([&] {
         fixture.report("host-1");
-        return fixture.lastReply.grant_ms() > 0;
+        return fixture.lastReply.lease_ms() > 0;
     });
 }
 
-TEST_CASE("A host that reports again gets a grant when the store no longer says that its leases end", "[leaderterm]")
+TEST_CASE("A host that reports again gets leases when the store no longer says that they end", "[leaderterm]")
 {
     // Guards against TWICE: a successor would rely on the end of leases that have been renewed since.
     TermFixture fixture;
@@ -339,7 +472,7 @@
     const std::size_t before = fixture.answered;
     fixture.report("host-0");
     fixture.runUntil([&] { return fixture.answered > before; });
-    CHECK(fixture.lastReply.grant_ms() > 0);
+    CHECK(fixture.lastReply.lease_ms() > 0);
     CHECK(fixture.storedHost("host-0").leases_expire_store_ms() == 0);
 }
 
@@ -351,7 +484,7 @@
     fixture.report("host-1");
     fixture.report("host-2");
     fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::HostPrefix) == 3; });
-    fixture.options.leaseTimes = {.lease = Milliseconds(300), .grant = Milliseconds(200)};
+    fixture.options.leaseTimes = {.lease = Milliseconds(300), .contactGap = Milliseconds(200)};
     fixture.replaceLeader();
     const auto until = std::chrono::steady_clock::now() + Milliseconds(6500);
     while (std::chrono::steady_clock::now() < until) {
@@ -387,10 +520,22 @@
     {
         changes = 4;
     }
+    bool agentRestarts = false;
+    SECTION("When only its upstream is lost, and its agent is restarted in series with the leaders")
+    {
+        changes = 4;
+        agentRestarts = true;
+    }
+    // A restarted agent has no answer of its upstream, and assumes that its predecessor has just renewed the leases.
+    Scheduling::HostReport restarted{.host = lost, .silence = Milliseconds(1'000'000), .leaseLeft = Milliseconds(6000)};
     const auto reportRemaining = [&](Milliseconds duration) {
         const auto until = std::chrono::steady_clock::now() + duration;
         while (std::chrono::steady_clock::now() < until) {
             fixture.report(remaining);
+            if (agentRestarts) {
+                ++restarted.agentIncarnation;
+                fixture.send(restarted);
+            }
             fixture.io.run_for(reportInterval);
         }
     };
@@ -406,8 +551,7 @@
     // The agent of the lost host may have renewed its leases until 7.5 s after its last report.
     constexpr Milliseconds longestLease{7500};
     while (fixture.hostOf("job") != remaining && std::chrono::steady_clock::now() < lostAt + startupLimit) {
-        fixture.report(remaining);
-        fixture.io.run_for(reportInterval);
+        reportRemaining(reportInterval);
     }
     CHECK(fixture.hostOf("job") == remaining);
     CHECK(std::chrono::steady_clock::now() - lostAt > longestLease);
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -34,6 +34,9 @@
 /// Number of unanswered start orders for one run after which the upstream counts as hung. Each waits 400 ms for its
 /// answer.
 constexpr std::uint32_t MaxStartSends = 3;
+/// Number of runs after which the release of lost hosts goes on with the next plan. The leader renews its leadership
+/// between two plans, and on a small host's share the release of 2,000 runs takes a second.
+constexpr std::size_t MaxReleasedRuns = 100;
 /// Time without a report after which a host of which nothing is left is forgotten. Longer than the restarts and
 /// partitions in the deployments' records; a host that reports later is added again.
 constexpr Seconds LostHostRetention{60};
@@ -67,6 +70,8 @@
     Host host;
     /// Index of the attempts that reserve resources here. Reports arrive too often for a search through all jobs.
     std::set<RunId> attempts;
+    /// Attempts restored from the store may be among them, until the upstream's list under this leader.
+    bool hasRestored = false;
     /// Time at which every lease here must have expired unless a further report arrives.
     TimePoint leaseFreeAt;
     /// Time from which on the host has been known to this leader, for the silence of a host that has never reported.
@@ -217,10 +222,14 @@
             HostState &state = hostState(attempt.host);
             state.host.reserve(job->step(id));
             state.attempts.insert({.task = id, .run = attempt.run});
+            state.hasRestored = true;
         }
     });
     m_active.insert(job->spec().id);
     const std::string id = job->spec().id;
+    if (job->isOver()) {
+        m_storedFinalStates.insert(id);
+    }
     m_jobs.insert_or_assign(id, std::move(job));
 }
 
@@ -248,7 +257,7 @@
         reportContact(state, "reporting-again", now);
     }
     if (mayRenew(report)) {
-        state.leaseFreeAt = now + m_options.leaseTimes.untilFreeAfterReport();
+        state.leaseFreeAt = std::max(state.leaseFreeAt, now + m_options.leaseTimes.untilFreeAfterReport());
     }
     if (replaced) {
         // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
@@ -292,10 +301,18 @@
         return;
     }
     Job &job = *found->second;
-    const bool known = std::ranges::any_of(task->attempts, [&](const Attempt &attempt) {
-        return attempt.run == ended.run.run && attempt.host == host.host.name();
+    const auto attempt = std::ranges::find_if(task->attempts, [&](const Attempt &candidate) {
+        return candidate.run == ended.run.run && candidate.host == host.host.name();
     });
-    if (!known) {
+    if (ended.end == RunEnd::Unknown) {
+        // The outcome of a stop order shows whether the run is gone.
+        if (attempt != task->attempts.end() && attempt->phase != AttemptPhase::Stopping) {
+            report(ended.run, host.host.name(), endName(ended.end));
+            stop(ended.run.task, *attempt, "end-unknown", now);
+        }
+        return;
+    }
+    if (attempt == task->attempts.end()) {
         // The run was abandoned. A success still counts, because finished work must not be started again. A failure
         // does not: a previous leader may have counted it, and the task may have been started again since.
         if (ended.end == RunEnd::Done && !task->done && !job.isOver()) {
@@ -419,7 +436,9 @@
 {
     // The upstream had stopped accepting orders of previous leaders before it made this list, so a restored attempt
     // that is not listed will never run.
-    dropAttempts(host, "not-running-after-takeover", [](const Attempt &attempt) { return attempt.restored; });
+    if (std::exchange(host.hasRestored, false)) {
+        dropAttempts(host, "not-running-after-takeover", [](const Attempt &attempt) { return attempt.restored; });
+    }
 }
 
 template<typename Predicate>
@@ -556,10 +575,12 @@
 
 void Scheduler::releaseLostHosts(TimePoint now)
 {
+    std::size_t released = 0;
     for (const auto &[name, state] : m_hosts) {
-        if (now > state->leaseFreeAt) {
+        if (now > state->leaseFreeAt && released < MaxReleasedRuns) {
             if (!state->attempts.empty()) {
                 reportContact(*state, "given-up", now);
+                released += state->attempts.size();
             }
             dropAttempts(*state, "host-lost", [](const Attempt & /*attempt*/) { return true; });
         }
@@ -760,7 +781,14 @@
     if (attempt.phase == AttemptPhase::Planned || attempt.phase == AttemptPhase::Committing || attempt.restored) {
         return;
     }
-    const HostState &host = hostState(attempt.host);
+    const StepSpec &step = job.step(id);
+    const Duration stallLimit = std::max<Duration>(StallTime, step.estimate / 2);
+    if (attempt.phase == AttemptPhase::Running && isStillNeeded(job, task) && !step.longRunning
+        && attempt.share >= PacedShareThreshold && now - attempt.progressedAt <= stallLimit) {
+        // Nothing to decide, which is the case for most attempts.
+        return;
+    }
+    HostState &host = hostState(attempt.host);
     if (!isUsable(host, now)) {
         return;
     }
@@ -774,7 +802,6 @@
         stop(id, attempt, job.isCancelled() ? "cancelled" : "not-needed", now);
         return;
     }
-    const StepSpec &step = job.step(id);
     if (attempt.phase == AttemptPhase::Sent) {
         if (attempt.resend || now - attempt.since > ResendDelay) {
             attempt.resend = false;
@@ -802,7 +829,7 @@
             stop(id, attempt, "upstream-leaves", now);
         } else if (attempt.percent < ReadyPercent && now - attempt.startedAt > StartupLimit
                    && now - attempt.progressedAt > StartupLimit) {
-            hostState(attempt.host).host.recordStall(now);
+            host.host.recordStall(now);
             stop(id, attempt, "not-at-work", now);
         }
         return;
@@ -812,9 +839,8 @@
         attempt.progressedAt = now;
         return;
     }
-    const Duration stallLimit = std::max<Duration>(StallTime, step.estimate / 2);
     if (now - attempt.progressedAt > stallLimit) {
-        hostState(attempt.host).host.recordStall(now);
+        host.host.recordStall(now);
         stop(id, attempt, "stalled", now);
     }
 }
@@ -866,7 +892,7 @@
                 end.committing = end.committing || end.job == id;
             }
         }
-        m_committing.insert(id);
+        m_committing.insert_or_assign(id, found->second->isOver());
         taken.push_back(std::move(id));
     }
     return taken;
@@ -874,7 +900,8 @@
 
 void Scheduler::commitJob(std::string_view id, TimePoint now)
 {
-    m_committing.erase(std::string(id));
+    const auto written = m_committing.extract(std::string(id));
+    const bool isFinal = !written.empty() && written.mapped();
     for (const auto &[name, host] : m_hosts) {
         std::erase_if(host->pendingEnds,
                       [&](const auto &entry) { return entry.second.committing && entry.second.job == id; });
@@ -883,6 +910,9 @@
     if (found == m_jobs.end()) {
         return;
     }
+    if (isFinal) {
+        m_storedFinalStates.insert(found->first);
+    }
     Job &job = *found->second;
     std::vector<std::pair<RunId, std::string>> withdrawn;
     job.forEachTask([&](const TaskId &taskId, Task &task) {
@@ -910,7 +940,7 @@
 {
     std::vector<std::string> names;
     for (const auto &[name, state] : m_hosts) {
-        if (!state->taken && state->host.hasReported() && !state->silent) {
+        if (!state->taken && state->host.hasReported() && !state->silent && mayRenew(state->host.report())) {
             state->taken = true;
             names.push_back(name);
         }
@@ -959,6 +989,7 @@
         std::erase(m_dirtyOrder, id);
     }
     m_active.erase(std::string(id));
+    m_storedFinalStates.erase(std::string(id));
     m_jobs.erase(found);
     return true;
 }
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -264,6 +264,36 @@
     }
 }
 
+TEST_CASE("The tasks of many lost hosts are released in several plans", "[scheduler]")
+{
+    // Guards against a leader that is replaced during its first plan after a loss of power of all hosts.
+    SchedulerFixture fixture;
+    fixture.hostNames.clear();
+    for (int host = 0; host < 10; ++host) {
+        fixture.hostNames.push_back("large-" + std::to_string(host));
+        HostReport report = fixture.reportOf(fixture.hostNames.back());
+        report.upstream->capacity = {.cpuMillis = 40000, .memoryMiB = 64000};
+        fixture.scheduler->onReport(report, fixture.now);
+    }
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job", 400), fixture.now);
+    REQUIRE(fixture.step().size() == 400);
+    const auto countPlaced = [&] {
+        std::size_t placed = 0;
+        for (const TaskProgress &task : fixture.scheduler->find("job")->progress().tasks) {
+            placed += task.placements.size();
+        }
+        return placed;
+    };
+    fixture.advance(Milliseconds(20000));
+    fixture.step();
+    CHECK(countPlaced() < 400);
+    CHECK(countPlaced() >= 200);
+    fixture.step();
+    fixture.step();
+    fixture.step();
+    CHECK(countPlaced() == 0);
+}
+
 TEST_CASE("Hosts that are gone are forgotten", "[scheduler]")
 {
     // Guards against a leader that counts replaced hosts as unreachable and resigns when they are the majority.
@@ -609,4 +639,29 @@
     CHECK(fixture.scheduler->find("small")->phase() == JobPhase::Completed);
 }
 
+TEST_CASE("A run whose end is of an unknown kind is stopped before its task starts again", "[scheduler]")
+{
+    // Guards against a second run of a task on the word of an entry that is not understood (TWICE).
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    fixture.reportAll(starts);
+    fixture.end(starts[0], RunEnd::Unknown, 1);
+    CHECK(fixture.step(Milliseconds(10)).empty());
+
+    const auto stops = fixture.stops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == starts[0].run);
+    CHECK(fixture.scheduler->acknowledgedEnd(starts[0].host, starts[0].upstream) == 1);
+
+    SECTION("And starts again when the run is known to be gone")
+    {
+        fixture.scheduler->onStopOutcome(starts[0].host, starts[0].run, StopOutcome::Absent, fixture.now);
+        const auto again = fixture.step(Milliseconds(10));
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].run.run == 2);
+    }
+}
+
 } // namespace Carobflow::Scheduling
--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -5,10 +5,11 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <iterator>
 #include <map>
+#include <numeric>
 
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -26,13 +27,6 @@
 constexpr Milliseconds CallTimeout{4000};
 constexpr Milliseconds PollPause{20};
 
-std::uint16_t freePort()
-{
-    asio::io_context io;
-    asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 std::string configuration()
 {
     return json::serialize(json::object{{"version", 1},
@@ -76,8 +70,11 @@
     m_directory = pattern;
     m_store = std::make_unique<StandIn::StoreStandIn>(m_io);
     m_store->putOperatorRow("config", configuration());
-    const auto ports = [] {
-        return Ports{.http = freePort(), .ready = freePort(), .grpc = freePort(), .metrics = freePort()};
+    const auto ports = [this] {
+        return Ports{.http = m_ports.reserve(),
+                     .ready = m_ports.reserve(),
+                     .grpc = m_ports.reserve(),
+                     .metrics = m_ports.reserve()};
     };
     for (std::size_t index = 0; index < options.agents; ++index) {
         m_agentPorts.push_back(ports());
@@ -147,7 +144,7 @@
         ChildProcess::Options{.name = name,
                               .program = program,
                               .arguments = {"--settings", settings},
-                              .output = m_directory + "/" + name + "-" + std::to_string(freePort()) + ".log"});
+                              .output = m_directory + "/" + name + "-" + std::to_string(m_starts++) + ".log"});
 }
 
 void HostedSystem::startEntry(std::size_t index)
@@ -160,7 +157,7 @@
         ChildProcess::Options{.name = name,
                               .program = program,
                               .arguments = {"--settings", settings},
-                              .output = m_directory + "/" + name + "-" + std::to_string(freePort()) + ".log"});
+                              .output = m_directory + "/" + name + "-" + std::to_string(m_starts++) + ".log"});
 }
 
 HttpEndpoint HostedSystem::entryEndpoint(std::size_t entry) const
@@ -217,6 +214,20 @@
     return false;
 }
 
+std::size_t HostedSystem::waitForRunning(std::size_t tasks)
+{
+    std::vector<std::size_t> counts;
+    waitUntil("the tasks run", [&] {
+        counts.clear();
+        onStandIns([&] {
+            std::ranges::transform(
+                m_workers, std::back_inserter(counts), [](const auto &worker) { return worker->runningCount(); });
+        });
+        return std::accumulate(counts.begin(), counts.end(), std::size_t(0)) == tasks;
+    });
+    return static_cast<std::size_t>(std::ranges::max_element(counts) - counts.begin());
+}
+
 void HostedSystem::onStandIns(const std::function<void()> &function)
 {
     std::promise<void> done;
