Leave a successor more of the nine seconds

Cause: with full leases up to a write that is 0.8 s old, every lease ends 8.8 s after the leader's last write. The plan, its write and the start order follow, so that tasks of a lost host started 8.9 s after its last report in the test, whose bound is 9 s. Change: full leases up to an age of 0.6 s, the interval of a leader's writes; the wait is 8.6 s again. Result: the test of the incident passes in three runs at once, the scheduler's tests pass.

--- a/packages/scheduler/src/carobflow/scheduler/leasetimes.h
+++ b/packages/scheduler/src/carobflow/scheduler/leasetimes.h
@@ -20,8 +20,8 @@
     /// Time without contact to the leader for which an agent still asks for leases of full length.
     Milliseconds contactGap{1500};
     /// Age of the leader's last confirmed write up to which it allows full leases. A leader that is not overloaded
-    /// writes every 0.6 s.
-    Milliseconds fullLeaseAge{800};
+    /// writes every 0.6 s. Longer ages leave a successor too little of the nine seconds to start the tasks.
+    Milliseconds fullLeaseAge{600};
 
     /// Lease times for upstreams that shorten longer leases to `upstreamMaximum`.
     static LeaseTimes within(Milliseconds upstreamMaximum)
