Name the counts of contact and the renewal for what they are

Cause: two structs were called HostContact, renewWhileLoading() is also called before the first plan, and a comment stood above the wrong function. Change: ContactCount, renewIfDue(), the comment moved; the fixture waits until nothing holds its terms.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -145,7 +145,7 @@
             co_return false;
         }
         rows.insert(rows.end(), valueOf(page).begin(), valueOf(page).end());
-        const bool leads = co_await renewWhileLoading();
+        const bool leads = co_await renewIfDue();
         if (!leads || valueOf(page).empty()) {
             co_return leads;
         }
@@ -153,7 +153,7 @@
     }
 }
 
-asio::awaitable<bool> LeaderTerm::renewWhileLoading()
+asio::awaitable<bool> LeaderTerm::renewIfDue()
 {
     const TimePoint now = suspendAwareNow();
     if (now - m_renewedAt < RenewInterval) {
@@ -316,7 +316,7 @@
 asio::awaitable<void> LeaderTerm::lead()
 {
     // The first plan after a loss of power takes long.
-    if (!co_await renewWhileLoading()) {
+    if (!co_await renewIfDue()) {
         co_return;
     }
     while (!m_over) {
@@ -897,7 +897,7 @@
 
 void LeaderTerm::checkContact(TimePoint now)
 {
-    const Scheduling::HostContact contact = m_scheduler.contact(now, ContactTimeout);
+    const Scheduling::ContactCount contact = m_scheduler.contact(now, ContactTimeout);
     if (contact.reporting * 2 >= contact.expected) {
         m_contactAt = now;
     } else if (now - m_contactAt > ContactTimeout && !m_resigning) {
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -84,15 +84,16 @@
 
     struct HostContact {
         std::string address;
-        /// The store names this leader as the one that grants leases to the host.
+        /// The store names this leader as the one that allows leases on the host.
         bool stored = false;
         TimePoint announcedAt;
     };
 
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<bool> loadRows(std::string_view prefix, std::vector<Row> &rows);
-    /// Renews leadership between two reads of the load, which may take longer than other candidates wait for a renewal.
-    boost::asio::awaitable<bool> renewWhileLoading();
+    /// Renews leadership between two reads of the load and before the first plan, which may take longer than other
+    /// candidates wait for a renewal. Returns false when another process leads.
+    boost::asio::awaitable<bool> renewIfDue();
     /// Waits until the state is loaded or the limit has passed.
     boost::asio::awaitable<void> waitUntilLoaded(Milliseconds limit);
     boost::asio::awaitable<void> lead();
@@ -136,9 +137,9 @@
     [[nodiscard]] TimePoint leasesExpireBy(const carobflow::control::KnownHost &host, TimePoint now) const;
     /// The row of a host that has reported to this leader.
     [[nodiscard]] Mutation hostRow(const std::string &name) const;
-    /// Adds the hosts of former leaders.
-    void restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now);
+    /// Adds the hosts of former leaders. Called before restoreJobs(), which places runs on them.
     void restoreHosts(std::span<const Row> rows, TimePoint now);
+    void restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now);
     /// Waits until the store names this leader for the host or a time limit has passed.
     boost::asio::awaitable<void> waitUntilStored(std::string host);
     /// True while a write has waited for the store for so long that new jobs are rejected.
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -6,6 +6,8 @@
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -56,8 +58,11 @@
     {
         if (term) {
             term->resign();
-            const auto until = std::chrono::steady_clock::now() + Seconds(1);
-            while (!term->isOver() && std::chrono::steady_clock::now() < until) {
+            // Calls to hosts in progress complete on the context, so it has to outlive them; they hold their term.
+            const auto isUsed = [](const std::weak_ptr<LeaderTerm> &ended) { return !ended.expired(); };
+            const auto until = std::chrono::steady_clock::now() + Seconds(3);
+            while ((term.use_count() > 1 || std::ranges::any_of(m_endedTerms, isUsed))
+                   && std::chrono::steady_clock::now() < until) {
                 io.run_for(Milliseconds(1));
             }
         }
@@ -79,6 +84,7 @@
     /// Starts the term of another process. The term before ends without resigning.
     void replaceLeader()
     {
+        m_endedTerms.push_back(term);
         term.reset();
         asio::co_spawn(io, takeOver(), asio::detached);
         runUntil([&] { return term != nullptr; });
@@ -236,6 +242,8 @@
 private:
     static constexpr std::size_t PayloadBytes = 4000;
 
+    std::vector<std::weak_ptr<LeaderTerm>> m_endedTerms;
+
     static std::shared_ptr<const Scheduling::OperatorView> defaultView()
     {
         auto view = std::make_shared<Scheduling::OperatorView>();
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -131,9 +131,9 @@
     return report.silence <= UpstreamSilenceLimit;
 }
 
-HostContact Scheduler::contact(TimePoint now, Duration timeout) const
+ContactCount Scheduler::contact(TimePoint now, Duration timeout) const
 {
-    HostContact contact;
+    ContactCount contact;
     for (const auto &[name, state] : m_hosts) {
         const bool reporting = state->host.hasReported() && now - state->host.reportedAt() < timeout;
         contact.reporting += reporting ? 1 : 0;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -46,7 +46,7 @@
 };
 
 /// How many hosts a leader hears.
-struct HostContact {
+struct ContactCount {
     std::size_t reporting = 0;
     /// Those, and the hosts that may still hold leases.
     std::size_t expected = 0;
@@ -163,7 +163,7 @@
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
     /// Counts hosts; those whose last report is younger than `timeout` are reporting.
-    [[nodiscard]] HostContact contact(TimePoint now, Duration timeout) const;
+    [[nodiscard]] ContactCount contact(TimePoint now, Duration timeout) const;
 
     /// True when the answer to a report may be a grant. A silent upstream gets none, so that its leases end.
     [[nodiscard]] static bool mayRenew(const HostReport &report);
--- a/packages/scheduler/src/carobflow/scheduler/termhistory.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/termhistory.cpp
@@ -7,7 +7,8 @@
 namespace
 {
 
-/// Bounds the size of the row. Leaders follow each other 1.8 s apart or later, so more terms than these are old.
+/// Bounds the size of the row. Leaders that fail follow each other 1.8 s apart or later, so that the terms which are
+/// removed have usually ended long ago; if not, the next one counts, and the wait is longer than needed.
 constexpr std::size_t MaxTerms = 12;
 
 } // namespace
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -305,7 +305,7 @@
     {
         fixture.advance(Milliseconds(7000));
         fixture.reportAll();
-        const HostContact contact = fixture.scheduler->contact(fixture.now, Milliseconds(2500));
+        const ContactCount contact = fixture.scheduler->contact(fixture.now, Milliseconds(2500));
         CHECK(contact.reporting == 1);
         CHECK(contact.expected == 3);
         CHECK(fixture.scheduler->forgetLostHosts(fixture.now).empty());
