--- a/packages/control/src/carobflow/control/operatorsync.cpp
+++ b/packages/control/src/carobflow/control/operatorsync.cpp
@@ -38,6 +38,20 @@
     return suspendAwareNow() - answeredAt < StoreFreshnessLimit;
 }
 
+Milliseconds OperatorSync::age() const
+{
+    const TimePoint confirmedAt{Duration(m_confirmedAt.load())};
+    return std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - confirmedAt);
+}
+
+void OperatorSync::confirm(TimePoint sentAt)
+{
+    const TimePoint::rep sent = sentAt.time_since_epoch().count();
+    TimePoint::rep known = m_confirmedAt.load();
+    while (known < sent && !m_confirmedAt.compare_exchange_weak(known, sent)) {
+    }
+}
+
 void OperatorSync::replace(std::map<std::string, Row> rows, std::uint64_t version, std::string_view source)
 {
     const std::lock_guard lock(m_mutex);
@@ -69,7 +83,8 @@
         .with("row_version", version)
         .with("queues", view->queues.size())
         .with("evacuated", view->evacuated.size())
-        .with("source", source);
+        .with("source", source)
+        .with("age_before_ms", age().count());
     m_current.store(view);
 }
 
@@ -77,12 +92,19 @@
 {
     bool reachable = true;
     for (;;) {
-        const bool answered = co_await watchOnce();
+        const TimePoint sentAt = suspendAwareNow();
+        const Status watched = co_await watchOnce();
+        const bool answered = isOk(watched);
         if (answered) {
             m_storeAnsweredAt = suspendAwareNow().time_since_epoch().count();
+            confirm(sentAt);
         }
         if (answered != reachable) {
-            logInfo(answered ? "store-regained" : "store-lost").with("part", "operators");
+            logInfo(answered ? "store-regained" : "store-lost")
+                .with("part", "operators")
+                .with("reason", answered ? std::string() : errorOf(watched).message)
+                .with("took_ms", std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - sentAt).count())
+                .with("configuration_age_ms", age().count());
             reachable = answered;
         }
         if (!answered) {
@@ -91,7 +113,7 @@
     }
 }
 
-asio::awaitable<bool> OperatorSync::watchOnce()
+asio::awaitable<Status> OperatorSync::watchOnce()
 {
     std::uint64_t version = 0;
     std::map<std::string, Row> rows;
@@ -111,23 +133,23 @@
                 }
             }
             replace(std::move(rows), changes->version, "store");
-            co_return true;
+            co_return std::monostate{};
         }
-        if (!std::holds_alternative<HistoryGone>(outcome)) {
-            co_return false;
+        if (const auto *failure = std::get_if<Error>(&outcome)) {
+            co_return *failure;
         }
         logInfo("operator-history-gone").with("after", version);
     }
     const auto snapshot = co_await m_table.snapshot(StoreLayout::OperatorPrefix);
     if (!isOk(snapshot)) {
-        co_return false;
+        co_return errorOf(snapshot);
     }
     rows.clear();
     for (const Row &row : valueOf(snapshot).rows) {
         rows[row.key] = row;
     }
     replace(std::move(rows), valueOf(snapshot).version, "store");
-    co_return true;
+    co_return std::monostate{};
 }
 
 asio::awaitable<void> OperatorSync::pollPeers()
--- a/packages/control/src/carobflow/control/operatorsync.h
+++ b/packages/control/src/carobflow/control/operatorsync.h
@@ -53,9 +53,15 @@
     /// True when the store has answered within the last 1.8 s.
     [[nodiscard]] bool isStoreFresh() const;
 
+    /// Upper bound of the time since the store held no newer rows than these; the age of decisions by current().
+    [[nodiscard]] Milliseconds age() const;
+
 private:
     void replace(std::map<std::string, Row> rows, std::uint64_t version, std::string_view source);
-    boost::asio::awaitable<bool> watchOnce();
+    /// Notes that a call which was sent at this time found no newer rows than those that are known now.
+    void confirm(TimePoint sentAt);
+    /// Reads the rows or waits for changes of them. Errors: those of the store.
+    boost::asio::awaitable<Status> watchOnce();
     boost::asio::awaitable<void> exchangeWith(std::string address);
 
     Options m_options;
@@ -67,6 +73,7 @@
     std::uint64_t m_version = 0;
     std::atomic<std::shared_ptr<const Scheduling::OperatorView>> m_current;
     std::atomic<TimePoint::rep> m_storeAnsweredAt{0};
+    std::atomic<TimePoint::rep> m_confirmedAt{0};
 };
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/metrics.cpp
+++ b/packages/daemon/src/carobflow/daemon/metrics.cpp
@@ -45,6 +45,11 @@
     , m_slotsTaken(gauge(*m_registry, "carobflow_upstream_slots_taken", "Slots of the upstream that are taken."))
     , m_slotsQueued(gauge(*m_registry, "carobflow_upstream_queued", "Requests that wait for a slot."))
     , m_upstreams(gauge(*m_registry, "carobflow_upstreams", "Upstreams that this entry knows."))
+    , m_configurationVersion(gauge(
+          *m_registry, "carobflow_configuration_version", "Version of the operators' configuration in force here."))
+    , m_configurationAge(gauge(*m_registry,
+                               "carobflow_configuration_age_seconds",
+                               "Time since the operators' configuration was confirmed as the newest."))
 {
 }
 
@@ -115,4 +120,10 @@
     m_upstreams.Add({}).Set(count);
 }
 
+void Metrics::setConfiguration(double version, double ageSeconds)
+{
+    m_configurationVersion.Add({}).Set(version);
+    m_configurationAge.Add({}).Set(ageSeconds);
+}
+
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/metrics.h
+++ b/packages/daemon/src/carobflow/daemon/metrics.h
@@ -34,6 +34,7 @@
     void setLeading(double shard, bool leading);
     void setSlotsTaken(double taken, double queued);
     void setUpstreams(double count);
+    void setConfiguration(double version, double ageSeconds);
 
 private:
     std::shared_ptr<prometheus::Registry> m_registry;
@@ -51,6 +52,8 @@
     prometheus::Family<prometheus::Gauge> &m_slotsTaken;
     prometheus::Family<prometheus::Gauge> &m_slotsQueued;
     prometheus::Family<prometheus::Gauge> &m_upstreams;
+    prometheus::Family<prometheus::Gauge> &m_configurationVersion;
+    prometheus::Family<prometheus::Gauge> &m_configurationAge;
 };
 
 } // namespace Carobflow
