Keep the position of the operators' rows at the last change that was read

A process could stay at an old configuration for good while no fault touched it. It continued from the version in the newest reply of the store, also when that reply held no rows.

--- a/packages/control/src/carobflow/control/operatorsync.cpp
+++ b/packages/control/src/carobflow/control/operatorsync.cpp
@@ -132,7 +132,11 @@
                     rows.erase(change.key);
                 }
             }
-            replace(std::move(rows), changes->version, "store");
+            // A reply without rows does not move the position. A change that it left out is then still delivered, or
+            // found by a new snapshot when the history is gone.
+            if (!changes->changes.empty()) {
+                replace(std::move(rows), changes->version, "store");
+            }
             co_return std::monostate{};
         }
         if (const auto *failure = std::get_if<Error>(&outcome)) {
--- a/packages/control/src/carobflow/control/operatorsync.h
+++ b/packages/control/src/carobflow/control/operatorsync.h
@@ -70,6 +70,7 @@
     ControlCaller &m_caller;
     mutable std::mutex m_mutex;
     std::map<std::string, Row> m_rows;
+    /// Version of the table up to which the rows contain all changes.
     std::uint64_t m_version = 0;
     std::atomic<std::shared_ptr<const Scheduling::OperatorView>> m_current;
     std::atomic<TimePoint::rep> m_storeAnsweredAt{0};
--- a/packages/control/tests/tablefake.cpp
+++ b/packages/control/tests/tablefake.cpp
@@ -118,6 +118,15 @@
 asio::awaitable<ChangesOutcome> TableFake::changes(std::string_view prefix, std::uint64_t after, Milliseconds wait)
 {
     co_await sleepFor(std::min(wait, changesTime));
+    if (refusesChanges) {
+        co_return Error{ErrorKind::Unavailable, "the table is unavailable"};
+    }
+    if (after < m_historyFrom) {
+        co_return HistoryGone{};
+    }
+    if (hidesChanges) {
+        co_return TableChanges{.changes = {}, .version = m_version};
+    }
     TableChanges changes{.changes = {}, .version = after};
     for (const Row &row : rowsOf(prefix)) {
         if (row.version > after) {
--- a/packages/control/tests/tablefake.h
+++ b/packages/control/tests/tablefake.h
@@ -46,8 +46,18 @@
     Milliseconds rangeTime{0};
     Milliseconds changesTime{2};
 
+    /// Discards the changes so far, so that calls for changes after an earlier version find the history gone.
+    void forgetHistory()
+    {
+        m_historyFrom = m_version;
+    }
+
     /// Answers no calls for snapshots.
     bool refusesSnapshots = false;
+    /// Answers no calls for changes.
+    bool refusesChanges = false;
+    /// Answers calls for changes without any, though with the newest version.
+    bool hidesChanges = false;
 
     /// Number of transactions that were rejected because they exceeded the limits.
     std::size_t oversized = 0;
@@ -60,6 +70,7 @@
 
     std::map<std::string, Row, std::less<>> m_rows;
     std::uint64_t m_version = 1;
+    std::uint64_t m_historyFrom = 0;
     TableClock m_clock;
 };
 
