Ask several peers for the configuration as soon as the store refuses

A process that the store refused with 429, 503 or a reset waited 1.8 s before it asked others, and then asked the leader and one peer in each 0.3 s.

It now asks the leader and three peers in each 0.3 s from the first refused call on, from a random place in the list. Replies say how old the replier's rows may be, so that a process with the same rows knows the age of its own. An empty reply of the store confirms the rows up to the end of the wait, which the store has spent before it replied.

--- a/packages/control/src/carobflow/control/operatorsync.cpp
+++ b/packages/control/src/carobflow/control/operatorsync.cpp
@@ -3,8 +3,15 @@
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
 #include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/daemon/internal/identifiers.h"
 #include "carobflow/logging/log.h"
 
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace Carobflow
 {
 
@@ -21,6 +28,19 @@
 constexpr Milliseconds PeerTimeout{400};
 /// While the store answers, peers are polled only to refresh the list of peers.
 constexpr int IntervalsPerPeerRefresh = 10;
+/// Peers that are asked at once. The store may refuse half of the processes; three peers know nothing newer than the
+/// caller in one of eight intervals then.
+constexpr std::size_t PeersPerInterval = 3;
+
+/// Identifies a set of rows: versions grow with each write, and a removal lowers the number of rows.
+std::pair<std::uint64_t, std::uint32_t> stateOf(const std::map<std::string, Row> &rows)
+{
+    std::uint64_t newest = 0;
+    for (const auto &[key, row] : rows) {
+        newest = std::max(newest, row.version);
+    }
+    return {newest, static_cast<std::uint32_t>(rows.size())};
+}
 
 } // namespace
 
@@ -38,6 +58,11 @@
     return suspendAwareNow() - answeredAt < StoreFreshnessLimit;
 }
 
+bool OperatorSync::isConfirmed() const
+{
+    return age() < StoreFreshnessLimit;
+}
+
 Milliseconds OperatorSync::age() const
 {
     const TimePoint confirmedAt{Duration(m_confirmedAt.load())};
@@ -95,6 +120,7 @@
         const TimePoint sentAt = suspendAwareNow();
         const Status watched = co_await watchOnce();
         const bool answered = isOk(watched);
+        m_storeAnswers = answered;
         if (answered) {
             m_storeAnsweredAt = suspendAwareNow().time_since_epoch().count();
             confirm(sentAt);
@@ -123,6 +149,7 @@
         rows = m_rows;
     }
     if (version > 0) {
+        const TimePoint sentAt = suspendAwareNow();
         const ChangesOutcome outcome = co_await m_table.changes(StoreLayout::OperatorPrefix, version, m_options.wait);
         if (const auto *changes = std::get_if<TableChanges>(&outcome)) {
             for (const TableChange &change : changes->changes) {
@@ -136,6 +163,9 @@
             // found by a new snapshot when the history is gone.
             if (!changes->changes.empty()) {
                 replace(std::move(rows), changes->version, "store");
+            } else {
+                // The store has waited for changes before it replied.
+                confirm(std::min(suspendAwareNow(), sentAt + m_options.wait));
             }
             co_return std::monostate{};
         }
@@ -158,19 +188,22 @@
 
 asio::awaitable<void> OperatorSync::pollPeers()
 {
-    std::size_t next = 0;
+    // Processes that are refused together would otherwise all ask the same peers.
+    std::size_t next = randomNumber();
     for (int interval = 0;; ++interval) {
         co_await sleepFor(PeerInterval);
-        if (isStoreFresh() && interval % IntervalsPerPeerRefresh != 0) {
+        const bool needsPeers = !m_storeAnswers || !isStoreFresh();
+        if (!needsPeers && interval % IntervalsPerPeerRefresh != 0) {
             continue;
         }
+        const auto executor = co_await asio::this_coro::executor;
+        const auto peers = m_directory.peers();
+        for (std::size_t asked = 0; needsPeers && asked < std::min(PeersPerInterval, peers.size()); ++asked) {
+            asio::co_spawn(executor, exchangeWith(peers[next++ % peers.size()]), asio::detached);
+        }
         const std::string leader = m_directory.current().address;
         if (!leader.empty()) {
-            co_await exchangeWith(leader);
-        }
-        const auto peers = m_directory.peers();
-        if (!isStoreFresh() && !peers.empty()) {
-            co_await exchangeWith(peers[next++ % peers.size()]);
+            asio::co_spawn(executor, exchangeWith(leader), asio::detached);
         }
     }
 }
@@ -183,6 +216,7 @@
         request.set_operator_version(m_version);
     }
     *request.mutable_leader() = m_directory.hint();
+    const TimePoint sentAt = suspendAwareNow();
     const auto answer = co_await m_caller.exchange(address, std::move(request), PeerTimeout);
     if (!answer) {
         co_return;
@@ -199,6 +233,15 @@
         }
         replace(std::move(rows), reply.operator_version(), address);
     }
+    confirmFrom(reply, sentAt);
+}
+
+void OperatorSync::confirmFrom(const wire::ExchangeReply &reply, TimePoint sentAt)
+{
+    const std::lock_guard lock(m_mutex);
+    if (reply.row_count() > 0 && stateOf(m_rows) == std::pair(reply.newest_row_version(), reply.row_count())) {
+        confirm(sentAt - Milliseconds(std::max<std::int64_t>(reply.age_ms(), 0)));
+    }
 }
 
 wire::ExchangeReply OperatorSync::answer(const wire::ExchangeRequest &request) const
@@ -206,6 +249,10 @@
     wire::ExchangeReply reply;
     *reply.mutable_leader() = m_directory.hint();
     const std::lock_guard lock(m_mutex);
+    const auto [newest, count] = stateOf(m_rows);
+    reply.set_newest_row_version(newest);
+    reply.set_row_count(count);
+    reply.set_age_ms(age().count());
     if (m_version > request.operator_version()) {
         reply.set_operator_version(m_version);
         for (const auto &[key, row] : m_rows) {
--- a/packages/control/src/carobflow/control/operatorsync.h
+++ b/packages/control/src/carobflow/control/operatorsync.h
@@ -53,6 +53,10 @@
     /// True when the store has answered within the last 1.8 s.
     [[nodiscard]] bool isStoreFresh() const;
 
+    /// True while the configuration is known to be at most 1.8 s old, from the store or from other processes. An older
+    /// one must not be taken as proof that something does not exist.
+    [[nodiscard]] bool isConfirmed() const;
+
     /// Upper bound of the time since the store held no newer rows than these; the age of decisions by current().
     [[nodiscard]] Milliseconds age() const;
 
@@ -63,6 +67,8 @@
     /// Reads the rows or waits for changes of them. Errors: those of the store.
     boost::asio::awaitable<Status> watchOnce();
     boost::asio::awaitable<void> exchangeWith(std::string address);
+    /// Notes the age of a peer's rows as that of the own ones when they are the same.
+    void confirmFrom(const carobflow::control::ExchangeReply &reply, TimePoint sentAt);
 
     Options m_options;
     WatchableTable &m_table;
@@ -73,6 +79,8 @@
     /// Version of the table up to which the rows contain all changes.
     std::uint64_t m_version = 0;
     std::atomic<std::shared_ptr<const Scheduling::OperatorView>> m_current;
+    /// The last call to the store was answered.
+    std::atomic<bool> m_storeAnswers{false};
     std::atomic<TimePoint::rep> m_storeAnsweredAt{0};
     std::atomic<TimePoint::rep> m_confirmedAt{0};
 };
