Store the settings of a job's queue with its progress

Accepted jobs of a queue that operators had removed stopped for good at the next change of leader: the leader kept the settings of the queue in memory only, and its successor, whose configuration no longer has the queue, found no service and one attempt for them. Found by reading.

The progress row now holds the last known settings. The configuration goes first where it has the queue; rows of earlier builds have none.

The test of the scheduler fails without the restored settings: no start after the change of leader.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -1,5 +1,7 @@
 #include "carobflow/control/conversion.h"
 
+#include "carobflow/scheduler/jobcheck.h"
+
 #include <algorithm>
 
 namespace Carobflow
@@ -84,6 +86,29 @@
                                                                        : model::RunEnd::Unknown;
 }
 
+void fill(wire::QueueSettings &message, const model::Queue &queue)
+{
+    message.set_service(queue.service);
+    message.set_priority(queue.priority);
+    message.set_max_attempts(queue.maxAttempts);
+    message.set_stretch(queue.stretch);
+    message.set_latency_allowance_ms(queue.latencyAllowance.count());
+    message.set_needs_permit(queue.needsPermit);
+}
+
+/// The settings without the name, which the job has.
+model::Queue queueOf(const wire::QueueSettings &message)
+{
+    return {.name = {},
+            .service = message.service(),
+            .priority = message.priority(),
+            .maxAttempts = std::max(1U, message.max_attempts()),
+            .stretch = message.stretch() >= 0 && message.stretch() <= model::JobLimits::Stretch ? message.stretch() : 1,
+            .latencyAllowance = Milliseconds(
+                std::clamp<std::int64_t>(message.latency_allowance_ms(), 0, model::JobLimits::Estimate.count())),
+            .needsPermit = message.needs_permit()};
+}
+
 model::UpstreamDescription upstreamOf(const wire::Upstream &message)
 {
     return {.identity = {.id = message.id(), .incarnation = message.incarnation()},
@@ -135,6 +160,9 @@
     message.set_cancelled(progress.cancelled);
     message.set_failed(progress.failed);
     message.set_started(progress.started);
+    if (progress.queue) {
+        fill(*message.mutable_queue(), *progress.queue);
+    }
     for (const model::TaskProgress &task : progress.tasks) {
         wire::TaskProgress &entry = *message.add_tasks();
         entry.set_occurrence(task.id.occurrence);
@@ -155,8 +183,11 @@
 
 model::JobProgress fromMessage(const wire::JobProgress &message, const std::string &job)
 {
-    model::JobProgress progress{
-        .cancelled = message.cancelled(), .failed = message.failed(), .started = message.started(), .tasks = {}};
+    model::JobProgress progress{.cancelled = message.cancelled(),
+                                .failed = message.failed(),
+                                .started = message.started(),
+                                .queue = message.has_queue() ? std::optional(queueOf(message.queue())) : std::nullopt,
+                                .tasks = {}};
     for (const wire::TaskProgress &entry : message.tasks()) {
         model::TaskProgress task{
             .id = {.job = job, .occurrence = entry.occurrence(), .step = entry.step(), .index = entry.index()},
--- a/packages/control/tests/conversion_test.cpp
+++ b/packages/control/tests/conversion_test.cpp
@@ -37,4 +37,40 @@
     }
 }
 
+// Guards against settings of a removed queue that a row of another writer makes unusable.
+TEST_CASE("The settings of a job's queue are stored with its progress", "[conversion]")
+{
+    Scheduling::JobProgress progress;
+    progress.queue = {
+        .service = "desk", .priority = 2, .maxAttempts = 3, .stretch = 1.5, .latencyAllowance = Milliseconds(250)};
+    carobflow::control::JobProgress message = toMessage(progress);
+
+    SECTION("And read again")
+    {
+        const auto read = fromMessage(message, "job").queue;
+        REQUIRE(read);
+        CHECK(read->service == "desk");
+        CHECK(read->priority == 2);
+        CHECK(read->maxAttempts == 3);
+        CHECK(read->stretch == 1.5);
+        CHECK(read->latencyAllowance == Milliseconds(250));
+    }
+    SECTION("But not when they are out of range")
+    {
+        message.mutable_queue()->set_stretch(std::numeric_limits<double>::quiet_NaN());
+        message.mutable_queue()->set_max_attempts(0);
+        message.mutable_queue()->set_latency_allowance_ms(-1);
+        const auto read = fromMessage(message, "job").queue;
+        REQUIRE(read);
+        CHECK(read->stretch == 1);
+        CHECK(read->maxAttempts == 1);
+        CHECK(read->latencyAllowance == Milliseconds(0));
+    }
+    SECTION("And rows of earlier builds have none")
+    {
+        message.clear_queue();
+        CHECK_FALSE(fromMessage(message, "job").queue);
+    }
+}
+
 } // namespace Carobflow
--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -131,7 +131,8 @@
 
 JobProgress Job::progress() const
 {
-    JobProgress progress{.cancelled = m_cancelled, .failed = m_failed, .started = m_started, .tasks = {}};
+    JobProgress progress{
+        .cancelled = m_cancelled, .failed = m_failed, .started = m_started, .queue = m_queue, .tasks = {}};
     const_cast<Job *>(this)->forEachTask([&](const TaskId &id, const Task &task) {
         if (task.lastRun == 0) {
             return;
@@ -155,6 +156,9 @@
     m_cancelled = progress.cancelled;
     m_failed = progress.failed;
     m_started = progress.started;
+    if (m_queue.service.empty() && progress.queue) {
+        m_queue = *progress.queue;
+    }
     for (const TaskProgress &entry : progress.tasks) {
         Task *task = findTask(entry.id);
         if (task == nullptr) {
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -77,6 +77,8 @@
     bool failed = false;
     /// An upstream has started one of the tasks.
     bool started = false;
+    /// The settings of the job's queue, for a leader in whose configuration the queue has been removed.
+    std::optional<Queue> queue;
     std::vector<TaskProgress> tasks;
 };
 
--- a/packages/scheduler/src/carobflow/scheduler/jobcheck.h
+++ b/packages/scheduler/src/carobflow/scheduler/jobcheck.h
@@ -18,6 +18,8 @@
     static constexpr std::int64_t Amount = 1'000'000'000'000;
     /// Of one task; 30 days.
     static constexpr Milliseconds Estimate{2'592'000'000};
+    /// Of a queue.
+    static constexpr double Stretch = 1e6;
     /// Between two occurrences; a year.
     static constexpr Milliseconds Interval{31'622'400'000};
     /// The year 2286.
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -353,6 +353,31 @@
     }
 }
 
+TEST_CASE("Accepted jobs of a removed queue run under the next leader", "[scheduler]")
+{
+    // Guards against jobs that never run again because the next leader knows no service for them.
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    REQUIRE(fixture.step().size() == 1);
+    JobProgress stored = fixture.scheduler->find("job")->progress();
+    stored.tasks.clear();
+
+    ++fixture.epoch;
+    fixture.view->queues.erase("quick");
+    fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
+    fixture.scheduler->setOperatorView(fixture.view);
+    fixture.scheduler->restore(SchedulerFixture::quickJob("job"), stored, fixture.now, fixture.now);
+    fixture.reportAll();
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+
+    SECTION("With the attempts that their queue allows")
+    {
+        fixture.end(starts[0], RunEnd::Failed, 1);
+        CHECK(fixture.step(Milliseconds(500)).size() == 1);
+    }
+}
+
 TEST_CASE("Ends of one incarnation of an upstream acknowledge none of the next", "[scheduler]")
 {
     // Guards against running finished tasks again: each incarnation numbers its ends from 1, and an agent drops ends
