Give up a job whose task crashes the upstreams that start it

One task crashed upstream after upstream, and everything else on each died with it (BUDGET). A run that ends with its upstream was released without being counted: failures are counted for ends that an upstream lists, and a crashed one lists none.

An upstream that is replaced without leaving first has crashed. Runs that no report had listed may have done it. If they are of one job, its tasks are charged; else they are suspected, and starts of other jobs keep away from a suspected task until its run is listed, so that the next crash has one possible cause. A job is given up after two charged crashes of one task on different hosts, and after three on one host or while upstreams also crash without a start. Charges and suspicion are in the progress row, which is written before the next start. A task that is only beside such a one loses its run and is started apart from others once.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -172,6 +172,8 @@
         entry.set_failures(task.failures);
         entry.set_done(task.done);
         entry.set_checkpoint(task.checkpoint);
+        entry.mutable_crashed_on()->Assign(task.crashedOn.begin(), task.crashedOn.end());
+        entry.set_suspected(task.suspected);
         for (const auto &[host, run] : task.placements) {
             wire::Placement &placement = *entry.add_placements();
             placement.set_host(host);
@@ -195,6 +197,8 @@
             .failures = entry.failures(),
             .done = entry.done(),
             .checkpoint = entry.checkpoint(),
+            .crashedOn = {entry.crashed_on().begin(), entry.crashed_on().end()},
+            .suspected = entry.suspected(),
             .placements = {}};
         for (const wire::Placement &placement : entry.placements()) {
             task.placements.emplace_back(placement.host(), placement.run());
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -92,6 +92,19 @@
                                .with("host", host)
                                .with("how", event);
                        },
+                   .onUpstreamCrash =
+                       [countEvent = m_options.countEvent](const Scheduling::UpstreamCrash &crash) {
+                           logWarning("upstream-crashed")
+                               .with("host", crash.host)
+                               .with("runs", crash.runs)
+                               .with("unlisted", crash.unlisted)
+                               .with("job", crash.job);
+                           if (countEvent) {
+                               countEvent(crash.unlisted == 0     ? "upstream-crashed-alone"
+                                              : crash.job.empty() ? "upstream-crashed-after-starts"
+                                                                  : "upstream-crashed-by-job");
+                           }
+                       },
                    .onHostContact =
                        [](const Scheduling::HostContactChange &change) {
                            logInfo("host-contact")
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -17,6 +18,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -37,6 +39,8 @@
         std::string name;
         std::string address;
         Scheduling::LeaseTimes leaseTimes;
+        /// Counts an event of a task or an upstream for the metrics; may be empty.
+        std::function<void(std::string_view event)> countEvent = {};
         /// How long a finished job can be queried.
         Seconds retention{150};
     };
--- a/packages/scheduler/src/carobflow/scheduler/host.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/host.cpp
@@ -79,6 +79,32 @@
     }
 }
 
+void Host::addUnlisted(std::string_view job, bool suspected)
+{
+    UnlistedStarts &starts = m_unlisted[std::string(job)];
+    ++starts.count;
+    starts.suspected += suspected ? 1 : 0;
+}
+
+void Host::removeUnlisted(std::string_view job, bool suspected)
+{
+    const auto found = m_unlisted.find(job);
+    if (found == m_unlisted.end()) {
+        return;
+    }
+    found->second.suspected -= suspected ? 1 : 0;
+    if (--found->second.count == 0) {
+        m_unlisted.erase(found);
+    }
+}
+
+bool Host::admitsStart(std::string_view job, bool suspected) const
+{
+    return std::ranges::all_of(m_unlisted, [&](const auto &entry) {
+        return entry.first == job || (!suspected && entry.second.suspected == 0);
+    });
+}
+
 bool Host::fits(const StepSpec &step) const
 {
     if (!m_report.upstream) {
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -2,8 +2,11 @@
 
 #include "carobflow/scheduler/workload.h"
 
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Carobflow::Scheduling
@@ -77,6 +80,14 @@
     void reserve(const StepSpec &step);
     void release(const StepSpec &step);
 
+    /// Notes a start that no report has listed yet, and that a report has listed it or that it is given up.
+    void addUnlisted(std::string_view job, bool suspected);
+    void removeUnlisted(std::string_view job, bool suspected);
+
+    /// False when the start could not be told from that of another job if the upstream crashes, and one of the two is
+    /// suspected to crash it.
+    [[nodiscard]] bool admitsStart(std::string_view job, bool suspected) const;
+
     /// True when a task of the step fits into the resources that are not reserved.
     [[nodiscard]] bool fits(const StepSpec &step) const;
 
@@ -113,8 +124,15 @@
     }
 
 private:
+    struct UnlistedStarts {
+        std::uint32_t count = 0;
+        std::uint32_t suspected = 0;
+    };
+
     std::string m_name;
     HostReport m_report;
+    /// By job.
+    std::map<std::string, UnlistedStarts, std::less<>> m_unlisted;
     bool m_reported = false;
     TimePoint m_reportedAt;
     Resources m_reserved;
--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -142,6 +142,8 @@
                            .failures = task.failures,
                            .done = task.done,
                            .checkpoint = task.done ? std::string() : task.checkpoint,
+                           .crashedOn = task.crashedOn,
+                           .suspected = task.suspected,
                            .placements = {}};
         for (const Attempt &attempt : task.attempts) {
             entry.placements.emplace_back(attempt.host, attempt.run);
@@ -169,6 +171,8 @@
         task->lastRun = entry.lastRun;
         task->failures = entry.failures;
         task->checkpoint = entry.checkpoint;
+        task->crashedOn = entry.crashedOn;
+        task->suspected = entry.suspected;
         if (entry.done) {
             finish(*task);
         }
@@ -178,6 +182,7 @@
                                       .upstream = {},
                                       .phase = AttemptPhase::Sent,
                                       .restored = true,
+                                      .suspected = entry.suspected,
                                       .since = now,
                                       .startedAt = now,
                                       .progressedAt = now});
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -33,6 +33,10 @@
     AttemptPhase phase = AttemptPhase::Planned;
     /// Restored from the store after a change of leader. The first report of the host shows whether it runs.
     bool restored = false;
+    /// A report has listed the run, so the upstream has survived its start.
+    bool listed = false;
+    /// The task was suspected when it was placed; see Task::suspected.
+    bool suspected = false;
     /// The start order has to be sent again, because it was not delivered or not answered.
     bool resend = false;
     /// Number of times that the start order was sent.
@@ -56,6 +60,12 @@
     std::string checkpoint;
     /// Hosts on which runs of this task have failed.
     std::vector<std::string> failedOn;
+    /// Hosts whose upstream has crashed right after a start for which only this job can be responsible; one entry a
+    /// crash.
+    std::vector<std::string> crashedOn;
+    /// The upstream of the last run crashed before any report listed that run. Starts of other jobs keep away from the
+    /// next one, so that a further crash has one possible cause.
+    bool suspected = false;
     /// Earliest time of the next start after a rejected one.
     TimePoint notBefore;
 };
@@ -67,6 +77,8 @@
     std::uint32_t failures = 0;
     bool done = false;
     std::string checkpoint;
+    std::vector<std::string> crashedOn;
+    bool suspected = false;
     /// Hosts and runs that may be running.
     std::vector<std::pair<std::string, std::uint32_t>> placements;
 };
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -45,7 +45,7 @@
     if (!step.requiredLabel.empty() && !host.hasLabel(step.requiredLabel)) {
         return false;
     }
-    if (!host.fits(step)) {
+    if (!host.fits(step) || !host.admitsStart(job.spec().id, job.findTask(id)->suspected)) {
         return false;
     }
     if (step.fillsLeftover && m_options.allowsInterference) {
@@ -92,9 +92,11 @@
     if (host.isSuspect(now)) {
         score -= SuspectPenalty;
     }
-    const auto &failedOn = job.findTask(id)->failedOn;
-    if (std::ranges::find(failedOn, host.name()) != failedOn.end()) {
-        score -= FailedHerePenalty;
+    const Task &task = *job.findTask(id);
+    for (const auto *hosts : {&task.failedOn, &task.crashedOn}) {
+        if (std::ranges::find(*hosts, host.name()) != hosts->end()) {
+            score -= FailedHerePenalty;
+        }
     }
     return score;
 }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -4,6 +4,8 @@
 #include "carobflow/scheduler/joborder.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace Carobflow::Scheduling
@@ -41,6 +43,15 @@
 /// partitions in the deployments' records; a host that reports later is added again.
 constexpr Seconds LostHostRetention{60};
 
+/// Crashes after which the job of a task is given up, when they were those of several hosts and nothing else crashes
+/// upstreams. Operators allow it after two.
+constexpr std::size_t CrashLimit = 2;
+/// The same in any other case, so that tasks are not given up because their upstreams crash for reasons of their own.
+constexpr std::size_t UncertainCrashLimit = 3;
+/// How long a crash without a start before it makes other crashes uncertain; two periods of upstreams that go down and
+/// up by turns in the records of the deployments.
+constexpr Seconds UnexplainedCrashMemory{10};
+
 bool isMostlyFree(std::span<Host *const> hosts)
 {
     const auto isHalfFree = [](const Host *host) {
@@ -68,6 +79,9 @@
     };
 
     Host host;
+    /// Runs that were released while the upstream was silent and that no report had listed. They have started there
+    /// last if the upstream turns out to have crashed.
+    std::vector<RunId> unlistedBeforeSilence;
     /// Index of the attempts that reserve resources here. Reports arrive too often for a search through all jobs.
     std::set<RunId> attempts;
     /// Attempts restored from the store may be among them, until the upstream's list under this leader.
@@ -221,6 +235,7 @@
             }
             HostState &state = hostState(attempt.host);
             state.host.reserve(job->step(id));
+            state.host.addUnlisted(job->spec().id, attempt.suspected);
             state.attempts.insert({.task = id, .run = attempt.run});
             state.hasRestored = true;
         }
@@ -252,6 +267,7 @@
         return;
     }
     const bool fenced = report.fencedEpoch == m_options.epoch;
+    const bool wasLeaving = known != nullptr && known->draining;
     const bool replaced = state.host.apply(report, now);
     if (std::exchange(state.silent, false)) {
         reportContact(state, "reporting-again", now);
@@ -259,6 +275,12 @@
     if (mayRenew(report)) {
         state.leaseFreeAt = std::max(state.leaseFreeAt, now + m_options.leaseTimes.untilFreeAfterReport());
     }
+    if (replaced && !wasLeaving) {
+        observeCrash(state, now);
+    }
+    if (report.silence <= UpstreamSilenceLimit) {
+        state.unlistedBeforeSilence.clear();
+    }
     if (replaced) {
         // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
         dropAttempts(state, "upstream-replaced", [&](const Attempt &attempt) {
@@ -267,6 +289,7 @@
     }
     if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0) {
         // All leases there have expired, even if the upstream has never confirmed its lists under this leader.
+        noteUnlisted(state);
         dropAttempts(state, "upstream-silent", [](const Attempt & /*attempt*/) { return true; });
     }
     if (!fenced || !report.upstream) {
@@ -326,6 +349,7 @@
         return;
     }
     report(ended.run, host.host.name(), endName(ended.end));
+    markListed(host, job, *task, *attempt);
     job.markStarted();
     if (!ended.checkpoint.empty()) {
         task->checkpoint = ended.checkpoint;
@@ -373,6 +397,91 @@
     }
 }
 
+std::vector<RunId> Scheduler::unlistedRuns(const HostState &host) const
+{
+    std::vector<RunId> unlisted;
+    for (const RunId &run : host.attempts) {
+        for (const Attempt &attempt : m_jobs.find(run.task.job)->second->findTask(run.task)->attempts) {
+            const bool mayHaveStarted = attempt.sends > 0 && !attempt.restored && !attempt.listed;
+            if (attempt.run == run.run && attempt.host == host.host.name() && mayHaveStarted) {
+                unlisted.push_back(run);
+            }
+        }
+    }
+    return unlisted;
+}
+
+void Scheduler::noteUnlisted(HostState &host)
+{
+    std::ranges::move(unlistedRuns(host), std::back_inserter(host.unlistedBeforeSilence));
+}
+
+void Scheduler::observeCrash(HostState &host, TimePoint now)
+{
+    const std::size_t runs = host.attempts.size();
+    noteUnlisted(host);
+    std::vector<RunId> unlisted = std::exchange(host.unlistedBeforeSilence, {});
+    std::erase_if(unlisted, [&](const RunId &run) { return find(run.task.job) == nullptr; });
+    // Starts of suspected tasks are kept apart from those of other jobs, so one of these goes before the rest.
+    std::vector<RunId> responsible;
+    std::ranges::copy_if(unlisted, std::back_inserter(responsible), [&](const RunId &run) {
+        return find(run.task.job)->findTask(run.task)->suspected;
+    });
+    if (responsible.empty()) {
+        responsible = unlisted;
+    }
+    const bool isCertain = !responsible.empty() && std::ranges::all_of(responsible, [&](const RunId &run) {
+        return run.task.job == responsible.front().task.job;
+    });
+    if (unlisted.empty()) {
+        m_unexplainedCrashAt = now;
+    }
+    if (m_options.onUpstreamCrash) {
+        m_options.onUpstreamCrash({.host = host.host.name(),
+                                   .runs = runs,
+                                   .unlisted = unlisted.size(),
+                                   .job = isCertain ? responsible.front().task.job : std::string_view()});
+    }
+    for (const RunId &run : responsible) {
+        Job &job = *m_jobs.at(run.task.job);
+        Task &task = *job.findTask(run.task);
+        if (!isStillNeeded(job, task)) {
+            continue;
+        }
+        task.suspected = true;
+        if (isCertain) {
+            countCrash(job, task, run, host.host.name(), now);
+        }
+        markDirty(job);
+    }
+}
+
+void Scheduler::countCrash(Job &job, Task &task, const RunId &run, std::string_view host, TimePoint now)
+{
+    task.crashedOn.emplace_back(host);
+    report(run, host, "upstream-crashed");
+    if (!mayCrashAgain(task, now)) {
+        job.fail();
+        report(run, host, "job-failed");
+    }
+}
+
+bool Scheduler::mayCrashAgain(const Task &task, TimePoint now) const
+{
+    const std::set<std::string_view> hosts(task.crashedOn.begin(), task.crashedOn.end());
+    const bool isUncertain = hosts.size() < CrashLimit
+        || (m_unexplainedCrashAt && now - *m_unexplainedCrashAt < UnexplainedCrashMemory);
+    return task.crashedOn.size() < (isUncertain ? UncertainCrashLimit : CrashLimit);
+}
+
+void Scheduler::markListed(HostState &host, const Job &job, Task &task, Attempt &attempt)
+{
+    if (!std::exchange(attempt.listed, true)) {
+        host.host.removeUnlisted(job.spec().id, attempt.suspected);
+        task.suspected = false;
+    }
+}
+
 void Scheduler::applyRunning(HostState &host, const HostReport &report, TimePoint now)
 {
     for (const RunningRun &running : report.running) {
@@ -396,6 +505,7 @@
             attempt->phase = AttemptPhase::Running;
             attempt->progressedAt = now;
         }
+        markListed(host, *found->second, *task, *attempt);
         attempt->upstream = report.upstream->identity;
         attempt->restored = false;
         attempt->resend = false;
@@ -462,10 +572,14 @@
 void Scheduler::dropAttempt(Job &job, const TaskId &id, std::uint32_t run, std::string_view host)
 {
     Task &task = *job.findTask(id);
-    const auto removed = std::erase_if(
-        task.attempts, [&](const Attempt &attempt) { return attempt.run == run && attempt.host == host; });
-    if (removed > 0) {
+    const auto attempt = std::ranges::find_if(
+        task.attempts, [&](const Attempt &candidate) { return candidate.run == run && candidate.host == host; });
+    if (attempt != task.attempts.end()) {
         HostState &state = hostState(host);
+        if (!attempt->listed) {
+            state.host.removeUnlisted(job.spec().id, attempt->suspected);
+        }
+        task.attempts.erase(attempt);
         state.host.release(job.step(id));
         state.attempts.erase({.task = id, .run = run});
         markDirty(job);
@@ -740,6 +854,7 @@
     requireInvariant(task.attempts.empty() || job.step(id).speculative, "one-run-at-a-time", id.toString());
     requireInvariant(host.fits(job.step(id)), "host-not-overcommitted", host.name());
     host.reserve(job.step(id));
+    host.addUnlisted(job.spec().id, task.suspected);
     host.recordPlacement(now);
     hostState(host.name()).attempts.insert({.task = id, .run = run});
     if (job.step(id).fillsLeftover) {
@@ -750,6 +865,7 @@
                              .host = host.name(),
                              .upstream = host.upstream()->identity,
                              .phase = AttemptPhase::Planned,
+                             .suspected = task.suspected,
                              .since = now,
                              .startedAt = now,
                              .progressedAt = now});
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -35,6 +35,16 @@
     Milliseconds leasesExpireIn{0};
 };
 
+/// An upstream has been replaced by another incarnation without leaving first.
+struct UpstreamCrash {
+    std::string_view host;
+    /// Runs that ended with it, and those among them that no report had listed.
+    std::size_t runs = 0;
+    std::size_t unlisted = 0;
+    /// The job whose start is held responsible; empty when none can be told.
+    std::string_view job;
+};
+
 /// Tasks that are ready and have no run, and the hosts for whose leases others wait.
 struct WaitingTasks {
     /// Steps and gangs for which the last plan found no host, and the first task among them in the order of the plan.
@@ -68,6 +78,8 @@
         Milliseconds reportTimeout{1200};
         /// Called for the log whenever a run ends, is abandoned or fails its job.
         std::function<void(const RunId &run, std::string_view host, std::string_view event)> onDecision;
+        /// Called for the log and the counters.
+        std::function<void(const UpstreamCrash &crash)> onUpstreamCrash;
         /// Called for the log when a host on which runs are placed stops reporting, reports again, or is given up.
         std::function<void(const HostContactChange &change)> onHostContact;
     };
@@ -194,6 +206,15 @@
     void dropUnlistedRestored(HostState &host);
     void observeColocation(const HostReport &report, TimePoint now);
     void countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now);
+    /// Runs whose start the upstream may have performed and that no report has listed.
+    [[nodiscard]] std::vector<RunId> unlistedRuns(const HostState &host) const;
+    void noteUnlisted(HostState &host);
+    /// Finds the job whose start has crashed an upstream, and gives it up when that has happened too often.
+    void observeCrash(HostState &host, TimePoint now);
+    void countCrash(Job &job, Task &task, const RunId &run, std::string_view host, TimePoint now);
+    [[nodiscard]] bool mayCrashAgain(const Task &task, TimePoint now) const;
+    /// Notes that an upstream has survived the start of a run.
+    void markListed(HostState &host, const Job &job, Task &task, Attempt &attempt);
     void finishTask(Job &job, Task &task, const TaskId &id);
     void onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now);
     void releaseLostHosts(TimePoint now);
@@ -239,6 +260,8 @@
     std::vector<std::string> m_silentHosts;
     /// Time of the last check of all attempts.
     TimePoint m_supervisedAt;
+    /// When an upstream last crashed without a start before it.
+    std::optional<TimePoint> m_unexplainedCrashAt;
     std::vector<StartOrder> m_starts;
     std::vector<StopOrder> m_stops;
 };
