Charge a crash to a start also when the run was listed before it

Lists follow each other within 25 ms while ended runs are not acknowledged, so one list does not show that an upstream has survived.

Agents now report for how long they have seen a run in the lists, and a start counts as survived after 0.2 s. The time is the agent's, so that an overloaded leader does not lengthen it.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -230,6 +230,7 @@
         entry.set_percent(run.percent);
         entry.set_load(run.load);
         entry.set_withheld_percent(FullShare - std::min(run.share, FullShare));
+        entry.set_listed_ms(run.listedFor.count());
     }
     for (const model::EndedRun &run : report.ended) {
         wire::EndedRun &entry = *message.add_ended();
@@ -268,7 +269,8 @@
                                   .checkpoint = entry.checkpoint(),
                                   .percent = entry.percent(),
                                   .load = entry.load(),
-                                  .share = FullShare - std::min(entry.withheld_percent(), FullShare)});
+                                  .share = FullShare - std::min(entry.withheld_percent(), FullShare),
+                                  .listedFor = Milliseconds(entry.listed_ms())});
     }
     for (const wire::EndedRun &entry : message.ended()) {
         report.ended.push_back({.number = entry.number(),
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -98,6 +98,7 @@
     m_acknowledgedEnd = 0;
     m_clockAt = {};
     m_running.clear();
+    m_firstListedAt.clear();
     m_ended.clear();
     m_unreadable.clear();
     m_descriptions.clear();
@@ -220,6 +221,7 @@
     m_answeredAt = receivedAt;
     const std::uint64_t newestBefore = m_ended.empty() ? m_acknowledgedEnd : m_ended.back().number;
     m_running = lists.running;
+    observeRunning(receivedAt);
     m_ended.clear();
     for (const Scheduling::EndedRun &ended : lists.ended) {
         if (ended.number > m_acknowledgedEnd) {
@@ -241,6 +243,18 @@
     updatePacing(receivedAt);
 }
 
+void HostAgent::observeRunning(TimePoint receivedAt)
+{
+    std::map<Scheduling::RunId, TimePoint> firstListedAt;
+    for (Scheduling::RunningRun &running : m_running) {
+        const auto known = m_firstListedAt.find(running.run);
+        const TimePoint first = known == m_firstListedAt.end() ? receivedAt : known->second;
+        firstListedAt.emplace(running.run, first);
+        running.listedFor = std::chrono::duration_cast<Milliseconds>(receivedAt - first);
+    }
+    m_firstListedAt = std::move(firstListedAt);
+}
+
 void HostAgent::observeUnreadable(const UpstreamLists &lists)
 {
     for (const std::string &entry : lists.unreadable) {
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -74,6 +74,8 @@
     boost::asio::awaitable<Scheduling::StopOutcome> stopRun(Scheduling::StopOrder order, Epoch epoch);
     boost::asio::awaitable<void> sendPace(Scheduling::Pacer::Command command);
     void apply(const UpstreamLists &lists, Epoch epoch, TimePoint receivedAt);
+    /// Notes how long each running run has been listed.
+    void observeRunning(TimePoint receivedAt);
     /// Logs entries that cannot be used, once each, and lets the upstream discard ends among them.
     void observeUnreadable(const UpstreamLists &lists);
     void updatePacing(TimePoint now);
@@ -124,6 +126,8 @@
     /// Every lease that this agent has requested expires by this time.
     TimePoint m_leasesExpireBy;
     std::vector<Scheduling::RunningRun> m_running;
+    /// When each running run was first listed.
+    std::map<Scheduling::RunId, TimePoint> m_firstListedAt;
     std::vector<Scheduling::EndedRun> m_ended;
     /// The entries of the last lists that cannot be used.
     std::vector<std::string> m_unreadable;
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -97,10 +97,10 @@
                            logWarning("upstream-crashed")
                                .with("host", crash.host)
                                .with("runs", crash.runs)
-                               .with("unlisted", crash.unlisted)
+                               .with("recent_starts", crash.recentStarts)
                                .with("job", crash.job);
                            if (countEvent) {
-                               countEvent(crash.unlisted == 0     ? "upstream-crashed-alone"
+                               countEvent(crash.recentStarts == 0 ? "upstream-crashed-alone"
                                               : crash.job.empty() ? "upstream-crashed-after-starts"
                                                                   : "upstream-crashed-by-job");
                            }
--- a/packages/scheduler/src/carobflow/scheduler/host.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/host.cpp
@@ -79,28 +79,28 @@
     }
 }
 
-void Host::addUnlisted(std::string_view job, bool suspected)
+void Host::addRecentStart(std::string_view job, bool suspected)
 {
-    UnlistedStarts &starts = m_unlisted[std::string(job)];
+    RecentStarts &starts = m_recentStarts[std::string(job)];
     ++starts.count;
     starts.suspected += suspected ? 1 : 0;
 }
 
-void Host::removeUnlisted(std::string_view job, bool suspected)
+void Host::removeRecentStart(std::string_view job, bool suspected)
 {
-    const auto found = m_unlisted.find(job);
-    if (found == m_unlisted.end()) {
+    const auto found = m_recentStarts.find(job);
+    if (found == m_recentStarts.end()) {
         return;
     }
     found->second.suspected -= suspected ? 1 : 0;
     if (--found->second.count == 0) {
-        m_unlisted.erase(found);
+        m_recentStarts.erase(found);
     }
 }
 
 bool Host::admitsStart(std::string_view job, bool suspected) const
 {
-    return std::ranges::all_of(m_unlisted, [&](const auto &entry) {
+    return std::ranges::all_of(m_recentStarts, [&](const auto &entry) {
         return entry.first == job || (!suspected && entry.second.suspected == 0);
     });
 }
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -80,9 +80,9 @@
     void reserve(const StepSpec &step);
     void release(const StepSpec &step);
 
-    /// Notes a start that no report has listed yet, and that a report has listed it or that it is given up.
-    void addUnlisted(std::string_view job, bool suspected);
-    void removeUnlisted(std::string_view job, bool suspected);
+    /// Notes a start that the upstream has not survived yet, and that it has survived it or that the run is given up.
+    void addRecentStart(std::string_view job, bool suspected);
+    void removeRecentStart(std::string_view job, bool suspected);
 
     /// False when the start could not be told from that of another job if the upstream crashes, and one of the two is
     /// suspected to crash it.
@@ -124,7 +124,7 @@
     }
 
 private:
-    struct UnlistedStarts {
+    struct RecentStarts {
         std::uint32_t count = 0;
         std::uint32_t suspected = 0;
     };
@@ -132,7 +132,7 @@
     std::string m_name;
     HostReport m_report;
     /// By job.
-    std::map<std::string, UnlistedStarts, std::less<>> m_unlisted;
+    std::map<std::string, RecentStarts, std::less<>> m_recentStarts;
     bool m_reported = false;
     TimePoint m_reportedAt;
     Resources m_reserved;
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -33,8 +33,8 @@
     AttemptPhase phase = AttemptPhase::Planned;
     /// Restored from the store after a change of leader. The first report of the host shows whether it runs.
     bool restored = false;
-    /// A report has listed the run, so the upstream has survived its start.
-    bool listed = false;
+    /// The upstream has listed the run for long enough that its start did not crash it.
+    bool survivedStart = false;
     /// The task was suspected when it was placed; see Task::suspected.
     bool suspected = false;
     /// The start order has to be sent again, because it was not delivered or not answered.
@@ -63,7 +63,7 @@
     /// Hosts whose upstream has crashed right after a start for which only this job can be responsible; one entry a
     /// crash.
     std::vector<std::string> crashedOn;
-    /// The upstream of the last run crashed before any report listed that run. Starts of other jobs keep away from the
+    /// The upstream of the last run crashed before it had survived the start. Starts of other jobs keep away from the
     /// next one, so that a further crash has one possible cause.
     bool suspected = false;
     /// Earliest time of the next start after a rejected one.
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -52,6 +52,10 @@
 /// up by turns in the records of the deployments.
 constexpr Seconds UnexplainedCrashMemory{10};
 
+/// An upstream that a start crashes may still list the run once or twice, since lists follow each other within 25 ms
+/// while ended runs are not acknowledged. Otherwise they come every 400 ms.
+constexpr Milliseconds SurvivalTime{200};
+
 bool isMostlyFree(std::span<Host *const> hosts)
 {
     const auto isHalfFree = [](const Host *host) {
@@ -79,9 +83,9 @@
     };
 
     Host host;
-    /// Runs that were released while the upstream was silent and that no report had listed. They have started there
+    /// Recent starts that were released while the upstream was silent. They have started there
     /// last if the upstream turns out to have crashed.
-    std::vector<RunId> unlistedBeforeSilence;
+    std::vector<RunId> recentBeforeSilence;
     /// Index of the attempts that reserve resources here. Reports arrive too often for a search through all jobs.
     std::set<RunId> attempts;
     /// Attempts restored from the store may be among them, until the upstream's list under this leader.
@@ -235,7 +239,7 @@
             }
             HostState &state = hostState(attempt.host);
             state.host.reserve(job->step(id));
-            state.host.addUnlisted(job->spec().id, attempt.suspected);
+            state.host.addRecentStart(job->spec().id, attempt.suspected);
             state.attempts.insert({.task = id, .run = attempt.run});
             state.hasRestored = true;
         }
@@ -279,7 +283,7 @@
         observeCrash(state, now);
     }
     if (report.silence <= UpstreamSilenceLimit) {
-        state.unlistedBeforeSilence.clear();
+        state.recentBeforeSilence.clear();
     }
     if (replaced) {
         // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
@@ -289,7 +293,7 @@
     }
     if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0) {
         // All leases there have expired, even if the upstream has never confirmed its lists under this leader.
-        noteUnlisted(state);
+        noteRecentStarts(state);
         dropAttempts(state, "upstream-silent", [](const Attempt & /*attempt*/) { return true; });
     }
     if (!fenced || !report.upstream) {
@@ -349,7 +353,7 @@
         return;
     }
     report(ended.run, host.host.name(), endName(ended.end));
-    markListed(host, job, *task, *attempt);
+    markSurvived(host, job, *task, *attempt);
     job.markStarted();
     if (!ended.checkpoint.empty()) {
         task->checkpoint = ended.checkpoint;
@@ -397,49 +401,49 @@
     }
 }
 
-std::vector<RunId> Scheduler::unlistedRuns(const HostState &host) const
+std::vector<RunId> Scheduler::recentStarts(const HostState &host) const
 {
-    std::vector<RunId> unlisted;
+    std::vector<RunId> recent;
     for (const RunId &run : host.attempts) {
         for (const Attempt &attempt : m_jobs.find(run.task.job)->second->findTask(run.task)->attempts) {
-            const bool mayHaveStarted = attempt.sends > 0 && !attempt.restored && !attempt.listed;
+            const bool mayHaveStarted = attempt.sends > 0 && !attempt.restored && !attempt.survivedStart;
             if (attempt.run == run.run && attempt.host == host.host.name() && mayHaveStarted) {
-                unlisted.push_back(run);
+                recent.push_back(run);
             }
         }
     }
-    return unlisted;
+    return recent;
 }
 
-void Scheduler::noteUnlisted(HostState &host)
+void Scheduler::noteRecentStarts(HostState &host)
 {
-    std::ranges::move(unlistedRuns(host), std::back_inserter(host.unlistedBeforeSilence));
+    std::ranges::move(recentStarts(host), std::back_inserter(host.recentBeforeSilence));
 }
 
 void Scheduler::observeCrash(HostState &host, TimePoint now)
 {
     const std::size_t runs = host.attempts.size();
-    noteUnlisted(host);
-    std::vector<RunId> unlisted = std::exchange(host.unlistedBeforeSilence, {});
-    std::erase_if(unlisted, [&](const RunId &run) { return find(run.task.job) == nullptr; });
+    noteRecentStarts(host);
+    std::vector<RunId> recent = std::exchange(host.recentBeforeSilence, {});
+    std::erase_if(recent, [&](const RunId &run) { return find(run.task.job) == nullptr; });
     // Starts of suspected tasks are kept apart from those of other jobs, so one of these goes before the rest.
     std::vector<RunId> responsible;
-    std::ranges::copy_if(unlisted, std::back_inserter(responsible), [&](const RunId &run) {
+    std::ranges::copy_if(recent, std::back_inserter(responsible), [&](const RunId &run) {
         return find(run.task.job)->findTask(run.task)->suspected;
     });
     if (responsible.empty()) {
-        responsible = unlisted;
+        responsible = recent;
     }
     const bool isCertain = !responsible.empty() && std::ranges::all_of(responsible, [&](const RunId &run) {
         return run.task.job == responsible.front().task.job;
     });
-    if (unlisted.empty()) {
+    if (recent.empty()) {
         m_unexplainedCrashAt = now;
     }
     if (m_options.onUpstreamCrash) {
         m_options.onUpstreamCrash({.host = host.host.name(),
                                    .runs = runs,
-                                   .unlisted = unlisted.size(),
+                                   .recentStarts = recent.size(),
                                    .job = isCertain ? responsible.front().task.job : std::string_view()});
     }
     for (const RunId &run : responsible) {
@@ -474,10 +478,10 @@
     return task.crashedOn.size() < (isUncertain ? UncertainCrashLimit : CrashLimit);
 }
 
-void Scheduler::markListed(HostState &host, const Job &job, Task &task, Attempt &attempt)
+void Scheduler::markSurvived(HostState &host, const Job &job, Task &task, Attempt &attempt)
 {
-    if (!std::exchange(attempt.listed, true)) {
-        host.host.removeUnlisted(job.spec().id, attempt.suspected);
+    if (!std::exchange(attempt.survivedStart, true)) {
+        host.host.removeRecentStart(job.spec().id, attempt.suspected);
         task.suspected = false;
     }
 }
@@ -505,7 +509,9 @@
             attempt->phase = AttemptPhase::Running;
             attempt->progressedAt = now;
         }
-        markListed(host, *found->second, *task, *attempt);
+        if (running.listedFor >= SurvivalTime) {
+            markSurvived(host, *found->second, *task, *attempt);
+        }
         attempt->upstream = report.upstream->identity;
         attempt->restored = false;
         attempt->resend = false;
@@ -576,8 +582,8 @@
         task.attempts, [&](const Attempt &candidate) { return candidate.run == run && candidate.host == host; });
     if (attempt != task.attempts.end()) {
         HostState &state = hostState(host);
-        if (!attempt->listed) {
-            state.host.removeUnlisted(job.spec().id, attempt->suspected);
+        if (!attempt->survivedStart) {
+            state.host.removeRecentStart(job.spec().id, attempt->suspected);
         }
         task.attempts.erase(attempt);
         state.host.release(job.step(id));
@@ -854,7 +860,7 @@
     requireInvariant(task.attempts.empty() || job.step(id).speculative, "one-run-at-a-time", id.toString());
     requireInvariant(host.fits(job.step(id)), "host-not-overcommitted", host.name());
     host.reserve(job.step(id));
-    host.addUnlisted(job.spec().id, task.suspected);
+    host.addRecentStart(job.spec().id, task.suspected);
     host.recordPlacement(now);
     hostState(host.name()).attempts.insert({.task = id, .run = run});
     if (job.step(id).fillsLeftover) {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -38,9 +38,9 @@
 /// An upstream has been replaced by another incarnation without leaving first.
 struct UpstreamCrash {
     std::string_view host;
-    /// Runs that ended with it, and those among them that no report had listed.
+    /// Runs that ended with it, and those among them whose start it had not survived yet.
     std::size_t runs = 0;
-    std::size_t unlisted = 0;
+    std::size_t recentStarts = 0;
     /// The job whose start is held responsible; empty when none can be told.
     std::string_view job;
 };
@@ -206,15 +206,15 @@
     void dropUnlistedRestored(HostState &host);
     void observeColocation(const HostReport &report, TimePoint now);
     void countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now);
-    /// Runs whose start the upstream may have performed and that no report has listed.
-    [[nodiscard]] std::vector<RunId> unlistedRuns(const HostState &host) const;
-    void noteUnlisted(HostState &host);
+    /// Runs whose start the upstream may have performed and has not survived yet.
+    [[nodiscard]] std::vector<RunId> recentStarts(const HostState &host) const;
+    void noteRecentStarts(HostState &host);
     /// Finds the job whose start has crashed an upstream, and gives it up when that has happened too often.
     void observeCrash(HostState &host, TimePoint now);
     void countCrash(Job &job, Task &task, const RunId &run, std::string_view host, TimePoint now);
     [[nodiscard]] bool mayCrashAgain(const Task &task, TimePoint now) const;
     /// Notes that an upstream has survived the start of a run.
-    void markListed(HostState &host, const Job &job, Task &task, Attempt &attempt);
+    void markSurvived(HostState &host, const Job &job, Task &task, Attempt &attempt);
     void finishTask(Job &job, Task &task, const TaskId &id);
     void onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now);
     void releaseLostHosts(TimePoint now);
--- a/packages/scheduler/src/carobflow/scheduler/workload.h
+++ b/packages/scheduler/src/carobflow/scheduler/workload.h
@@ -171,6 +171,8 @@
     std::int64_t load = 0;
     /// Percentage of its full speed to which pacing limits the run.
     std::uint32_t share = 100;
+    /// Time between the first list that the agent has seen the run in and the latest one.
+    Milliseconds listedFor{0};
 };
 
 /// A run that an upstream lists as ended. Each incarnation numbers its ends from 1 in increasing order.
