Withdraw starts that no longer fit their upstream

The upstream does not check its capacity, and the agent does not either.

Starts are now checked against the last report again, at their release and before they are repeated, one after the other, so that as many are sent as fit. What runs already is not stopped when its upstream shrinks.

The test sent 3 starts before to an upstream with room for 2, and for none.

--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -91,6 +91,12 @@
     /// True when a task of the step fits into the resources that are not reserved.
     [[nodiscard]] bool fits(const StepSpec &step) const;
 
+    /// True when an upstream has shrunk below what is reserved on it.
+    [[nodiscard]] bool isOvercommitted() const
+    {
+        return m_report.upstream && !m_reserved.fitsIn(m_report.upstream->capacity);
+    }
+
     /// Processor time, in thousandths of a core, that is available to further fillers: what is neither reserved nor
     /// requested by the fillers on the host, and the expected idle part of the reservations of services.
     [[nodiscard]] std::int64_t leftoverCpu() const;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -986,7 +986,7 @@
     }
     const UpstreamDescription *upstream = host->second->host.upstream();
     return upstream != nullptr && upstream->identity == attempt.upstream && !upstream->draining
-        && !m_view->isEvacuated(upstream->dataCentre);
+        && !host->second->host.isOvercommitted() && !m_view->isEvacuated(upstream->dataCentre);
 }
 
 const Job *Scheduler::firstDirtyJob() const
@@ -1036,24 +1036,26 @@
         m_storedFinalStates.insert(found->first);
     }
     Job &job = *found->second;
-    std::vector<std::pair<RunId, std::string>> withdrawn;
-    job.forEachTask([&](const TaskId &taskId, Task &task) {
-        for (Attempt &attempt : task.attempts) {
-            if (attempt.phase != AttemptPhase::Committing) {
-                continue;
-            }
-            if (!canStillStart(job, taskId, attempt)) {
-                withdrawn.push_back({{.task = taskId, .run = attempt.run}, attempt.host});
-                continue;
+    std::vector<RunId> decided;
+    job.forEachTask([&](const TaskId &taskId, const Task &task) {
+        for (const Attempt &attempt : task.attempts) {
+            if (attempt.phase == AttemptPhase::Committing) {
+                decided.push_back({.task = taskId, .run = attempt.run});
             }
+        }
+    });
+    // One by one: a start that is withdrawn makes room for the next on an upstream that has shrunk meanwhile.
+    for (const RunId &run : decided) {
+        Attempt &attempt = *std::ranges::find(job.findTask(run.task)->attempts, run.run, &Attempt::run);
+        if (canStillStart(job, run.task, attempt)) {
             attempt.phase = AttemptPhase::Sent;
             attempt.resend = true;
             attempt.since = now;
+        } else {
+            const std::string host = attempt.host;
+            report(run, host, "withdrawn");
+            dropAttempt(job, run.task, run.run, host);
         }
-    });
-    for (const auto &[run, host] : withdrawn) {
-        report(run, host, "withdrawn");
-        dropAttempt(job, run.task, run.run, host);
     }
     superviseAttempts(job, now);
 }
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -353,6 +353,52 @@
     }
 }
 
+TEST_CASE("A start that was decided before its upstream shrank is not sent", "[scheduler]")
+{
+    // Guards against LIMIT: the upstream does not check its capacity, so nothing else stops the order.
+    SchedulerFixture fixture;
+    HostReport report = fixture.reportOf("host-1");
+    report.upstream->labels = {"here"};
+    fixture.scheduler->onReport(report, fixture.now);
+    JobSpec job = SchedulerFixture::quickJob("job", 3);
+    job.steps[0].requiredLabel = "here";
+    fixture.scheduler->submit(job, fixture.now);
+    fixture.scheduler->plan(fixture.now, fixture.unixMs);
+    const auto written = fixture.scheduler->takeDirtyJobs(10);
+    REQUIRE(written.size() == 1);
+    const auto startsAfterWrite = [&] {
+        for (const std::string &id : written) {
+            fixture.scheduler->commitJob(id, fixture.now);
+        }
+        return fixture.scheduler->takeStarts().size();
+    };
+
+    SECTION("For want of room for all of them, some are")
+    {
+        report.upstream->capacity.cpuMillis = 2000;
+        fixture.scheduler->onReport(report, fixture.now);
+        CHECK(startsAfterWrite() == 2);
+
+        SECTION("And the rest when there is room again")
+        {
+            report.upstream->capacity.cpuMillis = 4000;
+            fixture.scheduler->onReport(report, fixture.now);
+            CHECK(fixture.step(Milliseconds(200)).size() == 1);
+        }
+    }
+    SECTION("For want of room for one, none is")
+    {
+        report.upstream->capacity.memoryMiB = 100;
+        fixture.scheduler->onReport(report, fixture.now);
+        CHECK(startsAfterWrite() == 0);
+        CHECK(fixture.step(Milliseconds(200)).empty());
+    }
+    SECTION("With all the room that it had, all are")
+    {
+        CHECK(startsAfterWrite() == 3);
+    }
+}
+
 TEST_CASE("Accepted jobs of a removed queue run under the next leader", "[scheduler]")
 {
     // Guards against jobs that never run again because the next leader knows no service for them.
