Refuse queues that the leader's newer configuration does not have

An entry whose configuration was out of date accepted jobs of a removed queue, and counted its jobs, for as long as it was behind: nobody compared the versions. And the leader took over a new configuration once in a turn, which lasts seconds under overload, so that it released starts and took submissions by an old one.

Entries now say by which version they know a queue. The leader takes over its view after each write and at each submission as well. A queue that only the entry knows yet is accepted as before.

--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -92,6 +92,12 @@
 {
 }
 
+std::uint64_t JobRouter::configurationVersion() const
+{
+    const auto view = m_operators.current();
+    return view ? view->configurationVersion : 0;
+}
+
 bool JobRouter::isUsable() const
 {
     return m_operators.current() != nullptr && !m_directory.current().address.empty();
@@ -114,6 +120,7 @@
 {
     wire::SubmitRequest request;
     *request.mutable_job() = toMessage(job);
+    request.set_configuration_version(configurationVersion());
     const TimePoint began = suspendAwareNow();
     bool mayBeStored = false;
     bool storeUnavailable = false;
@@ -134,6 +141,9 @@
                 if (reply->outcome() == wire::SubmitReply::OVERLOADED && !mayBeStored) {
                     co_return JobRejected{.retryAfter = Milliseconds(reply->retry_after_ms()), .overloaded = true};
                 }
+                if (reply->outcome() == wire::SubmitReply::QUEUE_REMOVED && !mayBeStored) {
+                    co_return QueueRemoved{};
+                }
                 mayBeStored = mayBeStored || reply->outcome() == wire::SubmitReply::UNCERTAIN;
                 storeUnavailable = reply->outcome() == wire::SubmitReply::STORE_AWAY && !m_operators.isStoreFresh();
                 if (storeUnavailable && !mayBeStored) {
@@ -282,7 +292,7 @@
     co_return JobOutcomeUnknown{};
 }
 
-asio::awaitable<std::optional<std::uint32_t>> JobRouter::countPending(std::string queue, TimePoint deadline)
+asio::awaitable<CountOutcome> JobRouter::countPending(std::string queue, TimePoint deadline)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -293,6 +303,7 @@
     }
     wire::CountPendingRequest request;
     request.set_queue(queue);
+    request.set_configuration_version(configurationVersion());
     std::optional<TableSnapshot> inbox;
     while (remaining(deadline) > RetryInterval) {
         const std::string leader = m_directory.current().address;
@@ -302,6 +313,9 @@
             if (reply) {
                 m_directory.learn(reply->leader());
             }
+            if (reply && reply->is_leader() && reply->queue_removed()) {
+                co_return QueueRemoved{};
+            }
             if (reply && reply->is_leader()) {
                 const bool isInboxKnown = Milliseconds(reply->inbox_age_ms()) <= MaxInboxAge;
                 if (isInboxKnown || inbox) {
@@ -314,7 +328,7 @@
                 // The leader is asked once more afterwards: it may take jobs out of the inbox before this read.
                 const auto snapshot = co_await m_table.snapshot(StoreLayout::InboxPrefix);
                 if (!isOk(snapshot)) {
-                    co_return std::nullopt;
+                    co_return JobOutcomeUnknown{};
                 }
                 inbox = valueOf(snapshot);
                 continue;
@@ -322,7 +336,7 @@
         }
         co_await sleepFor(RetryInterval);
     }
-    co_return std::nullopt;
+    co_return JobOutcomeUnknown{};
 }
 
 } // namespace Carobflow
--- a/packages/control/src/carobflow/control/jobrouter.h
+++ b/packages/control/src/carobflow/control/jobrouter.h
@@ -38,7 +38,12 @@
 struct JobCancelled {
 };
 
-using SubmitOutcome = std::variant<JobStored, JobRejected, JobOutcomeUnknown>;
+/// The leader knows a newer configuration, in which the queue does not exist. Nothing is stored.
+struct QueueRemoved {
+};
+
+using SubmitOutcome = std::variant<JobStored, JobRejected, QueueRemoved, JobOutcomeUnknown>;
+using CountOutcome = std::variant<std::uint32_t, QueueRemoved, JobOutcomeUnknown>;
 using CancelOutcome = std::variant<JobCancelled, JobUnknown, JobOutcomeUnknown>;
 using QueryOutcome = std::variant<Scheduling::JobPhase, JobUnknown, JobOutcomeUnknown>;
 
@@ -55,7 +60,7 @@
 
     /// Number of accepted jobs of a queue that have not started; nullopt when no leader answers before the deadline, or
     /// it has not read the inbox for seconds and this entry cannot read it either.
-    boost::asio::awaitable<std::optional<std::uint32_t>> countPending(std::string queue, TimePoint deadline);
+    boost::asio::awaitable<CountOutcome> countPending(std::string queue, TimePoint deadline);
 
     /// True while submissions can be accepted.
     [[nodiscard]] bool isUsable() const;
@@ -65,6 +70,8 @@
 
     boost::asio::awaitable<InboxOutcome> writeInbox(std::string key, std::string value);
     boost::asio::awaitable<QueryOutcome> readPhase(std::string id);
+    /// Of the configuration by which requests are routed; 0 when there is none.
+    [[nodiscard]] std::uint64_t configurationVersion() const;
 
     WatchableTable &m_table;
     LeaderDirectory &m_directory;
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -338,10 +338,7 @@
             logInfo("deposed").with("epoch", m_ledger->epoch()).with("by", m_directory.current().epoch);
             co_return;
         }
-        if (const auto view = m_operators.current(); view != m_view) {
-            m_view = view;
-            m_scheduler.setOperatorView(m_view);
-        }
+        adoptView();
         announceLeadership(now);
         sweep(now);
         checkContact(now);
@@ -362,6 +359,21 @@
     }
 }
 
+void LeaderTerm::adoptView()
+{
+    if (const auto view = m_operators.current(); view != m_view) {
+        m_view = view;
+        m_scheduler.setOperatorView(m_view);
+    }
+}
+
+bool LeaderTerm::isRemovedQueue(std::string_view queue, std::uint64_t callerVersion) const
+{
+    // Callers of earlier builds do not say their version.
+    const auto view = m_operators.current();
+    return callerVersion > 0 && view->configurationVersion > callerVersion && view->findQueue(queue) == nullptr;
+}
+
 void LeaderTerm::logWaitingTasks(TimePoint now)
 {
     const Scheduling::WaitingTasks &waiting = m_scheduler.waitingTasks();
@@ -496,6 +508,7 @@
         logInfo("deposed").with("epoch", m_ledger->epoch()).with("reason", errorOf(committed).message);
         co_return false;
     }
+    adoptView();
     for (const std::string &host : hosts) {
         m_contacts[host].stored = true;
     }
@@ -556,6 +569,16 @@
         reply.set_outcome(wire::SubmitReply::OVERLOADED);
         co_return reply;
     }
+    adoptView();
+    if (m_scheduler.find(id) == nullptr && isRemovedQueue(spec.queue, request.configuration_version())) {
+        logInfo("job-refused")
+            .with("job", id)
+            .with("reason", "queue-removed")
+            .with("configuration", m_view->configurationVersion)
+            .with("caller", request.configuration_version());
+        reply.set_outcome(wire::SubmitReply::QUEUE_REMOVED);
+        co_return reply;
+    }
     if (isStoreUnavailable(suspendAwareNow()) && m_scheduler.find(id) == nullptr) {
         logInfo("job-refused").with("job", id).with("reason", "store-away");
         reply.set_outcome(wire::SubmitReply::STORE_AWAY);
@@ -652,6 +675,7 @@
         reply.set_pending(static_cast<std::uint32_t>(m_scheduler.countPending(request.queue())));
         reply.set_inbox_age_ms(static_cast<std::uint32_t>(std::max(inboxAge, Milliseconds(0)).count()));
         reply.set_inbox_version(m_inboxKnownVersion);
+        reply.set_queue_removed(isRemovedQueue(request.queue(), request.configuration_version()));
     }
     return reply;
 }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -101,6 +101,10 @@
     /// Waits until the state is loaded or the limit has passed.
     boost::asio::awaitable<void> waitUntilLoaded(Milliseconds limit);
     boost::asio::awaitable<void> lead();
+    /// Takes over the newest configuration. A turn of the leader may last seconds, so decisions after a wait need it.
+    void adoptView();
+    /// True when this process knows a newer configuration than the caller, and the queue is not in it.
+    [[nodiscard]] bool isRemovedQueue(std::string_view queue, std::uint64_t callerVersion) const;
     boost::asio::awaitable<bool> commitChanges();
     boost::asio::awaitable<void> watchInbox();
     void processInboxRows(std::span<const Row> rows);
--- a/packages/control/tests/jobrouter_test.cpp
+++ b/packages/control/tests/jobrouter_test.cpp
@@ -82,7 +82,11 @@
         asio::co_spawn(
             io,
             [&]() -> asio::awaitable<void> {
-                count = co_await router.countPending("quick", suspendAwareNow() + Seconds(3));
+                const CountOutcome outcome = co_await router.countPending("quick", suspendAwareNow() + Seconds(3));
+                if (const auto *known = std::get_if<std::uint32_t>(&outcome)) {
+                    count = *known;
+                }
+                isRemoved = std::holds_alternative<QueueRemoved>(outcome);
                 done = true;
             },
             asio::detached);
@@ -90,6 +94,8 @@
         return count;
     }
 
+    /// The last count was refused because the queue does not exist any more.
+    bool isRemoved = false;
     asio::io_context io;
     TableFake table;
     LeaderDirectory directory;
@@ -150,6 +156,12 @@
             CHECK(suspendAwareNow() - began < Seconds(1));
         }
     }
+    SECTION("When the leader knows that the queue has been removed, there is none")
+    {
+        fixture.leader.count.set_queue_removed(true);
+        CHECK_FALSE(fixture.countPending().has_value());
+        CHECK(fixture.isRemoved);
+    }
     SECTION("When the leader keeps up, its count is given as it is")
     {
         fixture.leader.count.set_inbox_age_ms(2000);
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -120,6 +120,13 @@
             asio::detached);
     }
 
+    static wire::Job jobMessage(const std::string &id)
+    {
+        Scheduling::JobSpec spec{.id = id, .queue = "quick", .payload = std::string(PayloadBytes, 'x')};
+        spec.steps = {{.count = 1, .request = {.cpuMillis = 100, .memoryMiB = 10}}};
+        return toMessage(spec);
+    }
+
     /// Submits a job and counts it when the reply says that it is stored.
     void submit(const std::string &id)
     {
@@ -247,18 +254,11 @@
     static std::shared_ptr<const Scheduling::OperatorView> defaultView()
     {
         auto view = std::make_shared<Scheduling::OperatorView>();
-        view->configurationVersion = 1;
+        view->configurationVersion = 2;
         view->queues["quick"] = {.name = "quick", .service = "desk"};
         return view;
     }
 
-    static wire::Job jobMessage(const std::string &id)
-    {
-        Scheduling::JobSpec spec{.id = id, .queue = "quick", .payload = std::string(PayloadBytes, 'x')};
-        spec.steps = {{.count = 1, .request = {.cpuMillis = 100, .memoryMiB = 10}}};
-        return toMessage(spec);
-    }
-
     asio::awaitable<void> lead(std::size_t inboxJobs)
     {
         Transaction before{.conditions = {}, .mutations = {{.key = "operators/config", .value = "1"}}};
@@ -565,4 +565,49 @@
     CHECK(std::chrono::steady_clock::now() - lostAt > longestLease);
 }
 
+TEST_CASE("A queue that the leader's newer configuration does not have takes no jobs", "[leaderterm][configuration]")
+{
+    // Guards against an entry with an old configuration that accepts jobs of a removed queue.
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    const std::uint64_t version = fixture.operators.current()->configurationVersion;
+    const auto submit = [&](const std::string &queue, std::uint64_t callerVersion) {
+        std::optional<wire::SubmitReply> reply;
+        asio::co_spawn(
+            fixture.io,
+            [&]() -> asio::awaitable<void> {
+                wire::SubmitRequest request;
+                *request.mutable_job() = TermFixture::jobMessage("job");
+                request.mutable_job()->set_queue(queue);
+                request.set_configuration_version(callerVersion);
+                reply = co_await fixture.term->submit(std::move(request));
+            },
+            asio::detached);
+        fixture.runUntil([&] { return reply.has_value(); });
+        return reply->outcome();
+    };
+    const auto isRemoved = [&](const std::string &queue, std::uint64_t callerVersion) {
+        wire::CountPendingRequest request;
+        request.set_queue(queue);
+        request.set_configuration_version(callerVersion);
+        return fixture.term->countPending(request).queue_removed();
+    };
+
+    SECTION("From a caller with an older configuration")
+    {
+        CHECK(submit("removed", version - 1) == wire::SubmitReply::QUEUE_REMOVED);
+        CHECK(isRemoved("removed", version - 1));
+    }
+    SECTION("But a queue that only the caller knows yet does")
+    {
+        CHECK(submit("new", version + 1) == wire::SubmitReply::STORED);
+        CHECK_FALSE(isRemoved("new", version + 1));
+    }
+    SECTION("And so does one of both configurations")
+    {
+        CHECK(submit("quick", version - 1) == wire::SubmitReply::STORED);
+        CHECK_FALSE(isRemoved("quick", version - 1));
+    }
+}
+
 } // namespace Carobflow
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -137,7 +137,7 @@
 
     std::string m_name;
     HostReport m_report;
-    /// By job.
+    /// Starts that the upstream has not survived yet, by job.
     std::map<std::string, RecentStarts, std::less<>> m_recentStarts;
     bool m_reported = false;
     TimePoint m_reportedAt;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -83,8 +83,7 @@
     };
 
     Host host;
-    /// Recent starts that were released while the upstream was silent. They have started there
-    /// last if the upstream turns out to have crashed.
+    /// Recent starts that were released while the upstream was silent, for the case that it has crashed.
     std::vector<RunId> recentBeforeSilence;
     /// Index of the attempts that reserve resources here. Reports arrive too often for a search through all jobs.
     std::set<RunId> attempts;
