--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -48,8 +48,7 @@
 constexpr std::size_t CrashLimit = 2;
 /// The same in any other case, so that tasks are not given up because their upstreams crash for reasons of their own.
 constexpr std::size_t UncertainCrashLimit = 3;
-/// How long a crash without a start before it makes other crashes uncertain; two periods of upstreams that go down and
-/// up by turns in the records of the deployments.
+/// How long a crash without a start before it makes other crashes uncertain. Chosen, not measured.
 constexpr Seconds UnexplainedCrashMemory{10};
 
 /// An upstream that a start crashes may still list the run once or twice, since lists follow each other within 25 ms
