Keep a run that the next incarnation of an upstream may execute until it is refused

A task ran on two upstreams at the same time for 0.1 s after each of five restarts of an upstream under its id. Cause: the leader took the change of incarnation for proof that no run which it had placed on the former one runs. An order that was sent before the new incarnation announced itself is executed by that one, because the id in the call is the same, and a copy without an answer may be executed seconds later. Evidence: in the record of run 1 starts on the new incarnation at 2.673 s, run 2 on another upstream at 3.086 s, and run 1 ends at 3.188 s. Change: a run that had been listed and ordered once starts elsewhere at once. Any other one goes on when the new incarnation lists it; else that incarnation is ordered to stop it, and the task starts elsewhere when the run is confirmed to be absent. A crash still charges each run once. An older incarnation that an agent reports after its own restart releases nothing. Why it works: after a stop an upstream starts no copy of the run, whoever sent it and however late it arrives, so nothing depends on the time between restart and announcement. An upstream that does not answer keeps the run until its leases have ended, as before. Tests: "The runs of an upstream that is replaced start again once they cannot run there" plays five orders of events before the restart and four after it; "A late announcement of an earlier incarnation releases no run". The former test of this path demanded a restart at once for an order whose outcome was not known, which is the fault; it is now demanded where the run was listed. The hosts of the crash tests answer stop orders.

--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -33,13 +33,18 @@
     AttemptPhase phase = AttemptPhase::Planned;
     /// Restored from the store after a change of leader. The first report of the host shows whether it runs.
     bool restored = false;
+    /// The upstream has been replaced by an incarnation with the same id, which executes orders that were meant for the
+    /// previous one. Whether it runs is not known until the new incarnation lists it or refuses its start.
+    bool mayRunOnSuccessor = false;
+    /// The upstream has listed the run.
+    bool listed = false;
     /// The upstream has listed the run for long enough that its start did not crash it.
     bool survivedStart = false;
     /// The task was suspected when it was placed; see Task::suspected.
     bool suspected = false;
     /// The start order has to be sent again, because it was not delivered or not answered.
     bool resend = false;
-    /// Number of times that the start order was sent.
+    /// Number of times that this leader has sent the start order.
     std::uint32_t sends = 0;
     /// Time at which the phase was entered or the order was last sent.
     TimePoint since;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -68,6 +68,20 @@
     return !job.isOver() && !task.done;
 }
 
+bool isUnsent(const Attempt &attempt)
+{
+    return attempt.sends == 0
+        && (attempt.phase == AttemptPhase::Planned || attempt.phase == AttemptPhase::Committing
+            || attempt.phase == AttemptPhase::Sent);
+}
+
+/// True when every copy of the start order is known to have been executed by the upstream that listed the run. Another
+/// copy may be executed seconds later, and how many a previous leader sent is not known.
+bool isOnlyCopyListed(const Attempt &attempt)
+{
+    return attempt.sends == 1 && attempt.listed;
+}
+
 } // namespace
 
 struct Scheduler::HostState {
@@ -86,8 +100,8 @@
     std::vector<RunId> recentBeforeSilence;
     /// Index of the attempts that reserve resources here. Reports arrive too often for a search through all jobs.
     std::set<RunId> attempts;
-    /// Attempts restored from the store may be among them, until the upstream's list under this leader.
-    bool hasRestored = false;
+    /// Among them may be attempts of which the upstream's next lists under this leader show whether they run.
+    bool hasUnconfirmed = false;
     /// Time at which every lease here must have expired unless a further report arrives.
     TimePoint leaseFreeAt;
     /// Time from which on the host has been known to this leader, for the silence of a host that has never reported.
@@ -239,7 +253,7 @@
             state.host.reserve(job->step(id));
             state.host.addRecentStart(job->spec().id, attempt.suspected);
             state.attempts.insert({.task = id, .run = attempt.run});
-            state.hasRestored = true;
+            state.hasUnconfirmed = true;
         }
     });
     m_active.insert(job->spec().id);
@@ -270,6 +284,7 @@
     }
     const bool fenced = report.fencedEpoch == m_options.epoch;
     const bool wasLeaving = known != nullptr && known->draining;
+    const UpstreamIdentity before = known != nullptr ? known->identity : UpstreamIdentity{};
     const bool replaced = state.host.apply(report, now);
     if (std::exchange(state.silent, false)) {
         reportContact(state, "reporting-again", now);
@@ -284,10 +299,7 @@
         state.recentBeforeSilence.clear();
     }
     if (replaced) {
-        // A new incarnation runs nothing of the previous one, whichever leader's epoch it has confirmed.
-        dropAttempts(state, "upstream-replaced", [&](const Attempt &attempt) {
-            return !attempt.restored && attempt.upstream != report.upstream->identity;
-        });
+        releaseReplaced(state, before);
     }
     if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0) {
         // All leases there have expired, even if the upstream has never confirmed its lists under this leader.
@@ -299,7 +311,7 @@
     }
     applyEnds(state, report, now);
     applyRunning(state, report, now);
-    dropUnlistedRestored(state);
+    settleUnlisted(state, now);
     observeColocation(report, now);
 }
 
@@ -404,7 +416,9 @@
     std::vector<RunId> recent;
     for (const RunId &run : host.attempts) {
         for (const Attempt &attempt : m_jobs.find(run.task.job)->second->findTask(run.task)->attempts) {
-            const bool mayHaveStarted = attempt.sends > 0 && !attempt.restored && !attempt.survivedStart;
+            // A run that the new incarnation may run has been counted for the crash of the previous one.
+            const bool mayHaveStarted = attempt.sends > 0 && !attempt.restored && !attempt.mayRunOnSuccessor
+                && !attempt.survivedStart;
             if (attempt.run == run.run && attempt.host == host.host.name() && mayHaveStarted) {
                 recent.push_back(run);
             }
@@ -512,6 +526,8 @@
         }
         attempt->upstream = report.upstream->identity;
         attempt->restored = false;
+        attempt->mayRunOnSuccessor = false;
+        attempt->listed = true;
         attempt->resend = false;
         attempt->share = running.share;
         if (attempt->percent != running.percent) {
@@ -546,12 +562,47 @@
     m_fillerAdmission.observe(report.host, std::move(services), fillers, now);
 }
 
-void Scheduler::dropUnlistedRestored(HostState &host)
+void Scheduler::releaseReplaced(HostState &host, const UpstreamIdentity &before)
 {
+    const UpstreamIdentity &identity = host.host.upstream()->identity;
+    const bool hasSameId = identity.id == before.id;
+    // An agent that has just started may take a late announcement of an earlier incarnation for the current one.
+    const bool isLater = identity.incarnation > before.incarnation;
+    dropAttempts(host, "upstream-replaced", [&](const Attempt &attempt) {
+        const bool isGone = isLater && !attempt.mayRunOnSuccessor && isOnlyCopyListed(attempt);
+        return !attempt.restored && attempt.upstream != identity && (!hasSameId || isUnsent(attempt) || isGone);
+    });
+    for (const RunId &run : host.attempts) {
+        for (Attempt &attempt : m_jobs.find(run.task.job)->second->findTask(run.task)->attempts) {
+            if (attempt.run == run.run && attempt.host == host.host.name() && !attempt.restored) {
+                attempt.upstream = identity;
+                attempt.mayRunOnSuccessor = true;
+                host.hasUnconfirmed = true;
+                if (attempt.phase == AttemptPhase::Stopping) {
+                    // The stop order was meant for the previous incarnation, so it is sent again at once.
+                    attempt.since = {};
+                }
+            }
+        }
+    }
+}
+
+void Scheduler::settleUnlisted(HostState &host, TimePoint now)
+{
+    if (!std::exchange(host.hasUnconfirmed, false)) {
+        return;
+    }
     // The upstream had stopped accepting orders of previous leaders before it made this list, so a restored attempt
     // that is not listed will never run.
-    if (std::exchange(host.hasRestored, false)) {
-        dropAttempts(host, "not-running-after-takeover", [](const Attempt &attempt) { return attempt.restored; });
+    dropAttempts(host, "not-running-after-takeover", [](const Attempt &attempt) { return attempt.restored; });
+    for (const RunId &run : host.attempts) {
+        for (Attempt &attempt : m_jobs.find(run.task.job)->second->findTask(run.task)->attempts) {
+            if (attempt.run == run.run && attempt.host == host.host.name() && attempt.mayRunOnSuccessor
+                && attempt.phase != AttemptPhase::Stopping) {
+                // A copy of the start order may still arrive. The upstream rejects it after a stop.
+                stop(run.task, attempt, "upstream-replaced", now);
+            }
+        }
     }
 }
 
@@ -898,7 +949,9 @@
 
 void Scheduler::supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now)
 {
-    if (attempt.phase == AttemptPhase::Planned || attempt.phase == AttemptPhase::Committing || attempt.restored) {
+    const bool isUnconfirmed = attempt.restored
+        || (attempt.mayRunOnSuccessor && attempt.phase != AttemptPhase::Stopping);
+    if (attempt.phase == AttemptPhase::Planned || attempt.phase == AttemptPhase::Committing || isUnconfirmed) {
         return;
     }
     const StepSpec &step = job.step(id);
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -203,7 +203,10 @@
     void applyEnds(HostState &host, const HostReport &report, TimePoint now);
     void applyEnd(HostState &host, const EndedRun &ended, TimePoint now);
     void applyRunning(HostState &host, const HostReport &report, TimePoint now);
-    void dropUnlistedRestored(HostState &host);
+    /// Drops the attempts of a replaced upstream that can no longer run, and keeps those that its successor may run.
+    void releaseReplaced(HostState &host, const UpstreamIdentity &before);
+    /// Settles the attempts of which the upstream's lists had to show whether they run.
+    void settleUnlisted(HostState &host, TimePoint now);
     void observeColocation(const HostReport &report, TimePoint now);
     void countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now);
     /// Runs whose start the upstream may have performed and has not survived yet.
--- a/packages/scheduler/tests/crash_test.cpp
+++ b/packages/scheduler/tests/crash_test.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// Hosts whose upstreams crash when they start a task of certain jobs, and list all other runs.
+/// Hosts whose upstreams crash when they start a task of certain jobs, list all other runs, and answer stop orders.
 class CrashingHosts
 {
 public:
@@ -40,6 +40,19 @@
             crash(host);
         }
         reportAll();
+        answerStops();
+    }
+
+    /// Confirms that runs which their host does not list will never run.
+    void answerStops()
+    {
+        for (const StopOrder &stop : m_fixture.stops()) {
+            const auto &running = m_running[stop.host];
+            const bool isAbsent = std::ranges::none_of(running,
+                                                       [&](const auto &entry) { return entry.first == stop.run; });
+            m_fixture.scheduler->onStopOutcome(
+                stop.host, stop.run, isAbsent ? StopOutcome::Absent : StopOutcome::Ending, m_fixture.now);
+        }
     }
 
     /// Replaces an upstream by its next incarnation, which runs nothing.
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -1,6 +1,7 @@
 #include "schedulerfixture.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include <catch2/catch.hpp>
 
@@ -495,20 +496,146 @@
     }
 }
 
-TEST_CASE("A new incarnation of an upstream runs nothing of the previous one", "[scheduler]")
+TEST_CASE("The runs of an upstream that is replaced start again once they cannot run there", "[scheduler][replaced]")
 {
-    // Guards against tasks that wait indefinitely for the end of a run in a process that has exited.
     SchedulerFixture fixture;
     fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
     const auto starts = fixture.step();
     REQUIRE(starts.size() == 1);
-    HostReport report = fixture.reportOf(starts[0].host);
-    report.upstream->identity.incarnation = 2;
-    report.fencedEpoch = 0;
-    fixture.scheduler->onReport(report, fixture.now);
-    const auto again = fixture.step();
-    REQUIRE(again.size() == 1);
-    CHECK(again[0].run.run == 2);
+    const StartOrder &start = starts.front();
+    HostReport next = fixture.reportOf(start.host);
+    next.upstream->identity.incarnation = 2;
+    const auto expectRestart = [&] {
+        CHECK(fixture.stops().empty());
+        const auto again = fixture.step();
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].run.run == 2);
+    };
+
+    SECTION("At once when it had listed the run, which was ordered once")
+    {
+        // Guards against tasks that wait indefinitely for the end of a run in a process that has exited.
+        fixture.reportAll(starts);
+        next.fencedEpoch = 0;
+        fixture.scheduler->onReport(next, fixture.now);
+        expectRestart();
+    }
+    SECTION("At once when the new incarnation has another id and refuses orders for the previous one")
+    {
+        next.fencedEpoch = 0;
+        next.upstream->identity.id = "another";
+        fixture.scheduler->onReport(next, fixture.now);
+        expectRestart();
+    }
+    SECTION("Later when the new incarnation has the same id and may have executed the order")
+    {
+        // Guards against two runs of one task: an order that was sent before the new incarnation announced itself, or
+        // a copy that was delayed, starts the run there.
+        const auto order = GENERATE(as<std::string_view>(),
+                                    "without an answer",
+                                    "answered by either incarnation",
+                                    "sent twice and listed",
+                                    "of a previous leader, and listed",
+                                    "followed by a stop without an answer");
+        CAPTURE(order);
+        if (order == "answered by either incarnation") {
+            fixture.scheduler->onStartOutcome(start.host, start.run, StartOutcome::Started, fixture.now);
+        } else if (order == "sent twice and listed") {
+            fixture.scheduler->onStartOutcome(start.host, start.run, StartOutcome::Unanswered, fixture.now);
+            REQUIRE(fixture.step().size() == 1);
+            fixture.reportAll(starts);
+        } else if (order == "of a previous leader, and listed") {
+            const JobProgress stored = fixture.scheduler->find("job")->progress();
+            ++fixture.epoch;
+            next.fencedEpoch = fixture.epoch;
+            fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
+            fixture.scheduler->setOperatorView(fixture.view);
+            fixture.scheduler->restore(SchedulerFixture::quickJob("job"), stored, fixture.now, fixture.now);
+            fixture.reportAll(starts);
+        } else if (order == "followed by a stop without an answer") {
+            fixture.scheduler->cancel("job");
+            fixture.step(Milliseconds(50));
+            REQUIRE(fixture.stops().size() == 1);
+        }
+        const bool isCancelled = fixture.scheduler->find("job")->isCancelled();
+        HostReport unconfirmed = next;
+        unconfirmed.fencedEpoch = 0;
+        fixture.scheduler->onReport(unconfirmed, fixture.now);
+        CHECK(fixture.step(Milliseconds(1500)).empty());
+        CHECK(fixture.stops().empty());
+        std::erase(fixture.hostNames, start.host);
+        fixture.reportAll();
+
+        SECTION("The run goes on when the new incarnation lists it")
+        {
+            next.running.push_back({.run = start.run, .percent = 50});
+            fixture.scheduler->onReport(next, fixture.now);
+            CHECK(fixture.step(Milliseconds(50)).empty());
+            CHECK(fixture.stops().size() == (isCancelled ? 1 : 0));
+            CHECK_FALSE(fixture.scheduler->find("job")->isIdle());
+        }
+        SECTION("It counts when it has ended there")
+        {
+            next.ended.push_back({.number = 1, .run = start.run, .end = RunEnd::Done});
+            fixture.scheduler->onReport(next, fixture.now);
+            CHECK(fixture.step().empty());
+            CHECK(fixture.stops().empty());
+            const JobPhase phase = fixture.scheduler->find("job")->phase();
+            CHECK(phase == (isCancelled ? JobPhase::Cancelled : JobPhase::Completed));
+        }
+        SECTION("The new incarnation has to refuse it when it does not list it")
+        {
+            SECTION("And has not been replaced")
+            {
+            }
+            SECTION("Or has itself been replaced meanwhile")
+            {
+                next.upstream->identity.incarnation = 3;
+            }
+            fixture.scheduler->onReport(next, fixture.now);
+            CHECK(fixture.step(Milliseconds(50)).empty());
+            const auto stops = fixture.stops();
+            REQUIRE(stops.size() == 1);
+            CHECK(stops[0].run == start.run);
+            CHECK(stops[0].upstream == next.upstream->identity);
+            fixture.scheduler->onStopOutcome(start.host, start.run, StopOutcome::Absent, fixture.now);
+            const auto again = fixture.step();
+            REQUIRE(again.size() == (isCancelled ? 0 : 1));
+            CHECK((isCancelled || again[0].run.run == 2));
+        }
+        SECTION("Or its leases have to expire when it does not answer")
+        {
+            // Guards against tasks that are never started again because of an upstream that hangs after its start.
+            unconfirmed.silence = Milliseconds(7000);
+            unconfirmed.leaseLeft = Milliseconds(-1);
+            fixture.scheduler->onReport(unconfirmed, fixture.now);
+            CHECK(fixture.step().size() == (isCancelled ? 0 : 1));
+        }
+    }
+}
+
+TEST_CASE("A late announcement of an earlier incarnation releases no run", "[scheduler][replaced]")
+{
+    // Guards against two runs of one task: an agent that has just started cannot tell that the announcement is late.
+    SchedulerFixture fixture;
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    fixture.reportAll(starts);
+    HostReport late = fixture.reportOf(starts[0].host);
+    late.agentIncarnation = 2;
+    late.fencedEpoch = 0;
+    late.upstream->identity.incarnation = 0;
+    fixture.scheduler->onReport(late, fixture.now);
+    CHECK(fixture.step().empty());
+
+    HostReport current = fixture.reportOf(starts[0].host);
+    current.agentIncarnation = 2;
+    current.running.push_back({.run = starts[0].run, .percent = 60});
+    fixture.scheduler->onReport(current, fixture.now);
+    CHECK(fixture.step(Milliseconds(50)).empty());
+    CHECK(fixture.stops().empty());
+    CHECK_FALSE(fixture.scheduler->find("job")->isIdle());
 }
 
 TEST_CASE("A task that fails too often fails its job", "[scheduler]")
