Conclude nothing from a list of ended runs after which further ones may follow

After a change of leader 250 to 1,100 of 2,000 tasks were started again that had ended 1 to 2 s before. Cause: an upstream lists 500 ended runs at a time and the next ones when these are acknowledged. The leader took the first list for all of them and started the task of each restored run that it did not name. An agent took it for proof that a stopped run was absent. Agents report the mark. While it is set, no attempt is settled because it is not listed, no stop is confirmed, and the host gets no starts. The stand-in of the upstream lists 500 ends at a time, too. Why it works: each list is acknowledged by one write, and only runs that the host has already can add ends, so a complete list comes after a limited number of writes, whichever leader makes them. Evidence: "A run is not started again while its end may be among those not listed yet" plays one and several new leaders between the pages, an upstream that was replaced, a run without an end and starts meanwhile; "An agent says that a stopped run is absent only when it has seen all ended runs".

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -240,6 +240,7 @@
         entry.set_end(static_cast<std::uint32_t>(run.end));
         entry.set_checkpoint(run.checkpoint);
     }
+    message.set_more_ends(report.moreEnds);
     return message;
 }
 
@@ -260,7 +261,8 @@
                              .leaseLeft = Milliseconds(message.lease_left_ms()),
                              .tailPressure = message.tail_pressure(),
                              .running = {},
-                             .ended = {}};
+                             .ended = {},
+                             .moreEnds = message.more_ends()};
     if (message.has_upstream()) {
         report.upstream = upstreamOf(message.upstream());
     }
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -101,6 +101,7 @@
     m_running.clear();
     m_firstListedAt.clear();
     m_ended.clear();
+    m_moreEnds = false;
     m_unreadable.clear();
     m_descriptions.clear();
     m_renewNow.notify();
@@ -257,6 +258,7 @@
     m_running = lists.running;
     observeRunning(receivedAt);
     m_ended.clear();
+    m_moreEnds = lists.moreEnds;
     for (const Scheduling::EndedRun &ended : lists.ended) {
         if (ended.number > m_acknowledgedEnd) {
             m_ended.push_back(ended);
@@ -363,7 +365,8 @@
                                   .leaseLeft = std::chrono::duration_cast<Milliseconds>(m_leasesExpireBy - now),
                                   .tailPressure = m_pacer.pressure(),
                                   .running = m_running,
-                                  .ended = m_ended};
+                                  .ended = m_ended,
+                                  .moreEnds = m_moreEnds};
     for (Scheduling::RunningRun &running : report.running) {
         const auto description = m_descriptions.find(running.run.task);
         if (description != m_descriptions.end() && description->second.fillsLeftover) {
@@ -519,7 +522,11 @@
     if (!renewed || m_clockAt < answeredAt) {
         co_return StopOutcome::Unanswered;
     }
-    co_return isListed(order.run) ? StopOutcome::Ending : StopOutcome::Absent;
+    if (isListed(order.run)) {
+        co_return StopOutcome::Ending;
+    }
+    // The end of the run may be among those that are not listed yet.
+    co_return m_moreEnds ? StopOutcome::Unanswered : StopOutcome::Absent;
 }
 
 asio::awaitable<wire::ExecuteReply> HostAgent::execute(wire::ExecuteRequest request)
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -135,6 +135,8 @@
     /// When each running run was first listed.
     std::map<Scheduling::RunId, TimePoint> m_firstListedAt;
     std::vector<Scheduling::EndedRun> m_ended;
+    /// The last lists did not contain all ended runs.
+    bool m_moreEnds = false;
     /// The entries of the last lists that cannot be used.
     std::vector<std::string> m_unreadable;
     std::map<Scheduling::TaskId, Description> m_descriptions;
--- a/packages/control/src/carobflow/control/upstreamlink.h
+++ b/packages/control/src/carobflow/control/upstreamlink.h
@@ -33,6 +33,8 @@
     std::int64_t clockMs = 0;
     std::vector<Scheduling::RunningRun> running;
     std::vector<Scheduling::EndedRun> ended;
+    /// The upstream may have further ended runs, which it lists once these are acknowledged.
+    bool moreEnds = false;
     /// The beginning of each entry that cannot be used. None of them is in the lists above.
     std::vector<std::string> unreadable;
     /// The highest number of an end among them; 0 when there is none.
--- a/packages/control/tests/conversion_test.cpp
+++ b/packages/control/tests/conversion_test.cpp
@@ -37,6 +37,13 @@
     }
 }
 
+// Guards against a leader that takes the first of several lists of ended runs for all of them.
+TEST_CASE("A report says whether further ended runs follow", "[conversion][pages]")
+{
+    const bool moreEnds = GENERATE(true, false);
+    CHECK(fromMessage(toMessage(Scheduling::HostReport{.moreEnds = moreEnds})).moreEnds == moreEnds);
+}
+
 // Guards against settings of a removed queue that a row of another writer makes unusable.
 TEST_CASE("The settings of a job's queue are stored with its progress", "[conversion]")
 {
--- a/packages/control/tests/hostagent_test.cpp
+++ b/packages/control/tests/hostagent_test.cpp
@@ -175,6 +175,38 @@
     }
 }
 
+TEST_CASE("An agent says that a stopped run is absent only when it has seen all ended runs", "[hostagent][pages]")
+{
+    // Guards against running a finished task again: its end may follow when the listed ends are acknowledged.
+    AgentFixture fixture;
+    UpstreamLists &lists = fixture.upstream.lists;
+    fixture.agent.start();
+    fixture.io.run_for(Milliseconds(300));
+
+    SECTION("It is absent when the lists are complete")
+    {
+        CHECK(fixture.stop(1) == Scheduling::StopOutcome::Absent);
+    }
+    SECTION("It is not known to be while further ends may follow")
+    {
+        lists.ended = {{.number = 1, .run = fixture.startedRun, .end = Scheduling::RunEnd::Done}};
+        lists.moreEnds = true;
+        CHECK(fixture.stop(1) == Scheduling::StopOutcome::Unanswered);
+
+        SECTION("Until the next ends show it")
+        {
+            lists.ended = {{.number = 2, .run = fixture.stoppedRun, .end = Scheduling::RunEnd::Done}};
+            CHECK(fixture.stop(1) == Scheduling::StopOutcome::Ending);
+        }
+        SECTION("Or show that there is none")
+        {
+            lists.ended.clear();
+            lists.moreEnds = false;
+            CHECK(fixture.stop(1) == Scheduling::StopOutcome::Absent);
+        }
+    }
+}
+
 TEST_CASE("An agent passes over entries of its upstream that cannot be used", "[hostagent][odd]")
 {
     AgentFixture fixture;
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -32,6 +32,9 @@
     std::vector<RunningRun> running;
     /// Ends that the leader has not acknowledged yet.
     std::vector<EndedRun> ended;
+    /// The upstream may have further ended runs, which it lists once these are acknowledged. Until then a run that is
+    /// not listed may have ended.
+    bool moreEnds = false;
 };
 
 /// A host as the leader knows it, with the resources that attempts reserve there.
--- a/packages/scheduler/src/carobflow/scheduler/orders.h
+++ b/packages/scheduler/src/carobflow/scheduler/orders.h
@@ -71,7 +71,7 @@
     Ending,
     /// The run is listed neither as running nor as ended, and will never start.
     Absent,
-    /// No answer.
+    /// No answer, or lists that do not show yet whether the run has ended.
     Unanswered,
 };
 
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -100,7 +100,7 @@
     std::vector<RunId> recentBeforeSilence;
     /// Index of the attempts that reserve resources here. Reports arrive too often for a search through all jobs.
     std::set<RunId> attempts;
-    /// Among them may be attempts of which the upstream's next lists under this leader show whether they run.
+    /// Among them may be attempts of which the upstream's next complete lists under this leader show whether they run.
     bool hasUnconfirmed = false;
     /// Time at which every lease here must have expired unless a further report arrives.
     TimePoint leaseFreeAt;
@@ -311,7 +311,7 @@
     }
     applyEnds(state, report, now);
     applyRunning(state, report, now);
-    settleUnlisted(state, now);
+    settleUnlisted(state, report, now);
     observeColocation(report, now);
 }
 
@@ -587,9 +587,10 @@
     }
 }
 
-void Scheduler::settleUnlisted(HostState &host, TimePoint now)
+void Scheduler::settleUnlisted(HostState &host, const HostReport &report, TimePoint now)
 {
-    if (!std::exchange(host.hasUnconfirmed, false)) {
+    // A run that is not listed may have ended, and its end may follow.
+    if (report.moreEnds || !std::exchange(host.hasUnconfirmed, false)) {
         return;
     }
     // The upstream had stopped accepting orders of previous leaders before it made this list, so a restored attempt
@@ -760,8 +761,10 @@
 bool Scheduler::isUsable(const HostState &host, TimePoint now) const
 {
     const HostReport &report = host.host.report();
+    // Starts on a host with unconfirmed attempts could add ends faster than its agent reads them.
     return host.host.hasReported() && report.fencedEpoch == m_options.epoch && host.host.upstream() != nullptr
-        && now - host.host.reportedAt() < m_options.reportTimeout && report.silence < UpstreamSilenceLimit;
+        && !host.hasUnconfirmed && now - host.host.reportedAt() < m_options.reportTimeout
+        && report.silence < UpstreamSilenceLimit;
 }
 
 std::vector<Host *> Scheduler::usableHosts(TimePoint now) const
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -206,7 +206,7 @@
     /// Drops the attempts of a replaced upstream that can no longer run, and keeps those that its successor may run.
     void releaseReplaced(HostState &host, const UpstreamIdentity &before);
     /// Settles the attempts of which the upstream's lists had to show whether they run.
-    void settleUnlisted(HostState &host, TimePoint now);
+    void settleUnlisted(HostState &host, const HostReport &report, TimePoint now);
     void observeColocation(const HostReport &report, TimePoint now);
     void countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now);
     /// Runs whose start the upstream may have performed and has not survived yet.
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -218,6 +218,103 @@
     }
 }
 
+TEST_CASE("A run is not started again while its end may be among those not listed yet", "[scheduler][pages]")
+{
+    // Guards against running finished tasks again: an upstream lists a limited number of ends at a time, and the next
+    // ones when these are acknowledged.
+    SchedulerFixture fixture;
+    const std::string name = "host-1";
+    fixture.hostNames = {name};
+    fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
+    fixture.scheduler->setOperatorView(fixture.view);
+    fixture.reportAll();
+    const JobSpec spec = SchedulerFixture::quickJob("job", 4);
+    fixture.scheduler->submit(spec, fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 4);
+    const auto changeLeader = [&] {
+        const JobProgress stored = fixture.scheduler->find("job")->progress();
+        ++fixture.epoch;
+        fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
+        fixture.scheduler->setOperatorView(fixture.view);
+        fixture.scheduler->restore(spec, stored, fixture.now, fixture.now);
+    };
+    const auto endOf = [&](std::size_t index) {
+        return EndedRun{.number = index + 1, .run = starts[index].run, .end = RunEnd::Done};
+    };
+    /// Reports one page of ends and returns what is started after it.
+    const auto reportPage = [&](std::vector<EndedRun> ended, bool moreEnds) {
+        HostReport report = fixture.reportOf(name);
+        report.ended = std::move(ended);
+        report.moreEnds = moreEnds;
+        fixture.scheduler->onReport(report, fixture.now);
+        return fixture.step(Milliseconds(50));
+    };
+    const auto acknowledgedEnd = [&] { return fixture.scheduler->acknowledgedEnd(name, starts[0].upstream); };
+    changeLeader();
+
+    SECTION("Under one new leader")
+    {
+        for (std::size_t index = 0; index < starts.size(); ++index) {
+            CHECK(reportPage({endOf(index)}, index + 1 < starts.size()).empty());
+            CHECK(acknowledgedEnd() == index + 1);
+        }
+        CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Completed);
+    }
+    SECTION("Or under several, which take over between two pages")
+    {
+        for (std::size_t index = 0; index < starts.size(); ++index) {
+            CHECK(reportPage({endOf(index)}, index + 1 < starts.size()).empty());
+            changeLeader();
+        }
+        CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Completed);
+    }
+    SECTION("Also when an upstream that was replaced under its id lists it")
+    {
+        changeLeader();
+        HostReport before = fixture.reportOf(name);
+        for (const StartOrder &start : starts) {
+            before.running.push_back({.run = start.run, .percent = 10});
+        }
+        fixture.scheduler->onReport(before, fixture.now);
+        HostReport next = fixture.reportOf(name);
+        next.upstream->identity.incarnation = 2;
+        next.moreEnds = true;
+        next.ended = {endOf(0), endOf(1)};
+        fixture.scheduler->onReport(next, fixture.now);
+        CHECK(fixture.step(Milliseconds(50)).empty());
+        CHECK(fixture.stops().empty());
+        next.moreEnds = false;
+        next.ended = {endOf(2), endOf(3)};
+        fixture.scheduler->onReport(next, fixture.now);
+        CHECK(fixture.step().empty());
+        CHECK(fixture.stops().empty());
+        CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Completed);
+    }
+    SECTION("But when the last page has shown that it has no end")
+    {
+        // Guards against tasks that are lost because no list ever shows them.
+        CHECK(reportPage({endOf(0), endOf(1)}, true).empty());
+        const auto again = reportPage({endOf(2)}, false);
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].run.task == starts[3].run.task);
+        CHECK(again[0].run.run == 2);
+    }
+    SECTION("For a limited time, because nothing else starts there meanwhile")
+    {
+        // Guards against a host whose ends keep coming faster than they are acknowledged.
+        fixture.scheduler->submit(SchedulerFixture::quickJob("next"), fixture.now);
+        CHECK(reportPage({endOf(0), endOf(1)}, true).empty());
+        fixture.hostNames.emplace_back("host-2");
+        fixture.scheduler->onReport(fixture.reportOf("host-2"), fixture.now);
+        const auto elsewhere = fixture.step();
+        REQUIRE(elsewhere.size() == 1);
+        CHECK(elsewhere[0].host == "host-2");
+        fixture.scheduler->submit(SchedulerFixture::quickJob("third", 4), fixture.now);
+        CHECK(reportPage({endOf(2), endOf(3)}, false).size() == 4);
+    }
+}
+
 TEST_CASE("A silent upstream keeps its tasks no longer than its leases", "[scheduler]")
 {
     SchedulerFixture fixture;
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::chrono::milliseconds CheckInInterval{300};
 constexpr std::chrono::milliseconds HoldPollInterval{5};
+/// Further ends are listed when these are acknowledged.
+constexpr std::size_t EndsPerAnswer = 500;
 constexpr std::int64_t FullPercent = 100;
 
 } // namespace
@@ -232,6 +234,9 @@
     }
     json::array ended;
     for (const Ended &entry : m_ended) {
+        if (ended.size() == EndsPerAnswer) {
+            break;
+        }
         ended.push_back(json::array{
             entry.number, entry.task, entry.run, entry.endState == "crashed" ? "failed" : entry.endState, ""});
     }
