Start a long-running task again also after a run that ended done

Three long-running tasks that ended done were never started again, 23 s later on idle upstreams; those that ended failed were. Cause: the leader finished a task at every end done, without looking at the kind of its step. One flag stood for "a run has succeeded" and "no further run is needed". Change: a success is recorded, and finishes the task only when its step is not long-running; the same holds for runs that were given up, members of a gang and rows of the store, also those of earlier builds. Steps that wait for long-running tasks start when each of these has succeeded once, and a job with such a step never completes. Runs that end by themselves within 5 s delay the next one, from the second on, by 0.15 s doubled up to 3 s. The list of hosts on which a task has failed names each host once. Why it works: whether a further run is needed follows from the step, which no end changes. With 3 s at most a task is back well within the nine seconds that the rule allows.

--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -1,6 +1,7 @@
 #include "carobflow/scheduler/job.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Carobflow::Scheduling
 {
@@ -63,7 +64,7 @@
         return false;
     }
     return std::ranges::all_of(m_spec.steps[step].after, [&](std::uint32_t earlier) {
-        return std::ranges::all_of(stepTasks(occurrence, earlier), &Task::done);
+        return std::ranges::all_of(stepTasks(occurrence, earlier), &Task::succeeded);
     });
 }
 
@@ -86,11 +87,18 @@
     return std::ranges::all_of(m_tasks, [](const Task &task) { return task.attempts.empty(); });
 }
 
-void Job::finish(Task &task)
+void Job::recordSuccess(const TaskId &id)
 {
-    if (!task.done) {
-        task.done = true;
-        --m_remaining;
+    const StepSpec &spec = step(id);
+    const std::span<Task> members = stepTasks(id.occurrence, id.step);
+    for (Task &task : spec.gang ? members : members.subspan(id.index, 1)) {
+        task.succeeded = true;
+        if (spec.longRunning) {
+            // The next run begins anew; from the last checkpoint it would end again at once.
+            task.checkpoint.clear();
+        } else if (!std::exchange(task.done, true)) {
+            --m_remaining;
+        }
     }
 }
 
@@ -140,7 +148,7 @@
         TaskProgress entry{.id = id,
                            .lastRun = task.lastRun,
                            .failures = task.failures,
-                           .done = task.done,
+                           .succeeded = task.succeeded,
                            .checkpoint = task.done ? std::string() : task.checkpoint,
                            .crashedOn = task.crashedOn,
                            .suspected = task.suspected,
@@ -161,21 +169,23 @@
     if (m_queue.service.empty() && progress.queue) {
         m_queue = *progress.queue;
     }
+    for (const TaskProgress &entry : progress.tasks) {
+        if (entry.succeeded && findTask(entry.id) != nullptr) {
+            recordSuccess(entry.id);
+        }
+    }
     for (const TaskProgress &entry : progress.tasks) {
         Task *task = findTask(entry.id);
         if (task == nullptr) {
             continue;
         }
         // A placement alone does not imply a start: its order may never have been sent.
-        m_started = m_started || entry.done || entry.failures > 0 || !entry.checkpoint.empty();
+        m_started = m_started || entry.succeeded || entry.failures > 0 || !entry.checkpoint.empty();
         task->lastRun = entry.lastRun;
         task->failures = entry.failures;
         task->checkpoint = entry.checkpoint;
         task->crashedOn = entry.crashedOn;
         task->suspected = entry.suspected;
-        if (entry.done) {
-            finish(*task);
-        }
         for (const auto &[host, run] : entry.placements) {
             task->attempts.push_back({.run = run,
                                       .host = host,
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -61,9 +61,14 @@
     std::vector<Attempt> attempts;
     std::uint32_t lastRun = 0;
     std::uint32_t failures = 0;
+    /// No further run is needed. Never true for a task that runs until its job is cancelled.
     bool done = false;
+    /// A run has succeeded, so that the steps which wait for the task may start.
+    bool succeeded = false;
+    /// Number of successive runs that ended by themselves soon after their start.
+    std::uint32_t shortRuns = 0;
     std::string checkpoint;
-    /// Hosts on which runs of this task have failed.
+    /// Hosts on which runs of this task have failed, each once.
     std::vector<std::string> failedOn;
     /// Hosts whose upstream has crashed right after a start for which only this job can be responsible; one entry a
     /// crash.
@@ -71,7 +76,7 @@
     /// The upstream of the last run crashed before it had survived the start. Starts of other jobs keep away from the
     /// next one, so that a further crash has one possible cause.
     bool suspected = false;
-    /// Earliest time of the next start after a rejected one.
+    /// Earliest time of the next start, after a rejected one or a short run.
     TimePoint notBefore;
 };
 
@@ -80,7 +85,7 @@
     TaskId id;
     std::uint32_t lastRun = 0;
     std::uint32_t failures = 0;
-    bool done = false;
+    bool succeeded = false;
     std::string checkpoint;
     std::vector<std::string> crashedOn;
     bool suspected = false;
@@ -138,7 +143,7 @@
     [[nodiscard]] std::span<Task> stepTasks(std::uint32_t occurrence, std::uint32_t step);
     [[nodiscard]] std::span<const Task> stepTasks(std::uint32_t occurrence, std::uint32_t step) const;
 
-    /// True when every task of the steps that this one depends on has finished and the occurrence is due.
+    /// True when every task of the steps that this one depends on has succeeded and the occurrence is due.
     [[nodiscard]] bool isStepReady(std::uint32_t occurrence, std::uint32_t step, std::int64_t unixMs) const;
 
     /// Calls `visit(const TaskId &, Task &)` for each task. The identifier is valid during the call.
@@ -195,8 +200,9 @@
         m_started = true;
     }
 
-    /// Marks a task as finished. Idempotent.
-    void finish(Task &task);
+    /// Records the success of a run, which finishes its task unless the step is long-running. The members of a gang
+    /// succeed together. Idempotent.
+    void recordSuccess(const TaskId &id);
 
     /// Estimated length of the critical path through those steps of the first occurrence that have unfinished tasks.
     [[nodiscard]] Milliseconds remainingCriticalPath() const;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -33,6 +33,13 @@
 /// Time within which a long-running task must become ready; otherwise it is stopped and started elsewhere.
 constexpr Milliseconds StartupLimit{3000};
 constexpr std::uint32_t ReadyPercent = 100;
+/// A long-running task that ends by itself after less time is restarted with a delay that doubles each time. Each
+/// restart costs a write and a call.
+constexpr Milliseconds ShortRunTime{5000};
+constexpr Milliseconds RestartDelay{150};
+/// The deployments allow nine seconds without a run.
+constexpr Milliseconds LongestRestartDelay{3000};
+constexpr std::uint32_t MaxRestartDoublings = 6;
 /// Number of unanswered start orders for one run after which the upstream counts as hung. Each waits 400 ms for its
 /// answer.
 constexpr std::uint32_t MaxStartSends = 3;
@@ -352,9 +359,9 @@
     if (attempt == task->attempts.end()) {
         // The run was abandoned. A success still counts, because finished work must not be started again. A failure
         // does not: a previous leader may have counted it, and the task may have been started again since.
-        if (ended.end == RunEnd::Done && !task->done && !job.isOver()) {
+        if (ended.end == RunEnd::Done && !task->succeeded && !job.isOver()) {
             report(ended.run, host.host.name(), "done-after-all");
-            finishTask(job, *task, ended.run.task);
+            job.recordSuccess(ended.run.task);
             markDirty(job);
         }
         if (isDirty(job.spec().id)) {
@@ -369,24 +376,28 @@
         task->checkpoint = ended.checkpoint;
     }
     if (ended.end == RunEnd::Done && !job.isOver()) {
-        finishTask(job, *task, ended.run.task);
+        job.recordSuccess(ended.run.task);
         host.host.recordSuccess();
     } else if (ended.end == RunEnd::Failed) {
         countFailure(job, *task, host, ended.run, now);
     }
+    if (job.step(ended.run.task).longRunning && (ended.end == RunEnd::Done || ended.end == RunEnd::Failed)) {
+        delayRestart(*task, *attempt, now);
+    }
     dropAttempt(job, ended.run.task, ended.run.run, host.host.name());
     host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
 }
 
-void Scheduler::finishTask(Job &job, Task &task, const TaskId &id)
+void Scheduler::delayRestart(Task &task, const Attempt &attempt, TimePoint now) const
 {
-    job.finish(task);
-    if (!job.step(id).gang) {
+    if (now - attempt.startedAt >= ShortRunTime) {
+        task.shortRuns = 0;
         return;
     }
-    // The members of a gang finish together, so the end of one member finishes all.
-    for (Task &member : job.stepTasks(id.occurrence, id.step)) {
-        job.finish(member);
+    // A single short run has no delay, so that a task which fails once is not away for longer than needed.
+    const std::uint32_t doublings = std::min(task.shortRuns++, MaxRestartDoublings);
+    if (doublings > 0) {
+        task.notBefore = now + std::min(RestartDelay * (1U << (doublings - 1)), LongestRestartDelay);
     }
 }
 
@@ -398,7 +409,9 @@
         host.host.recordFailure(now);
     }
     ++task.failures;
-    task.failedOn.push_back(host.host.name());
+    if (std::ranges::find(task.failedOn, host.host.name()) == task.failedOn.end()) {
+        task.failedOn.push_back(host.host.name());
+    }
     const StepSpec &step = job.step(run.task);
     if (step.gang) {
         for (Task &member : job.stepTasks(run.task.occurrence, run.task.step)) {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -218,7 +218,8 @@
     [[nodiscard]] bool mayCrashAgain(const Task &task, TimePoint now) const;
     /// Notes that an upstream has survived the start of a run.
     void markSurvived(HostState &host, const Job &job, Task &task, Attempt &attempt);
-    void finishTask(Job &job, Task &task, const TaskId &id);
+    /// Delays the next run of a long-running task after runs that ended soon after their start.
+    void delayRestart(Task &task, const Attempt &attempt, TimePoint now) const;
     void onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now);
     void releaseLostHosts(TimePoint now);
     /// Notes hosts on which runs are placed and that have become silent.
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -735,6 +735,183 @@
     CHECK_FALSE(fixture.scheduler->find("job")->isIdle());
 }
 
+TEST_CASE("A long-running task is started again however its runs end", "[scheduler][longrunning]")
+{
+    // Guards against tasks that stay away until their job is cancelled because a run of theirs has ended done.
+    SchedulerFixture fixture;
+    JobSpec spec = SchedulerFixture::quickJob("job", 2);
+    spec.steps.front().longRunning = true;
+    const RunEnd how = GENERATE(RunEnd::Done, RunEnd::Failed);
+    CAPTURE(endName(how));
+    std::uint64_t number = 0;
+    const auto submitAndStart = [&] {
+        fixture.scheduler->submit(spec, fixture.now);
+        const auto starts = fixture.step();
+        REQUIRE(starts.size() == 2);
+        for (const StartOrder &start : starts) {
+            fixture.scheduler->onStartOutcome(start.host, start.run, StartOutcome::Started, fixture.now);
+        }
+        return starts;
+    };
+    const auto workFor60Seconds = [&](const std::vector<StartOrder> &running) {
+        fixture.advance(Seconds(60));
+        fixture.reportAll(running);
+        CHECK(fixture.step().empty());
+    };
+    const auto restoreUnderNextLeader = [&](const JobProgress &stored) {
+        ++fixture.epoch;
+        fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
+        fixture.scheduler->setOperatorView(fixture.view);
+        fixture.scheduler->restore(spec, stored, fixture.now, fixture.now);
+        fixture.reportAll();
+    };
+
+    SECTION("At once after a run that has worked for a while")
+    {
+        const auto starts = submitAndStart();
+        workFor60Seconds(starts);
+        for (const StartOrder &start : starts) {
+            fixture.end(start, how, ++number);
+        }
+        fixture.reportAll();
+        const auto again = fixture.step();
+        REQUIRE(again.size() == 2);
+        CHECK(again[0].run.run == 2);
+        CHECK(again[0].checkpoint.empty());
+        CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Running);
+
+        SECTION("And under the next leader")
+        {
+            restoreUnderNextLeader(fixture.scheduler->find("job")->progress());
+            CHECK(fixture.step().size() == 2);
+            CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Running);
+        }
+        SECTION("Until the job is cancelled")
+        {
+            for (const StartOrder &start : again) {
+                fixture.end(start, how, ++number);
+            }
+            fixture.scheduler->cancel("job");
+            CHECK(fixture.step(Seconds(5)).empty());
+            CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Cancelled);
+        }
+    }
+    SECTION("From its beginning when it was done, else from its checkpoint")
+    {
+        const auto starts = submitAndStart();
+        workFor60Seconds(starts);
+        HostReport report = fixture.reportOf(starts[0].host);
+        report.ended.push_back({.number = 1, .run = starts[0].run, .end = how, .checkpoint = "half"});
+        fixture.scheduler->onReport(report, fixture.now);
+        fixture.reportAll();
+        const auto again = fixture.step();
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].checkpoint == (how == RunEnd::Done ? "" : "half"));
+    }
+    SECTION("When its end is listed after the run was given up")
+    {
+        const auto starts = submitAndStart();
+        HostReport silent = fixture.reportOf(starts[0].host);
+        silent.silence = Milliseconds(5000);
+        silent.leaseLeft = Milliseconds(-1);
+        fixture.scheduler->onReport(silent, fixture.now);
+        fixture.end(starts[0], how, 1);
+        const auto again = fixture.step();
+        CHECK(again.size() == 1);
+        CHECK(fixture.step(Milliseconds(50)).empty());
+        CHECK(fixture.stops().empty());
+    }
+    SECTION("When an earlier build has stored it as finished")
+    {
+        JobProgress stored{.started = true};
+        for (const std::uint32_t index : {0U, 1U}) {
+            stored.tasks.push_back({.id = {.job = "job", .index = index}, .lastRun = 3, .succeeded = true});
+        }
+        restoreUnderNextLeader(stored);
+        const auto starts = fixture.step();
+        REQUIRE(starts.size() == 2);
+        CHECK(starts[0].run.run == 4);
+        CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Running);
+    }
+    SECTION("Together with the other members of its gang")
+    {
+        spec.steps.front().gang = true;
+        const auto starts = submitAndStart();
+        workFor60Seconds(starts);
+        fixture.end(starts[0], how, 1);
+        CHECK(fixture.step().empty());
+        fixture.end(starts[1], how == RunEnd::Done ? RunEnd::Done : RunEnd::MemberEnded, 2);
+        const auto again = fixture.step();
+        REQUIRE(again.size() == 2);
+        CHECK(again[0].run.run == 2);
+        CHECK(again[1].run.run == 2);
+    }
+    SECTION("And later and later when it ends soon after each start")
+    {
+        // Guards against a task that takes the leader's time and the store's writes by ending at once.
+        auto starts = submitAndStart();
+        std::size_t restarts = 0;
+        Milliseconds longest{0};
+        Milliseconds away{0};
+        for (Milliseconds elapsed{0}; elapsed < Seconds(60); elapsed += Milliseconds(50)) {
+            for (const StartOrder &start : starts) {
+                fixture.scheduler->onStartOutcome(start.host, start.run, StartOutcome::Started, fixture.now);
+                fixture.end(start, how, ++number);
+            }
+            fixture.reportAll();
+            starts = fixture.step(Milliseconds(50));
+            restarts += starts.size();
+            away = starts.empty() ? away + Milliseconds(50) : Milliseconds(0);
+            longest = std::max(longest, away);
+        }
+        // The deployments allow nine seconds without a run.
+        CHECK(longest <= Seconds(4));
+        CHECK(restarts >= 2 * 60 / 4);
+        CHECK(restarts <= 2 * 30);
+
+        SECTION("Until a run lasts")
+        {
+            for (int round = 0; round < 100 && starts.empty(); ++round) {
+                fixture.reportAll();
+                starts = fixture.step(Milliseconds(50));
+            }
+            REQUIRE_FALSE(starts.empty());
+            fixture.advance(Seconds(10));
+            fixture.end(starts[0], how, ++number);
+            fixture.reportAll();
+            CHECK_FALSE(fixture.step().empty());
+        }
+    }
+}
+
+TEST_CASE("Steps that wait for long-running tasks start when each of those has been done once",
+          "[scheduler][longrunning]")
+{
+    SchedulerFixture fixture;
+    JobSpec spec = SchedulerFixture::quickJob("job", 2);
+    spec.steps.front().longRunning = true;
+    spec.steps.push_back(SchedulerFixture::quickJob("job").steps.front());
+    spec.steps.back().after = {0};
+    fixture.scheduler->submit(spec, fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 2);
+    fixture.advance(Seconds(60));
+    fixture.reportAll(starts);
+    fixture.end(starts[0], RunEnd::Done, 1);
+    for (const StartOrder &start : fixture.step()) {
+        CHECK(start.run.task.step == 0);
+    }
+    fixture.end(starts[1], RunEnd::Done, 2);
+    fixture.reportAll();
+    const auto next = fixture.step();
+    const auto dependent = std::ranges::find(next, 1U, [](const StartOrder &start) { return start.run.task.step; });
+    REQUIRE(dependent != next.end());
+
+    // Guards against a job that is shown as completed while its tasks are started again.
+    fixture.end(*dependent, RunEnd::Done, 3);
+    CHECK(fixture.scheduler->find("job")->phase() == JobPhase::Running);
+}
+
 TEST_CASE("A task that fails too often fails its job", "[scheduler]")
 {
     SchedulerFixture fixture;
