Store the progress of a large job in rows that the store accepts

With the first end of a task of a job of 1,000 tasks with checkpoints its leader stored nothing any more; 39 to 81 long-running tasks of another job ended by lapsed leases in 75 s. Cause: a write was compared with the limits of a transaction, and nothing bounded the row of a job's progress, which grows with checkpoints, placements and crashes. The store refuses a row of over 65,536 encoded bytes, and every leader repeats that write until it is replaced. Change: the adapter says how large a row may be, after encoding. A job of more than 40 tasks has a row for its state and one for each 40 tasks; a change writes those in which more than checkpoints differ. Checkpoints without room in their row are left out, first those of running tasks, which their upstreams list to the next leader; a line and a counter say so. All rows are made by the first write, and a missing or unreadable one holds the job. Rows of earlier builds are read and split. A new leader removes rows of progress without a job. Why it works: without checkpoints 40 tasks take 24 kB at most with host names of 100 bytes, and each row has an equal share of a transaction, so that no row and no write of a job exceeds the limits, whatever its tasks save. The table of the tests limits rows as the store does.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -160,6 +160,7 @@
     message.set_cancelled(progress.cancelled);
     message.set_failed(progress.failed);
     message.set_started(progress.started);
+    message.set_completed(progress.completed);
     if (progress.queue) {
         fill(*message.mutable_queue(), *progress.queue);
     }
@@ -188,6 +189,7 @@
     model::JobProgress progress{.cancelled = message.cancelled(),
                                 .failed = message.failed(),
                                 .started = message.started(),
+                                .completed = message.completed(),
                                 .queue = message.has_queue() ? std::optional(queueOf(message.queue())) : std::nullopt,
                                 .tasks = {}};
     for (const wire::TaskProgress &entry : message.tasks()) {
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -245,10 +245,15 @@
 
 void LeaderTerm::restoreJobs(std::span<const Row> jobs, std::span<const Row> progress, TimePoint now)
 {
-    std::map<std::string, Scheduling::JobProgress> progressOf;
+    const auto progressOf = StoredRows::readAllProgress(progress, StoreLayout::ProgressPrefix);
+    std::set<std::string> stored;
+    for (const Row &row : jobs) {
+        stored.insert(StoredRows::nameOf(row, StoreLayout::JobPrefix));
+    }
     for (const Row &row : progress) {
-        if (auto read = StoredRows::readProgress(row, StoreLayout::ProgressPrefix)) {
-            progressOf.emplace(StoredRows::nameOf(row, StoreLayout::ProgressPrefix), std::move(*read));
+        // The leader before this one ended while it removed the rows of the job.
+        if (!stored.contains(StoredRows::jobOf(row, StoreLayout::ProgressPrefix))) {
+            m_deletions.push_back(row.key);
         }
     }
     const std::int64_t unixNow = unixMilliseconds();
@@ -390,7 +395,31 @@
         .with("runs_there", waiting.runsOnSilentHosts);
 }
 
-std::vector<Mutation> LeaderTerm::mutationsOf(const Scheduling::Job &job) const
+ProgressRows &LeaderTerm::progressRowsOf(const Scheduling::Job &job)
+{
+    return m_progressRows.try_emplace(job.spec().id, job.spec()).first->second;
+}
+
+void LeaderTerm::noteOmittedCheckpoints(const std::string &job, std::size_t count)
+{
+    if (count > 0 && m_omittedCheckpoints.insert(job).second) {
+        logWarning("checkpoints-omitted")
+            .with("job", job)
+            .with("count", count)
+            .with("remedy", "use shorter checkpoints or fewer tasks; these tasks may start from their beginning");
+        if (m_options.countEvent) {
+            m_options.countEvent("checkpoints-omitted");
+        }
+    }
+}
+
+void LeaderTerm::deleteRows(const Scheduling::Job &job)
+{
+    m_deletions.push_back(StoreLayout::keyOf(StoreLayout::JobPrefix, job.spec().id));
+    std::ranges::move(progressRowsOf(job).keys(), std::back_inserter(m_deletions));
+}
+
+std::vector<Mutation> LeaderTerm::mutationsOf(const Scheduling::Job &job)
 {
     const std::string &id = job.spec().id;
     std::vector<Mutation> mutations;
@@ -400,8 +429,9 @@
         mutations.push_back(
             {.key = StoreLayout::keyOf(StoreLayout::JobPrefix, id), .value = message.SerializeAsString()});
     }
-    mutations.push_back({.key = StoreLayout::keyOf(StoreLayout::ProgressPrefix, id),
-                         .value = toMessage(job.progress()).SerializeAsString()});
+    ProgressRows::Changes changes = progressRowsOf(job).changes(job.progress(), m_ledger->commitLimits());
+    noteOmittedCheckpoints(id, changes.omittedCheckpoints);
+    std::ranges::move(changes.mutations, std::back_inserter(mutations));
     if (const auto inbox = m_inboxKeys.find(id); inbox != m_inboxKeys.end()) {
         for (const std::string &key : inbox->second) {
             mutations.push_back({.key = key, .value = std::nullopt});
@@ -472,6 +502,7 @@
             m_changed = true;
             break;
         }
+        progressRowsOf(*job).markWritten();
         m_inboxKeys.erase(job->spec().id);
         std::ranges::move(m_scheduler.takeDirtyJobs(1), std::back_inserter(ids));
     }
@@ -924,11 +955,12 @@
         }
     }
     for (const std::string &id : forgotten) {
+        deleteRows(*m_scheduler.find(id));
         m_scheduler.forget(id);
         m_finishedSince.erase(id);
         m_committedRound.erase(id);
-        m_deletions.push_back(StoreLayout::keyOf(StoreLayout::JobPrefix, id));
-        m_deletions.push_back(StoreLayout::keyOf(StoreLayout::ProgressPrefix, id));
+        m_progressRows.erase(id);
+        m_omittedCheckpoints.erase(id);
     }
 }
 
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -4,6 +4,7 @@
 #include "carobflow/control/leaderdirectory.h"
 #include "carobflow/control/ledger.h"
 #include "carobflow/control/operatorsync.h"
+#include "carobflow/control/progressrows.h"
 #include "carobflow/control/transactionbatch.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/scheduler/scheduler.h"
@@ -126,7 +127,12 @@
     /// Returns the jobs whose changes are part of the write.
     std::vector<std::string> addJobs(TransactionBatch &batch);
     void addDeletions(TransactionBatch &batch);
-    [[nodiscard]] std::vector<Mutation> mutationsOf(const Scheduling::Job &job) const;
+    [[nodiscard]] std::vector<Mutation> mutationsOf(const Scheduling::Job &job);
+    ProgressRows &progressRowsOf(const Scheduling::Job &job);
+    /// Notes how many checkpoints of a job have no room in its rows.
+    void noteOmittedCheckpoints(const std::string &job, std::size_t count);
+    /// Removes the rows of a job, that of the job itself first.
+    void deleteRows(const Scheduling::Job &job);
     /// Adds the known interference effects between the images that run on the agent's host.
     void addEffects(const Scheduling::HostReport &report, carobflow::control::ReportReply &reply) const;
     void sendOrders();
@@ -194,6 +200,9 @@
     TimePoint m_inboxKnownAt;
     /// Keys of inbox rows that were processed and are not removed yet.
     std::set<std::string> m_processedInboxKeys;
+    std::map<std::string, ProgressRows, std::less<>> m_progressRows;
+    /// Jobs of which checkpoints have been left out of the store.
+    std::set<std::string, std::less<>> m_omittedCheckpoints;
     /// Hosts whose addresses are not stored yet.
     std::deque<std::string> m_newHosts;
     /// Hosts of which the store does not say yet that they are silent.
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -197,7 +197,7 @@
 TransactionLimits Ledger::commitLimits() const
 {
     const TransactionLimits limits = m_table.limits();
-    return {.entries = limits.entries - HeadEntries, .bytes = limits.bytes - HeadBytes};
+    return {.entries = limits.entries - HeadEntries, .bytes = limits.bytes - HeadBytes, .rowBytes = limits.rowBytes};
 }
 
 asio::awaitable<Status> Ledger::commit(std::vector<Mutation> mutations)
--- a/packages/control/src/carobflow/control/storelayout.h
+++ b/packages/control/src/carobflow/control/storelayout.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -13,7 +14,7 @@
 inline constexpr std::string_view ControlPrefix = "control/";
 /// Submitted jobs; each row is written once.
 inline constexpr std::string_view JobPrefix = "jobs/";
-/// Progress of each job; written by the leader only.
+/// Progress of each job; written by the leader only. That of a large job has several rows.
 inline constexpr std::string_view ProgressPrefix = "progress/";
 /// Hosts on which runs may have been placed: the agent's address and the last leader that granted leases there.
 inline constexpr std::string_view HostPrefix = "hosts/";
@@ -30,6 +31,12 @@
     return std::string(prefix).append(name);
 }
 
+/// One of the rows that hold the tasks of a large job, counted from 1.
+inline std::string taskRowKey(std::string_view job, std::size_t number)
+{
+    return keyOf(ProgressPrefix, job).append(".").append(std::to_string(number));
+}
+
 /// The inbox row that asks for the cancellation of a job.
 inline std::string cancellationKey(std::string_view job)
 {
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -3,6 +3,7 @@
 #include "tablefake.h"
 
 #include "carobflow/control/conversion.h"
+#include "carobflow/control/storedrows.h"
 #include "carobflow/control/storelayout.h"
 #include "carobflow/core/clock.h"
 
@@ -120,21 +121,21 @@
             asio::detached);
     }
 
-    static wire::Job jobMessage(const std::string &id)
+    static wire::Job jobMessage(const std::string &id, std::uint32_t tasks = 1)
     {
         Scheduling::JobSpec spec{.id = id, .queue = "quick", .payload = std::string(PayloadBytes, 'x')};
-        spec.steps = {{.count = 1, .request = {.cpuMillis = 100, .memoryMiB = 10}}};
+        spec.steps = {{.count = tasks, .request = {.cpuMillis = 100 / tasks, .memoryMiB = 10}}};
         return toMessage(spec);
     }
 
     /// Submits a job and counts it when the reply says that it is stored.
-    void submit(const std::string &id)
+    void submit(const std::string &id, std::uint32_t tasks = 1)
     {
         asio::co_spawn(
             io,
-            [this, id]() -> asio::awaitable<void> {
+            [this, id, tasks]() -> asio::awaitable<void> {
                 wire::SubmitRequest request;
-                *request.mutable_job() = jobMessage(id);
+                *request.mutable_job() = jobMessage(id, tasks);
                 const wire::SubmitReply reply = co_await term->submit(std::move(request));
                 stored += reply.outcome() == wire::SubmitReply::STORED ? 1 : 0;
             },
@@ -193,11 +194,19 @@
         return static_cast<Scheduling::JobPhase>(reply->phase());
     }
 
+    /// The stored rows of a job's progress.
+    std::vector<Row> progressRows(const std::string &id) const
+    {
+        std::vector<Row> rows = table.rowsOf(StoreLayout::ProgressPrefix);
+        std::erase_if(rows, [&](const Row &row) { return StoredRows::jobOf(row, StoreLayout::ProgressPrefix) != id; });
+        return rows;
+    }
+
+    /// The stored progress of a job; empty when its rows are incomplete.
     wire::JobProgress storedProgress(const std::string &id) const
     {
-        wire::JobProgress progress;
-        progress.ParseFromString(table.valueOf(StoreLayout::keyOf(StoreLayout::ProgressPrefix, id)));
-        return progress;
+        const auto progress = StoredRows::readAllProgress(progressRows(id), StoreLayout::ProgressPrefix);
+        return progress.contains(id) ? toMessage(progress.at(id)) : wire::JobProgress();
     }
 
     wire::KnownHost storedHost(const std::string &name) const
@@ -330,6 +339,67 @@
     CHECK(fixture.lastReply.acknowledged_end() == 1);
 }
 
+TEST_CASE("The checkpoints of a large job hold up nothing", "[leaderterm][progressrows]")
+{
+    // Guards against a row that outgrows the store: its write is rejected on every attempt, and neither other jobs nor
+    // leases nor ends of runs get any further.
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    const std::uint32_t tasks = GENERATE(30, 150);
+    const std::size_t checkpointBytes = GENERATE(64, 4000);
+    CAPTURE(tasks, checkpointBytes);
+    fixture.submit("large", tasks);
+    const auto runs = [&] { return fixture.started("large"); };
+    fixture.runUntil([&] {
+        fixture.report("host-0");
+        return runs().size() == tasks;
+    });
+
+    Scheduling::HostReport report = fixture.reportOf("host-0");
+    for (const Scheduling::RunId &run : runs()) {
+        report.running.push_back({.run = run, .checkpoint = std::string(checkpointBytes, 'c'), .percent = 50});
+    }
+    fixture.send(report);
+    report.ended.push_back({.number = 1,
+                            .run = report.running.back().run,
+                            .end = Scheduling::RunEnd::Stopped,
+                            .checkpoint = std::string(checkpointBytes, 'e')});
+    report.running.pop_back();
+    fixture.send(report);
+    fixture.submit("other");
+    fixture.runUntil([&] { return fixture.stored == 2; });
+    fixture.runUntil([&] {
+        fixture.send(report);
+        return fixture.lastReply.acknowledged_end() == 1;
+    });
+    CHECK(fixture.table.oversized == 0);
+
+    SECTION("The next leader takes over all of its runs")
+    {
+        fixture.replaceLeader();
+        fixture.waitUntilLoaded();
+        CHECK(fixture.query("large") == Scheduling::JobPhase::Running);
+        CHECK(runs().size() >= tasks - 1);
+    }
+    SECTION("And removes all of its rows when the leader before has removed the job only")
+    {
+        // Guards against rows that stay in the store for good.
+        asio::co_spawn(
+            fixture.io,
+            [&]() -> asio::awaitable<void> {
+                const Transaction removal{
+                    .conditions = {},
+                    .mutations = {{.key = StoreLayout::keyOf(StoreLayout::JobPrefix, "large"), .value = std::nullopt}}};
+                co_await fixture.table.transact(removal);
+            },
+            asio::detached);
+        fixture.replaceLeader();
+        fixture.waitUntilLoaded();
+        fixture.runUntil([&] { return fixture.progressRows("large").empty(); });
+        CHECK_FALSE(fixture.progressRows("other").empty());
+    }
+}
+
 TEST_CASE("A final state is shown from its write on", "[leaderterm]")
 {
     // Guards against a job that runs again after a confirmed cancellation, or is said to, while ends of its runs are
--- a/packages/control/tests/tablefake.cpp
+++ b/packages/control/tests/tablefake.cpp
@@ -17,7 +17,11 @@
 {
     std::size_t bytes = 0;
     for (const Mutation &mutation : transaction.mutations) {
-        bytes += mutation.key.size() + mutation.value.value_or(std::string()).size();
+        const std::size_t rowBytes = mutation.value ? mutation.value->size() : 0;
+        if (rowBytes > limits.rowBytes) {
+            return true;
+        }
+        bytes += mutation.key.size() + rowBytes;
     }
     return transaction.conditions.size() + transaction.mutations.size() > limits.entries || bytes > limits.bytes;
 }
--- a/packages/control/tests/tablefake.h
+++ b/packages/control/tests/tablefake.h
@@ -16,7 +16,7 @@
 public:
     [[nodiscard]] TransactionLimits limits() const override
     {
-        return {.entries = 100, .bytes = 100'000};
+        return {.entries = 100, .bytes = 100'000, .rowBytes = 20'000};
     }
 
     [[nodiscard]] const TableClock &clock() const override
@@ -34,6 +34,8 @@
 
     [[nodiscard]] std::size_t countRows(std::string_view prefix) const;
 
+    [[nodiscard]] std::vector<Row> rowsOf(std::string_view prefix) const;
+
     /// The value of a row; empty when there is none.
     [[nodiscard]] std::string valueOf(std::string_view key) const;
 
@@ -66,8 +68,6 @@
     /// Lets the clock be observed with a reply to a call.
     void observeClock();
 
-    [[nodiscard]] std::vector<Row> rowsOf(std::string_view prefix) const;
-
     std::map<std::string, Row, std::less<>> m_rows;
     std::uint64_t m_version = 1;
     std::uint64_t m_historyFrom = 0;
--- a/packages/core/src/carobflow/core/table.h
+++ b/packages/core/src/carobflow/core/table.h
@@ -35,12 +35,14 @@
     std::vector<Mutation> mutations;
 };
 
-/// The largest transaction that a table accepts.
+/// The largest transaction and the largest row that a table accepts.
 struct TransactionLimits {
     /// Conditions and mutations together.
     std::size_t entries = 0;
     /// Keys and values of all entries together.
     std::size_t bytes = 0;
+    /// The value of one row.
+    std::size_t rowBytes = 0;
 };
 
 /// The transaction was applied; every row that it wrote now has this version.
--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -139,8 +139,12 @@
 
 JobProgress Job::progress() const
 {
-    JobProgress progress{
-        .cancelled = m_cancelled, .failed = m_failed, .started = m_started, .queue = m_queue, .tasks = {}};
+    JobProgress progress{.cancelled = m_cancelled,
+                         .failed = m_failed,
+                         .started = m_started,
+                         .completed = m_remaining == 0,
+                         .queue = m_queue,
+                         .tasks = {}};
     const_cast<Job *>(this)->forEachTask([&](const TaskId &id, const Task &task) {
         if (task.lastRun == 0) {
             return;
@@ -169,6 +173,10 @@
     if (m_queue.service.empty() && progress.queue) {
         m_queue = *progress.queue;
     }
+    if (progress.completed) {
+        forEachTask([](const TaskId & /*id*/, Task &task) { task.succeeded = task.done = true; });
+        m_remaining = 0;
+    }
     for (const TaskProgress &entry : progress.tasks) {
         if (entry.succeeded && findTask(entry.id) != nullptr) {
             recordSuccess(entry.id);
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -99,6 +99,8 @@
     bool failed = false;
     /// An upstream has started one of the tasks.
     bool started = false;
+    /// Every task has finished. The tasks need not be known then.
+    bool completed = false;
     /// The settings of the job's queue, for a leader in whose configuration the queue has been removed.
     std::optional<Queue> queue;
     std::vector<TaskProgress> tasks;
--- a/packages/scheduler/src/carobflow/scheduler/jobcheck.h
+++ b/packages/scheduler/src/carobflow/scheduler/jobcheck.h
@@ -10,7 +10,7 @@
 
 /// Bounds of what a job may ask for. Sums over all its tasks fit into 64 bits, and its row fits into the store.
 struct JobLimits {
-    /// The progress of a job with more tasks, all occurrences counted, does not fit into one row of the store.
+    /// The progress of a job with more tasks, all occurrences counted, does not fit into one write of the store.
     static constexpr std::uint64_t Tasks = 1000;
     /// All texts and numbers of the job. A row of the store takes 65,536 bytes after encoding, which adds a third.
     static constexpr std::size_t Bytes = 45'000;
