Compare the hosts once in a plan for all waiting tasks of one kind

What callers saw: nothing by itself; every request waits for the plan before it. Cause: a plan searched all hosts for each waiting step, whose cost is the product of waiting jobs and hosts. Change: a plan remembers the kinds of tasks that no host can take. Steps that limit their tasks on each host are left out, hosts with suspected starts as well, and a gang that gives resources back clears the memory. Jobs count their attempts and keep the length of their critical path instead of computing both in each plan. The line tasks-waiting says how many hosts the last plan compared.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -392,7 +392,8 @@
         .with("unplaced", waiting.unplaced)
         .with("first", waiting.firstUnplaced)
         .with("silent_hosts", waiting.silentHosts)
-        .with("runs_there", waiting.runsOnSilentHosts);
+        .with("runs_there", waiting.runsOnSilentHosts)
+        .with("comparisons", waiting.comparisons);
 }
 
 ProgressRows &LeaderTerm::progressRowsOf(const Scheduling::Job &job)
--- a/packages/scheduler/src/carobflow/scheduler/host.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/host.cpp
@@ -105,6 +105,11 @@
     });
 }
 
+bool Host::hasSuspectedStart() const
+{
+    return std::ranges::any_of(m_recentStarts, [](const auto &entry) { return entry.second.suspected > 0; });
+}
+
 bool Host::fits(const StepSpec &step) const
 {
     if (!m_report.upstream) {
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -91,6 +91,9 @@
     /// suspected to crash it.
     [[nodiscard]] bool admitsStart(std::string_view job, bool suspected) const;
 
+    /// True when the start of a suspected task here has not been survived yet.
+    [[nodiscard]] bool hasSuspectedStart() const;
+
     /// True when a task of the step fits into the resources that are not reserved.
     [[nodiscard]] bool fits(const StepSpec &step) const;
 
--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -27,6 +27,7 @@
     m_offsets.push_back(count);
     m_tasks.resize(count * m_spec.occurrences);
     m_remaining = m_tasks.size();
+    m_totalCriticalPath = criticalPath(false);
 }
 
 std::size_t Job::firstIndex(std::uint32_t occurrence, std::uint32_t step) const
@@ -82,9 +83,16 @@
     return m_started ? JobPhase::Running : JobPhase::Queued;
 }
 
-bool Job::isIdle() const
+void Job::addAttempt(Task &task, Attempt attempt)
 {
-    return std::ranges::all_of(m_tasks, [](const Task &task) { return task.attempts.empty(); });
+    task.attempts.push_back(std::move(attempt));
+    ++m_attempts;
+}
+
+void Job::removeAttempt(Task &task, std::vector<Attempt>::iterator attempt)
+{
+    task.attempts.erase(attempt);
+    --m_attempts;
 }
 
 void Job::recordSuccess(const TaskId &id)
@@ -124,11 +132,6 @@
     return criticalPath(true);
 }
 
-Milliseconds Job::totalCriticalPath() const
-{
-    return criticalPath(false);
-}
-
 TimePoint Job::objectiveEnd() const
 {
     const std::chrono::duration<double, std::milli> work = std::min(
@@ -195,15 +198,16 @@
         task->crashedOn = entry.crashedOn;
         task->suspected = entry.suspected;
         for (const auto &[host, run] : entry.placements) {
-            task->attempts.push_back({.run = run,
-                                      .host = host,
-                                      .upstream = {},
-                                      .phase = AttemptPhase::Sent,
-                                      .restored = true,
-                                      .suspected = entry.suspected,
-                                      .since = now,
-                                      .startedAt = now,
-                                      .progressedAt = now});
+            addAttempt(*task,
+                       {.run = run,
+                        .host = host,
+                        .upstream = {},
+                        .phase = AttemptPhase::Sent,
+                        .restored = true,
+                        .suspected = entry.suspected,
+                        .since = now,
+                        .startedAt = now,
+                        .progressedAt = now});
         }
     }
 }
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -175,7 +175,16 @@
     }
 
     /// True when no attempt of any task reserves resources.
-    [[nodiscard]] bool isIdle() const;
+    [[nodiscard]] bool isIdle() const
+    {
+        return m_attempts == 0;
+    }
+
+    /// Adds an attempt of a task of this job.
+    void addAttempt(Task &task, Attempt attempt);
+
+    /// Removes an attempt of a task of this job.
+    void removeAttempt(Task &task, std::vector<Attempt>::iterator attempt);
 
     [[nodiscard]] bool isCancelled() const
     {
@@ -210,7 +219,10 @@
     [[nodiscard]] Milliseconds remainingCriticalPath() const;
 
     /// Estimated length of the critical path through all steps.
-    [[nodiscard]] Milliseconds totalCriticalPath() const;
+    [[nodiscard]] Milliseconds totalCriticalPath() const
+    {
+        return m_totalCriticalPath;
+    }
 
     /// Time until which the job has to complete to meet its latency objective.
     [[nodiscard]] TimePoint objectiveEnd() const;
@@ -231,6 +243,9 @@
     /// Index of the first task of each step within an occurrence; the last element is the number of tasks.
     std::vector<std::size_t> m_offsets;
     std::size_t m_remaining = 0;
+    /// Number of attempts of all tasks.
+    std::size_t m_attempts = 0;
+    Milliseconds m_totalCriticalPath{0};
     bool m_cancelled = false;
     bool m_failed = false;
     bool m_started = false;
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -107,10 +107,14 @@
     return static_cast<std::size_t>(suspects) * 2 <= m_hosts.size();
 }
 
-Host *Placement::choose(const Job &job, const TaskId &id, TimePoint now) const
+Host *Placement::choose(const Job &job, const TaskId &id, TimePoint now)
 {
-    const bool avoidsSuspect = avoidsSuspects(now);
     const StepSpec &step = job.step(id);
+    if (m_unplaceable.contains(job, step)) {
+        return nullptr;
+    }
+    const bool avoidsSuspect = avoidsSuspects(now);
+    m_comparisons += m_hosts.size();
     Host *best = nullptr;
     double bestScore = 0;
     for (Host *host : m_hosts) {
@@ -129,6 +133,10 @@
             bestScore = value;
         }
     }
+    // A host that keeps suspected tasks apart may still take a task of another job.
+    if (best == nullptr && !job.findTask(id)->suspected && std::ranges::none_of(m_hosts, &Host::hasSuspectedStart)) {
+        m_unplaceable.add(job, step);
+    }
     return best;
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/placement.h
+++ b/packages/scheduler/src/carobflow/scheduler/placement.h
@@ -4,13 +4,14 @@
 #include "carobflow/scheduler/host.h"
 #include "carobflow/scheduler/job.h"
 #include "carobflow/scheduler/operatorview.h"
+#include "carobflow/scheduler/unplaceableshapes.h"
 
 #include <span>
 
 namespace Carobflow::Scheduling
 {
 
-/// Chooses the host for a task. The order in which tasks are placed is the concern of JobOrder.
+/// Chooses the host for each task of one plan. The order in which tasks are placed is the concern of JobOrder.
 ///
 /// Services are packed onto few hosts, together with short tasks, so that other hosts are free for fillers. Fillers are
 /// placed where most processor time is left over, and never where there is less than they request: fillers that compete
@@ -44,7 +45,19 @@
     }
 
     /// Chooses the host for one more run of the task. Returns null when no host can take it now.
-    [[nodiscard]] Host *choose(const Job &job, const TaskId &id, TimePoint now) const;
+    [[nodiscard]] Host *choose(const Job &job, const TaskId &id, TimePoint now);
+
+    /// Resources of hosts have been given back since the last choice.
+    void onReleased()
+    {
+        m_unplaceable.clear();
+    }
+
+    /// How many hosts were compared for all choices so far.
+    [[nodiscard]] std::size_t comparisons() const
+    {
+        return m_comparisons;
+    }
 
 private:
     /// False when most hosts are suspect, since the cause then lies in the tasks. Otherwise suspect hosts are avoided,
@@ -60,6 +73,8 @@
     const OperatorView &m_view;
     const FillerAdmission &m_fillerAdmission;
     std::span<Host *const> m_hosts;
+    UnplaceableShapes m_unplaceable;
+    std::size_t m_comparisons = 0;
 };
 
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -648,7 +648,7 @@
         if (!attempt->survivedStart) {
             state.host.removeRecentStart(job.spec().id, attempt->suspected);
         }
-        task.attempts.erase(attempt);
+        job.removeAttempt(task, attempt);
         state.host.release(job.step(id));
         state.attempts.erase({.task = id, .run = run});
         markDirty(job);
@@ -820,13 +820,14 @@
         return;
     }
     JobOrder(now).sort(open);
-    const Placement placement({}, *m_view, m_fillerAdmission, hosts);
-    const Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
+    Placement placement({}, *m_view, m_fillerAdmission, hosts);
+    Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
     const bool mostlyFree = isMostlyFree(hosts);
     for (Job *job : open) {
         const bool starving = isStarving(*job, now) && mostlyFree;
         planJob(*job, starving ? interferingPlacement : placement, now, unixMs);
     }
+    m_waiting.comparisons = placement.comparisons() + interferingPlacement.comparisons();
 }
 
 bool Scheduler::isStarving(const Job &job, TimePoint now)
@@ -838,7 +839,7 @@
     return now - m_idleSince.try_emplace(job.spec().id, now).first->second > StarvationTime;
 }
 
-void Scheduler::planJob(Job &job, const Placement &placement, TimePoint now, std::int64_t unixMs)
+void Scheduler::planJob(Job &job, Placement &placement, TimePoint now, std::int64_t unixMs)
 {
     if (job.queue().service.empty() || job.queue().needsPermit) {
         return;
@@ -852,8 +853,7 @@
     }
 }
 
-void Scheduler::planStep(
-    Job &job, std::uint32_t occurrence, std::uint32_t step, const Placement &placement, TimePoint now)
+void Scheduler::planStep(Job &job, std::uint32_t occurrence, std::uint32_t step, Placement &placement, TimePoint now)
 {
     TaskId id{.job = job.spec().id, .occurrence = occurrence, .step = step, .index = 0};
     if (job.step(id).gang) {
@@ -888,7 +888,7 @@
     }
 }
 
-void Scheduler::placeGang(Job &job, const TaskId &first, const Placement &placement, TimePoint now)
+void Scheduler::placeGang(Job &job, const TaskId &first, Placement &placement, TimePoint now)
 {
     const auto tasks = job.stepTasks(first.occurrence, first.step);
     const bool waiting = std::ranges::all_of(
@@ -915,6 +915,7 @@
         dropAttempt(job, placed, run, host);
         tasks[placed.index].lastRun = run - 1;
     }
+    placement.onReleased();
 }
 
 void Scheduler::place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now)
@@ -932,14 +933,15 @@
         m_fillerAdmission.onPlaced(host.name(), job.step(id).image, coresOf(job.step(id).request.cpuMillis), now);
     }
     task.lastRun = run;
-    task.attempts.push_back({.run = run,
-                             .host = host.name(),
-                             .upstream = host.upstream()->identity,
-                             .phase = AttemptPhase::Planned,
-                             .suspected = task.suspected,
-                             .since = now,
-                             .startedAt = now,
-                             .progressedAt = now});
+    job.addAttempt(task,
+                   {.run = run,
+                    .host = host.name(),
+                    .upstream = host.upstream()->identity,
+                    .phase = AttemptPhase::Planned,
+                    .suspected = task.suspected,
+                    .since = now,
+                    .startedAt = now,
+                    .progressedAt = now});
     markDirty(job);
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -53,6 +53,8 @@
     std::size_t silentHosts = 0;
     /// Runs on silent hosts. Their tasks start elsewhere when the leases have expired.
     std::size_t runsOnSilentHosts = 0;
+    /// Hosts compared by the last plan, each once for every choice; most of a plan's processor time.
+    std::size_t comparisons = 0;
 };
 
 /// How many hosts a leader hears.
@@ -228,10 +230,10 @@
     template<typename Predicate>
     void dropAttempts(const HostState &host, std::string_view event, Predicate &&predicate);
     void dropAttempt(Job &job, const TaskId &id, std::uint32_t run, std::string_view host);
-    void planJob(Job &job, const Placement &placement, TimePoint now, std::int64_t unixMs);
-    void planStep(Job &job, std::uint32_t occurrence, std::uint32_t step, const Placement &placement, TimePoint now);
+    void planJob(Job &job, Placement &placement, TimePoint now, std::int64_t unixMs);
+    void planStep(Job &job, std::uint32_t occurrence, std::uint32_t step, Placement &placement, TimePoint now);
     void noteUnplaced(const TaskId &id);
-    void placeGang(Job &job, const TaskId &first, const Placement &placement, TimePoint now);
+    void placeGang(Job &job, const TaskId &first, Placement &placement, TimePoint now);
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
     void superviseAttempts(Job &job, TimePoint now);
     void supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now);
--- /dev/null
+++ b/packages/scheduler/tests/plancost_test.cpp
@@ -0,0 +1,89 @@
+#include "schedulerfixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace Carobflow::Scheduling
+{
+namespace
+{
+
+/// A deployment whose hosts have room for one task of 3000 each.
+class PlanFixture : public SchedulerFixture
+{
+public:
+    explicit PlanFixture(std::size_t hosts)
+    {
+        while (hostNames.size() < hosts) {
+            hostNames.push_back("host-" + std::to_string(hostNames.size() + 1));
+        }
+        reportAll();
+    }
+
+    void submit(const std::string &id, StepSpec step, std::int64_t cpuMillis = 3000)
+    {
+        step.request = {.cpuMillis = cpuMillis, .memoryMiB = 500};
+        step.estimate = Milliseconds(1000);
+        JobSpec job{.id = id, .queue = "quick", .payload = "payload"};
+        job.steps = {std::move(step)};
+        scheduler->submit(std::move(job), now);
+    }
+
+    std::size_t comparisons() const
+    {
+        return scheduler->waitingTasks().comparisons;
+    }
+};
+
+} // namespace
+
+TEST_CASE("A plan compares the hosts once for all waiting tasks of one kind", "[scheduler][plancost]")
+{
+    // Guards against plans whose cost is the product of waiting jobs and hosts. The leader of a full deployment plans
+    // every few milliseconds, and answers reports and clients as much later.
+    const std::size_t hosts = GENERATE(80U, 300U);
+    const std::size_t jobs = GENERATE(10U, 200U);
+    CAPTURE(hosts, jobs);
+    PlanFixture fixture(hosts);
+    fixture.submit("first", {.count = static_cast<std::uint32_t>(hosts)});
+    REQUIRE(fixture.step().size() == hosts);
+    for (std::size_t job = 0; job < jobs; ++job) {
+        fixture.submit("waiting-" + std::to_string(job), {.count = 4});
+    }
+    CHECK(fixture.step(Milliseconds(10)).empty());
+    CHECK(fixture.comparisons() == hosts);
+    CHECK(fixture.scheduler->waitingTasks().unplaced == jobs);
+}
+
+TEST_CASE("A kind of task that fits nowhere is tried again as soon as it may fit", "[scheduler][plancost]")
+{
+    PlanFixture fixture(3);
+    // Guards against a task that waits on idle hosts because a similar one found no host in the same plan.
+    SECTION("After a gang has given back what it could not use")
+    {
+        fixture.submit("1-gang", {.count = 4, .gang = true});
+        fixture.submit("2-task", {.count = 1});
+        const auto starts = fixture.step();
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].run.task.job == "2-task");
+    }
+    SECTION("Beside a step that limits its tasks on each host")
+    {
+        fixture.submit("1-limited", {.count = 4, .maxPerUpstream = 1}, 1000);
+        fixture.submit("2-free", {.count = 1}, 1000);
+        const auto starts = fixture.step();
+        REQUIRE(starts.size() == 4);
+        CHECK(starts[3].run.task.job == "2-free");
+    }
+    SECTION("In the next plan after an end")
+    {
+        fixture.submit("1-first", {.count = 3});
+        const auto starts = fixture.step();
+        REQUIRE(starts.size() == 3);
+        fixture.submit("2-next", {.count = 1});
+        CHECK(fixture.step(Milliseconds(10)).empty());
+        fixture.end(starts[0], RunEnd::Done, 1);
+        CHECK(fixture.step(Milliseconds(10)).size() == 1);
+    }
+}
+
+} // namespace Carobflow::Scheduling
