--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -80,6 +80,7 @@
         m_agentPorts.push_back(ports());
         StandIn::ServerStandIn::Options worker;
         worker.id = "i-" + std::to_string(index);
+        worker.cpuMillis = options.workerCpuMillis;
         worker.zone = "zone-" + std::to_string(index % 3);
         m_workers.push_back(std::make_unique<StandIn::ServerStandIn>(m_io, worker, m_record));
         m_workers.back()->checkIn(m_agentPorts.back().http);
@@ -177,13 +178,21 @@
 }
 
 unsigned HostedSystem::submit(const std::string &id, std::size_t tasks, Milliseconds work, std::size_t entry)
+{
+    return submitBody(
+        id,
+        json::serialize(json::object{
+            {"task-spec", std::to_string(work.count())},
+            {"steps",
+             json::array{json::object{
+                 {"count", tasks}, {"cpu", 500}, {"memory-limit-mb", 100}, {"estimated-ms", work.count()}}}}}),
+        entry);
+}
+
+unsigned HostedSystem::submitBody(const std::string &id, std::string body, std::size_t entry)
 {
     HttpRequest request = requestFor("POST", id);
-    request.body = json::serialize(
-        json::object{{"task-spec", std::to_string(work.count())},
-                     {"steps",
-                      json::array{json::object{
-                          {"count", tasks}, {"cpu", 500}, {"memory-limit-mb", 100}, {"estimated-ms", work.count()}}}}});
+    request.body = std::move(body);
     return statusOf(m_caller.call(entryEndpoint(entry), request));
 }
 
--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -24,6 +24,7 @@
     struct Options {
         std::size_t entries = 1;
         std::size_t agents = 3;
+        std::int64_t workerCpuMillis = 4000;
     };
 
     explicit HostedSystem(Options options);
@@ -37,6 +38,9 @@
     /// Submits a job of `tasks` tasks that each run for `work`; returns the HTTP status of the answer.
     unsigned submit(const std::string &id, std::size_t tasks, Milliseconds work, std::size_t entry = 0);
 
+    /// Submits a job in the form in which clients send it.
+    unsigned submitBody(const std::string &id, std::string body, std::size_t entry = 0);
+
     /// The state that clients are shown; the HTTP status of the answer when it is not 200.
     std::string state(const std::string &id, std::size_t entry = 0);
     unsigned cancel(const std::string &id, std::size_t entry = 0);
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -64,17 +64,18 @@
         // Leases expire even when no call arrives.
         advance();
         if (!silent) {
-            const json::object body{{"service", m_options.service},
-                                    {"address", "127.0.0.1:" + std::to_string(m_port)},
-                                    {"zone", m_options.zone},
-                                    {"version", "v1"},
-                                    {"slots", 8},
-                                    {"state", draining ? "draining" : "ready"},
-                                    {"capacity", json::object{{"cpu", 4000}, {"memory-limit-mb", 32000}}},
-                                    {"labels", json::array{"a", "rack-" + m_options.zone}},
-                                    {"clock-ms", clockMilliseconds()},
-                                    {"sequence", ++m_sequence},
-                                    {"born", m_born}};
+            const json::object body{
+                {"service", m_options.service},
+                {"address", "127.0.0.1:" + std::to_string(m_port)},
+                {"zone", m_options.zone},
+                {"version", "v1"},
+                {"slots", 8},
+                {"state", draining ? "draining" : "ready"},
+                {"capacity", json::object{{"cpu", m_options.cpuMillis}, {"memory-limit-mb", 32000}}},
+                {"labels", json::array{"a", "rack-" + m_options.zone}},
+                {"clock-ms", clockMilliseconds()},
+                {"sequence", ++m_sequence},
+                {"born", m_born}};
             HttpRequest request;
             request.method = "POST";
             request.target = "/carobflow/workers/" + m_options.id + "/heartbeat";
--- a/tests/standins/serverstandin.h
+++ b/tests/standins/serverstandin.h
@@ -30,6 +30,7 @@
 {
 public:
     struct Options {
+        std::int64_t cpuMillis = 4000;
         std::string id;
         std::uint16_t port = 0;
         /// Port of the agent's check-ins.
