Count a run of a gang as one attempt, however many of its members fail

A job is shown as failed after one run of its gang, with two attempts allowed, when one upstream fails two members at one moment. Cause: the first failure raises the count of all members, and the second one of the same run counts on top of that. Change: a task keeps the number of the last run that counts among its failures, in the store as well; a gang counts each run once. Evidence: "A run of a gang counts as one attempt, however many of its members fail" fails before, in both of its sections.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -171,6 +171,7 @@
         entry.set_index(task.id.index);
         entry.set_last_run(task.lastRun);
         entry.set_failures(task.failures);
+        entry.set_failed_run(task.failedRun);
         entry.set_done(task.succeeded);
         entry.set_checkpoint(task.checkpoint);
         entry.mutable_crashed_on()->Assign(task.crashedOn.begin(), task.crashedOn.end());
@@ -197,6 +198,7 @@
             .id = {.job = job, .occurrence = entry.occurrence(), .step = entry.step(), .index = entry.index()},
             .lastRun = entry.last_run(),
             .failures = entry.failures(),
+            .failedRun = entry.failed_run(),
             .succeeded = entry.done(),
             .checkpoint = entry.checkpoint(),
             .crashedOn = {entry.crashed_on().begin(), entry.crashed_on().end()},
--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -155,6 +155,7 @@
         TaskProgress entry{.id = id,
                            .lastRun = task.lastRun,
                            .failures = task.failures,
+                           .failedRun = task.failedRun,
                            .succeeded = task.succeeded,
                            .checkpoint = task.done ? std::string() : task.checkpoint,
                            .crashedOn = task.crashedOn,
@@ -194,6 +195,7 @@
         m_started = m_started || entry.succeeded || entry.failures > 0 || !entry.checkpoint.empty();
         task->lastRun = entry.lastRun;
         task->failures = entry.failures;
+        task->failedRun = entry.failedRun;
         task->checkpoint = entry.checkpoint;
         task->crashedOn = entry.crashedOn;
         task->suspected = entry.suspected;
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -61,6 +61,8 @@
     std::vector<Attempt> attempts;
     std::uint32_t lastRun = 0;
     std::uint32_t failures = 0;
+    /// The last run that counts among the failures. The members of a gang share their runs.
+    std::uint32_t failedRun = 0;
     /// No further run is needed. Never true for a task that runs until its job is cancelled.
     bool done = false;
     /// A run has succeeded, so that the steps which wait for the task may start.
@@ -85,6 +87,7 @@
     TaskId id;
     std::uint32_t lastRun = 0;
     std::uint32_t failures = 0;
+    std::uint32_t failedRun = 0;
     bool succeeded = false;
     std::string checkpoint;
     std::vector<std::string> crashedOn;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -408,14 +408,19 @@
         host.lastFailedJob = job.spec().id;
         host.host.recordFailure(now);
     }
-    ++task.failures;
+    const StepSpec &step = job.step(run.task);
+    const bool isCounted = step.gang && task.failedRun == run.run;
+    if (!isCounted) {
+        ++task.failures;
+        task.failedRun = run.run;
+    }
     if (std::ranges::find(task.failedOn, host.host.name()) == task.failedOn.end()) {
         task.failedOn.push_back(host.host.name());
     }
-    const StepSpec &step = job.step(run.task);
     if (step.gang) {
         for (Task &member : job.stepTasks(run.task.occurrence, run.task.step)) {
             member.failures = std::max(member.failures, task.failures);
+            member.failedRun = std::max(member.failedRun, task.failedRun);
         }
     }
     if (!step.longRunning && task.failures >= job.queue().maxAttempts && !task.done) {
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -1094,6 +1094,38 @@
     }
 }
 
+TEST_CASE("A run of a gang counts as one attempt, however many of its members fail", "[scheduler][gang]")
+{
+    // Guards against LOST: one faulty upstream with several members of a gang fails the job in a single run.
+    SchedulerFixture fixture;
+    JobSpec gang = SchedulerFixture::quickJob("gang", 4);
+    gang.steps[0].gang = true;
+    fixture.scheduler->submit(gang, fixture.now);
+    std::uint64_t number = 0;
+    const auto failAll = [&](const std::vector<StartOrder> &starts) {
+        REQUIRE(starts.size() == 4);
+        fixture.end(starts[0], RunEnd::Failed, ++number);
+        fixture.end(starts[1], RunEnd::Failed, ++number);
+        fixture.end(starts[2], RunEnd::MemberEnded, ++number);
+        fixture.end(starts[3], RunEnd::Failed, ++number);
+    };
+    const auto phase = [&] { return fixture.scheduler->find("gang")->phase(); };
+    failAll(fixture.step());
+    CHECK(phase() == JobPhase::Running);
+    SECTION("The last allowed run fails the job")
+    {
+        failAll(fixture.step());
+        CHECK(phase() == JobPhase::Failed);
+    }
+    SECTION("A run that succeeds completes it")
+    {
+        for (const StartOrder &start : fixture.step()) {
+            fixture.end(start, RunEnd::Done, ++number);
+        }
+        CHECK(phase() == JobPhase::Completed);
+    }
+}
+
 TEST_CASE("The members of a gang start together or not at all", "[scheduler]")
 {
     SchedulerFixture fixture;
