Ignore a restarted agent's report on an earlier incarnation of its upstream

Four tasks run on two upstreams at once for 1.0 s. Cause: the leader compares incarnations only within one life of an agent. An agent that has just started reports the incarnation of a delayed announcement, and the leader gives up the runs of the later one. Change: a report on an earlier incarnation of a known id is ignored, whichever life of the agent sends it. A report on another id is a replacement as before.

--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -284,9 +284,11 @@
 {
     HostState &state = hostState(report.host);
     const UpstreamDescription *known = state.host.upstream();
-    if (known != nullptr && report.upstream && report.agentIncarnation == state.host.report().agentIncarnation
-        && report.upstream->identity.incarnation < known->identity.incarnation) {
-        // Out of order: a report on a newer incarnation of the upstream has arrived before.
+    if (known != nullptr && report.upstream && report.upstream->identity.incarnation < known->identity.incarnation
+        && (report.agentIncarnation == state.host.report().agentIncarnation
+            || report.upstream->identity.id == known->identity.id)) {
+        // Out of order: a report on a newer incarnation of the upstream has arrived before. A restarted agent may have
+        // received a late announcement of an earlier incarnation.
         return;
     }
     const bool fenced = report.fencedEpoch == m_options.epoch;
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -1126,6 +1126,51 @@
     }
 }
 
+TEST_CASE("A late announcement at a restarted agent does not end the runs of its upstream", "[scheduler][replaced]")
+{
+    // Guards against TWICE: an agent that has just started takes a late announcement of an earlier incarnation for the
+    // current one, and the leader gives up the runs that the later incarnation still executes.
+    SchedulerFixture fixture;
+    std::string host;
+    const auto reportOf = [&](std::int64_t incarnation, std::uint64_t agent) {
+        HostReport report = fixture.reportOf(host);
+        report.upstream->identity.incarnation = incarnation;
+        report.agentIncarnation = agent;
+        return report;
+    };
+    for (const std::string &name : fixture.hostNames) {
+        host = name;
+        fixture.scheduler->onReport(reportOf(20, 1), fixture.now);
+    }
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    host = starts[0].host;
+    fixture.scheduler->onStartOutcome(host, starts[0].run, StartOutcome::Started, fixture.now);
+    HostReport current = reportOf(20, 1);
+    current.running.push_back({.run = starts[0].run});
+    fixture.scheduler->onReport(current, fixture.now);
+
+    fixture.scheduler->onReport(reportOf(10, 2), fixture.now);
+    CHECK(fixture.step(Milliseconds(50)).empty());
+    CHECK(fixture.stops().empty());
+    SECTION("Its next report on the current incarnation continues them")
+    {
+        current.agentIncarnation = 2;
+        fixture.scheduler->onReport(current, fixture.now);
+        CHECK(fixture.step(Milliseconds(50)).empty());
+        CHECK(fixture.stops().empty());
+        CHECK_FALSE(fixture.scheduler->find("job")->isIdle());
+    }
+    SECTION("An upstream of another id has replaced it, whenever it was started")
+    {
+        HostReport other = reportOf(10, 2);
+        other.upstream->identity.id = "other";
+        fixture.scheduler->onReport(other, fixture.now);
+        CHECK(fixture.step(Milliseconds(50)).size() == 1);
+    }
+}
+
 TEST_CASE("The members of a gang start together or not at all", "[scheduler]")
 {
     SchedulerFixture fixture;
