Store the settings of the queue with a job in the inbox

A job that was accepted while nobody led never runs when its route is dropped before the next leader reads it. Cause: the row in the inbox held the job without the settings of its queue. A leader that does not find the queue gives the job settings without a service and stores these. Change: entries write the settings into the row; a leader uses them when its configuration lacks the queue. Rows of earlier builds are read as before. Evidence: "A job in the inbox runs although its queue has been removed since" fails with the settings ignored by the leader (timed out; with the queue still configured it passes).

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -86,18 +86,32 @@
                                                                        : model::RunEnd::Unknown;
 }
 
-void fill(wire::QueueSettings &message, const model::Queue &queue)
+model::UpstreamDescription upstreamOf(const wire::Upstream &message)
+{
+    return {.identity = {.id = message.id(), .incarnation = message.incarnation()},
+            .service = message.service(),
+            .dataCentre = message.data_centre(),
+            .capacity = resourcesOf(message.capacity()),
+            .rack = message.rack(),
+            .labels = {message.labels().begin(), message.labels().end()},
+            .draining = message.draining()};
+}
+
+} // namespace
+
+wire::QueueSettings toMessage(const model::Queue &queue)
 {
+    wire::QueueSettings message;
     message.set_service(queue.service);
     message.set_priority(queue.priority);
     message.set_max_attempts(queue.maxAttempts);
     message.set_stretch(queue.stretch);
     message.set_latency_allowance_ms(queue.latencyAllowance.count());
     message.set_needs_permit(queue.needsPermit);
+    return message;
 }
 
-/// The settings without the name, which the job has.
-model::Queue queueOf(const wire::QueueSettings &message)
+model::Queue fromMessage(const wire::QueueSettings &message)
 {
     return {.name = {},
             .service = message.service(),
@@ -109,19 +123,6 @@
             .needsPermit = message.needs_permit()};
 }
 
-model::UpstreamDescription upstreamOf(const wire::Upstream &message)
-{
-    return {.identity = {.id = message.id(), .incarnation = message.incarnation()},
-            .service = message.service(),
-            .dataCentre = message.data_centre(),
-            .capacity = resourcesOf(message.capacity()),
-            .rack = message.rack(),
-            .labels = {message.labels().begin(), message.labels().end()},
-            .draining = message.draining()};
-}
-
-} // namespace
-
 wire::Job toMessage(const model::JobSpec &job)
 {
     wire::Job message;
@@ -162,7 +163,7 @@
     message.set_started(progress.started);
     message.set_completed(progress.completed);
     if (progress.queue) {
-        fill(*message.mutable_queue(), *progress.queue);
+        *message.mutable_queue() = toMessage(*progress.queue);
     }
     for (const model::TaskProgress &task : progress.tasks) {
         wire::TaskProgress &entry = *message.add_tasks();
@@ -191,7 +192,8 @@
                                 .failed = message.failed(),
                                 .started = message.started(),
                                 .completed = message.completed(),
-                                .queue = message.has_queue() ? std::optional(queueOf(message.queue())) : std::nullopt,
+                                .queue = message.has_queue() ? std::optional(fromMessage(message.queue()))
+                                                             : std::nullopt,
                                 .tasks = {}};
     for (const wire::TaskProgress &entry : message.tasks()) {
         model::TaskProgress task{
--- a/packages/control/src/carobflow/control/conversion.h
+++ b/packages/control/src/carobflow/control/conversion.h
@@ -15,6 +15,12 @@
 /// Conversions between the scheduler's types and the messages of the control protocol, which are also the values of
 /// rows in the store.
 carobflow::control::Job toMessage(const Scheduling::JobSpec &job);
+
+/// The settings of a queue that decide how its jobs run.
+carobflow::control::QueueSettings toMessage(const Scheduling::Queue &queue);
+
+/// The settings without the name, which the job has.
+Scheduling::Queue fromMessage(const carobflow::control::QueueSettings &message);
 Scheduling::JobSpec fromMessage(const carobflow::control::Job &message);
 
 carobflow::control::JobProgress toMessage(const Scheduling::JobProgress &progress);
--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -155,6 +155,12 @@
             }
         }
         if (suspendAwareNow() - began > StoreFallbackDelay && !storeUnavailable && storeThrottle.tryAcquire()) {
+            if (const auto view = m_operators.current()) {
+                if (const Scheduling::Queue *queue = view->findQueue(job.queue)) {
+                    // The queue may be removed before a leader reads the row.
+                    *request.mutable_job()->mutable_queue_settings() = toMessage(*queue);
+                }
+            }
             request.mutable_job()->set_accepted_unix_ms(
                 std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
             const InboxOutcome written = co_await writeInbox(StoreLayout::keyOf(StoreLayout::InboxPrefix, job.id),
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -987,7 +987,7 @@
             return;
         }
     } else if (auto job = StoredRows::readJob(row, StoreLayout::InboxPrefix); job && !m_heldJobs.contains(id)) {
-        if (m_scheduler.submit(std::move(job->spec), suspendAwareNow())
+        if (m_scheduler.submit(std::move(job->spec), suspendAwareNow(), std::move(job->queue))
             == Scheduling::Scheduler::Submission::Accepted) {
             m_unstoredAcceptTimes[id] = job->acceptedUnixMs;
         }
--- a/packages/control/src/carobflow/control/storedrows.cpp
+++ b/packages/control/src/carobflow/control/storedrows.cpp
@@ -81,7 +81,9 @@
     if (message.ParseFromString(row.value)) {
         StoredJob job{
             .spec = fromMessage(message),
-            .acceptedUnixMs = std::clamp<std::int64_t>(message.accepted_unix_ms(), 0, Scheduling::JobLimits::UnixMs)};
+            .acceptedUnixMs = std::clamp<std::int64_t>(message.accepted_unix_ms(), 0, Scheduling::JobLimits::UnixMs),
+            .queue = message.has_queue_settings() ? std::optional(fromMessage(message.queue_settings()))
+                                                  : std::nullopt};
         fault = job.spec.id == nameOf(row, prefix) ? Scheduling::findFault(job.spec) : "its id is not that of the row";
         if (fault.empty()) {
             return job;
--- a/packages/control/src/carobflow/control/storedrows.h
+++ b/packages/control/src/carobflow/control/storedrows.h
@@ -19,6 +19,8 @@
 struct StoredJob {
     Scheduling::JobSpec spec;
     std::int64_t acceptedUnixMs = 0;
+    /// The settings of its queue, if they are stored with the job.
+    std::optional<Scheduling::Queue> queue;
 };
 
 /// Each function below decodes a row under `prefix`. The result is empty when another writer has left something there
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -144,13 +144,18 @@
 
     /// Puts a job into the inbox, as an entry does that reaches no leader.
     void addToInbox(const std::string &id)
+    {
+        addToInbox(id, jobMessage(id).SerializeAsString());
+    }
+
+    void addToInbox(const std::string &id, const std::string &row)
     {
         asio::co_spawn(
             io,
-            [this, id]() -> asio::awaitable<void> {
-                const Transaction write{.conditions = {},
-                                        .mutations = {{.key = StoreLayout::keyOf(StoreLayout::InboxPrefix, id),
-                                                       .value = jobMessage(id).SerializeAsString()}}};
+            [this, id, row]() -> asio::awaitable<void> {
+                const Transaction write{
+                    .conditions = {},
+                    .mutations = {{.key = StoreLayout::keyOf(StoreLayout::InboxPrefix, id), .value = row}}};
                 co_await table.transact(write);
             },
             asio::detached);
@@ -466,6 +471,30 @@
     CHECK(fixture.countPending().pending() == 2);
 }
 
+TEST_CASE("A job in the inbox runs although its queue has been removed since", "[leaderterm][inbox]")
+{
+    // Guards against LOST: a job that an entry accepted while nobody led, and whose queue the operators remove before a
+    // leader reads the row, is never started.
+    const bool isRemoved = GENERATE(true, false);
+    CAPTURE(isRemoved);
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    wire::Job job = TermFixture::jobMessage("job");
+    job.set_queue(isRemoved ? "removed" : "quick");
+    *job.mutable_queue_settings() = toMessage(Scheduling::Queue{.name = "removed", .service = "desk"});
+    fixture.addToInbox("job", job.SerializeAsString());
+    fixture.runUntil([&] {
+        fixture.report("host-0");
+        return !fixture.hostOf("job").empty();
+    });
+    SECTION("Also under the next leader")
+    {
+        fixture.replaceLeader();
+        fixture.waitUntilLoaded();
+        CHECK(fixture.storedProgress("job").queue().service() == "desk");
+    }
+}
+
 TEST_CASE("A leader says how much of the inbox its count of pending jobs contains", "[leaderterm]")
 {
     // Guards against counts that silently omit what entries put into the inbox while the leader reads it late.
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -205,13 +205,14 @@
     }
 }
 
-Scheduler::Submission Scheduler::submit(JobSpec spec, TimePoint now)
+Scheduler::Submission Scheduler::submit(JobSpec spec, TimePoint now, std::optional<Queue> lastKnownQueue)
 {
     if (m_jobs.contains(spec.id)) {
         return Submission::Known;
     }
     const Queue *queue = m_view->findQueue(spec.queue);
-    auto job = std::make_unique<Job>(std::move(spec), queue != nullptr ? *queue : Queue{}, now);
+    Queue settings = queue != nullptr ? *queue : std::move(lastKnownQueue).value_or(Queue{});
+    auto job = std::make_unique<Job>(std::move(spec), std::move(settings), now);
     markDirty(*job);
     const std::string id = job->spec().id;
     m_jobs.emplace(id, std::move(job));
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -96,8 +96,9 @@
     /// Replaces the operators' configuration.
     void setOperatorView(std::shared_ptr<const OperatorView> view);
 
-    /// Accepts a job. It must not be acknowledged to the client before commitJob() for the job.
-    Submission submit(JobSpec spec, TimePoint now);
+    /// Accepts a job. It must not be acknowledged to the client before commitJob() for the job. `lastKnownQueue` is
+    /// used when the operators have removed the job's queue since the job was accepted elsewhere.
+    Submission submit(JobSpec spec, TimePoint now, std::optional<Queue> lastKnownQueue = std::nullopt);
 
     /// Cancels a job. Returns false when there is no such job. The cancellation must not be acknowledged to the client
     /// before commitJob() for the job.
