--- a/packages/control/tests/jobrouter_test.cpp
+++ b/packages/control/tests/jobrouter_test.cpp
@@ -45,7 +45,7 @@
 {
 public:
     RouterFixture()
-        : operators({.decode = [](const auto & /*rows*/) { return nullptr; }}, table, directory, caller)
+        : operators({.decode = [this](const auto & /*rows*/) { return view; }}, table, directory, caller)
         , router(table, directory, operators, caller)
     {
         const auto port = listener.reserve();
@@ -75,6 +75,36 @@
         run(done);
     }
 
+    /// Gives the entry a configuration with the queue "quick".
+    void configure()
+    {
+        auto configured = std::make_shared<Scheduling::OperatorView>();
+        configured->configurationVersion = 2;
+        configured->queues["quick"] = {.name = "quick", .service = "desk", .maxAttempts = 4};
+        view = std::move(configured);
+        asio::co_spawn(io, operators.watchStore(), asio::detached);
+        write("operators/config", "1");
+    }
+
+    /// Submits a job while the leader does not answer; true when it is accepted.
+    bool submit(const std::string &id)
+    {
+        Scheduling::JobSpec spec{.id = id, .queue = "quick"};
+        spec.steps = {{.count = 1, .request = {.cpuMillis = 100, .memoryMiB = 10}}};
+        bool done = false;
+        bool accepted = false;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                const SubmitOutcome outcome = co_await router.submit(spec, suspendAwareNow() + Seconds(3));
+                accepted = std::holds_alternative<JobStored>(outcome);
+                done = true;
+            },
+            asio::detached);
+        run(done);
+        return accepted;
+    }
+
     std::optional<std::uint32_t> countPending()
     {
         std::optional<std::uint32_t> count;
@@ -96,6 +126,7 @@
 
     /// The last count was refused because the queue does not exist any more.
     bool isRemoved = false;
+    std::shared_ptr<const Scheduling::OperatorView> view;
     asio::io_context io;
     TableFake table;
     LeaderDirectory directory;
@@ -120,6 +151,18 @@
 
 } // namespace
 
+TEST_CASE("An entry stores the settings of the queue with a job in the inbox", "[jobrouter][inbox]")
+{
+    // Guards against LOST: without them the job never runs when its queue is removed before a leader reads the row.
+    RouterFixture fixture;
+    fixture.configure();
+    REQUIRE(fixture.submit("job"));
+    wire::Job row;
+    REQUIRE(row.ParseFromString(fixture.table.valueOf(StoreLayout::keyOf(StoreLayout::InboxPrefix, "job"))));
+    CHECK(row.queue_settings().service() == "desk");
+    CHECK(row.queue_settings().max_attempts() == 4);
+}
+
 TEST_CASE("A count of pending jobs contains those that the leader has not read from the inbox", "[jobrouter]")
 {
     // Guards against MIXED: an overloaded leader reads the inbox up to 21 s late, and its count lacks the jobs there.
