Ignore late announcements at restarted agents under any id

Cause: the delayed announcement names the id that the upstream had before its restart, and only reports on one id were compared. Change: all upstreams of a host are started on one machine, so a report on an earlier incarnation is ignored under any id until all leases there have ended. After that it is taken, so that a host whose clock was set back is not left out.

--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -285,11 +285,12 @@
 {
     HostState &state = hostState(report.host);
     const UpstreamDescription *known = state.host.upstream();
-    if (known != nullptr && report.upstream && report.upstream->identity.incarnation < known->identity.incarnation
-        && (report.agentIncarnation == state.host.report().agentIncarnation
-            || report.upstream->identity.id == known->identity.id)) {
+    const bool isOlder = known != nullptr && report.upstream
+        && report.upstream->identity.incarnation < known->identity.incarnation;
+    if (isOlder && (report.agentIncarnation == state.host.report().agentIncarnation || now <= state.leaseFreeAt)) {
         // Out of order: a report on a newer incarnation of the upstream has arrived before. A restarted agent may have
-        // received a late announcement of an earlier incarnation.
+        // received a late announcement, whose sender may have had another id. Once all leases have ended nothing
+        // depends on that any more.
         return;
     }
     const bool fenced = report.fencedEpoch == m_options.epoch;
