Bound the starts that one plan places

After the loss of all processes 2,139 runs lapsed and 7,995 of 20,855 starts were rejected, and two thirds of all requests failed. Cause: a plan placed everything that fits. On a leader with 0.15 of a core one round of writes and orders with 244 starts takes 0.7 s. The replies that allow leases wait for it, agents reject starts under leases that are about to end, and each rejected start is placed and written again. Change: a plan places 60 starts; the next one goes on, beginning with the most urgent jobs.

--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -46,6 +46,10 @@
 /// Number of runs after which the release of lost hosts goes on with the next plan. The leader renews its leadership
 /// between two plans, and on a small host's share the release of 2,000 runs takes a second.
 constexpr std::size_t MaxReleasedRuns = 100;
+/// Starts that one plan places before the next plan goes on. A start costs the leader about 0.6 ms of a core, and the
+/// replies that allow leases wait for the round of writes and orders that follows a plan. Leases lapse, and agents
+/// reject starts, when a leader with the processor share of a small host sends hundreds of starts in one round.
+constexpr std::size_t MaxPlacedStarts = 60;
 /// Time without a report after which a host of which nothing is left is forgotten. Longer than the restarts and
 /// partitions in the deployments' records; a host that reports later is added again.
 constexpr Seconds LostHostRetention{60};
@@ -803,6 +807,7 @@
 void Scheduler::plan(TimePoint now, std::int64_t unixMs)
 {
     m_waiting = {};
+    m_placedStarts = 0;
     releaseLostHosts(now);
     const bool supervisesAll = now - m_supervisedAt >= SuperviseInterval;
     if (supervisesAll) {
@@ -833,6 +838,9 @@
     Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
     const bool mostlyFree = isMostlyFree(hosts);
     for (Job *job : open) {
+        if (m_placedStarts >= MaxPlacedStarts) {
+            break;
+        }
         const bool starving = isStarving(*job, now) && mostlyFree;
         planJob(*job, starving ? interferingPlacement : placement, now, unixMs);
     }
@@ -870,6 +878,9 @@
         return;
     }
     for (Task &task : job.stepTasks(occurrence, step)) {
+        if (m_placedStarts >= MaxPlacedStarts) {
+            return;
+        }
         if (!task.done && task.attempts.empty() && task.notBefore <= now) {
             Host *host = placement.choose(job, id, now);
             if (host == nullptr) {
@@ -941,6 +952,7 @@
     if (job.step(id).fillsLeftover) {
         m_fillerAdmission.onPlaced(host.name(), job.step(id).image, coresOf(job.step(id).request.cpuMillis), now);
     }
+    ++m_placedStarts;
     task.lastRun = run;
     job.addAttempt(task,
                    {.run = run,
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -263,6 +263,8 @@
     std::set<std::string, std::less<>> m_storedFinalStates;
     /// Time since which unfinished jobs have had no attempt.
     std::map<std::string, TimePoint, std::less<>> m_idleSince;
+    /// Starts that the current plan has placed; those of a gang that was given up count as well.
+    std::size_t m_placedStarts = 0;
     WaitingTasks m_waiting;
     std::vector<std::string> m_silentHosts;
     /// Time of the last check of all attempts.
