Log when an agent holds leases for expired, and when runs outlast that

A record of two runs at the same time did not show whether the agent had counted a lease too short, an order was executed late, or the leader's count was wrong. The line of a restarted upstream now says when its leases expire by the agent's count, and a warning names the first run that is still listed after that time.

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -6,6 +6,7 @@
 #include "carobflow/logging/log.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -51,6 +52,12 @@
 /// A report that is answered within this time has not waited for a busy leader; a write of the store takes 5 to 10 ms.
 constexpr Milliseconds PromptAnswer{50};
 
+/// Negative when the time has passed.
+Milliseconds timeLeft(TimePoint until)
+{
+    return std::chrono::duration_cast<Milliseconds>(until - suspendAwareNow());
+}
+
 } // namespace
 
 HostAgent::HostAgent(const asio::any_io_executor &executor,
@@ -242,6 +249,7 @@
         .with("upstream", m_upstream->identity.id)
         .with("incarnation", m_upstream->identity.incarnation)
         .with("listed", incarnation)
+        .with("leases_expire_in_ms", timeLeft(m_leasesExpireBy).count())
         .with("remedy", "none needed; starts are rejected until the upstream announces itself");
 }
 
@@ -263,6 +271,7 @@
     const std::uint64_t newestBefore = m_ended.empty() ? m_acknowledgedEnd : m_ended.back().number;
     m_running = lists.running;
     observeRunning(receivedAt);
+    observeOutlastedLeases();
     m_ended.clear();
     m_moreEnds = lists.moreEnds;
     for (const Scheduling::EndedRun &ended : lists.ended) {
@@ -299,6 +308,20 @@
     m_firstListedAt = std::move(firstListedAt);
 }
 
+void HostAgent::observeOutlastedLeases()
+{
+    const bool outlasted = !m_running.empty() && timeLeft(m_leasesExpireBy) < Milliseconds(0);
+    if (outlasted && !std::exchange(m_leasesOutlasted, true)) {
+        logWarning("leases-outlasted")
+            .with("upstream", m_upstream->identity.id)
+            .with("runs", m_running.size())
+            .with("first", m_running.front().run.task.toString())
+            .with("by_ms", -timeLeft(m_leasesExpireBy).count())
+            .with("remedy", "check the clock of the upstream; its tasks may have been started elsewhere too");
+    }
+    m_leasesOutlasted = outlasted;
+}
+
 void HostAgent::observeUnreadable(const UpstreamLists &lists)
 {
     for (const std::string &entry : lists.unreadable) {
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -77,6 +77,8 @@
     void apply(const UpstreamLists &lists, Epoch epoch, TimePoint receivedAt);
     /// Notes how long each running run has been listed.
     void observeRunning(TimePoint receivedAt);
+    /// Logs when runs are listed after the time by which their leases have to have expired.
+    void observeOutlastedLeases();
     /// The number of stored ends for the next call. It is left out when no such end is listed: an upstream that has
     /// restarted numbers its ends from 1 again and would discard ends that nobody has seen.
     [[nodiscard]] std::uint64_t endToDiscard() const;
@@ -136,6 +138,8 @@
     TimePoint m_answeredAt;
     /// Every lease that this agent has requested expires by this time.
     TimePoint m_leasesExpireBy;
+    /// The last lists contained runs although their leases should have expired.
+    bool m_leasesOutlasted = false;
     std::vector<Scheduling::RunningRun> m_running;
     /// When each running run was first listed.
     std::map<Scheduling::RunId, TimePoint> m_firstListedAt;
