Count the longest lease after a restart of an upstream under its id

Cause: the end of a lease is a time on the upstream's clock, and the clock starts anew with an incarnation. The call that found a new incarnation carried a lease of 6 s on the former one's clock. The new one shortens it to the longest that the deployment allows, 10 s, and applies it to all that it runs from then on. The agent had recorded 6.4 s, the leader and its successor counted 8.0 s from the last report and 8.6 s from the last write.

Evidence: all runs of the upstream lapse together 10.14 s after the restart, on a clock that is 1.4% slow, whenever they started; the agent's account ended 1.2 s before. A late order and a clock slower than 3% are ruled out by that.

Change: an agent asks for a lease only while the announced incarnation answers, and counts the longest lease after a restart. Its reports, the leader's account and the host's row carry that time; the row is written before any start on the new incarnation, so that a successor waits as long.

One setup changed: the case of an upstream that hangs after a restart claimed 7 s of silence 1.5 s after the restart; it now advances the time, and checks that nothing starts before.

--- a/packages/control/src/carobflow/control/conversion.cpp
+++ b/packages/control/src/carobflow/control/conversion.cpp
@@ -247,6 +247,7 @@
         entry.set_checkpoint(run.checkpoint);
     }
     message.set_more_ends(report.moreEnds);
+    message.set_former_lease_left_ms(report.formerLeaseLeft.count());
     return message;
 }
 
@@ -265,6 +266,7 @@
                              .upstream = std::nullopt,
                              .silence = Milliseconds(message.silence_ms()),
                              .leaseLeft = Milliseconds(message.lease_left_ms()),
+                             .formerLeaseLeft = Milliseconds(message.former_lease_left_ms()),
                              .tailPressure = message.tail_pressure(),
                              .running = {},
                              .ended = {},
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -33,9 +33,6 @@
 /// Report interval while ended runs are not acknowledged. Acknowledgements come with the replies to reports; the write
 /// that they wait for takes about 10 ms.
 constexpr Milliseconds PendingEndsReportInterval{60};
-/// Leases are not renewed when the upstream has not answered for this long. Longer than one call for lists with its
-/// time-out, 0.8 s.
-constexpr Milliseconds RenewalSilenceLimit{1200};
 /// Three reports fit into the time after which a silent host is sent no start orders.
 constexpr Milliseconds ReportInterval{400};
 constexpr Milliseconds ReportTimeout{600};
@@ -43,8 +40,6 @@
 /// Several times the number of runs on a host. Entries of ended tasks are not removed one by one; beyond this size all
 /// are dropped.
 constexpr std::size_t MaxDescriptions = 1000;
-/// Covers the delay of a message.
-constexpr Milliseconds LeaseMargin{200};
 /// A run is not started under a shorter lease; renewals arrive every 0.4 s.
 constexpr Milliseconds ShortestStartLease{1000};
 /// Leases that end sooner are renewed at once when the leader allows longer ones again.
@@ -75,10 +70,9 @@
     , m_incarnation(randomNumber())
     , m_reportNow(m_strand)
     , m_renewNow(m_strand)
+    , m_leases(m_options.leaseTimes, suspendAwareNow())
     , m_leaderAnsweredAt(suspendAwareNow())
 {
-    // The process before this one may have renewed the leases.
-    recordLeaseRequest(suspendAwareNow(), m_options.leaseTimes.lease);
 }
 
 void HostAgent::start()
@@ -99,7 +93,11 @@
         .with("incarnation", upstream.identity.incarnation)
         .with("service", upstream.service)
         .with("before", m_upstream ? m_upstream->identity.id : "none");
-    // A new incarnation holds no lease of the previous one and knows no leader.
+    if (m_upstream && m_upstream->identity.id == upstream.identity.id) {
+        m_leases.onRestarted(suspendAwareNow());
+    }
+    m_leases.onAnnounced();
+    // A new incarnation knows no leader.
     m_upstream = upstream;
     m_listedIncarnation = upstream.identity.incarnation;
     m_fencedEpoch = 0;
@@ -150,17 +148,6 @@
     }
 }
 
-Milliseconds HostAgent::allowedLease(TimePoint now) const
-{
-    // A call without an answer may still renew the lease. A silent upstream therefore gets no renewals; otherwise its
-    // runs could never be considered ended.
-    if (m_clockAt == TimePoint{} || now - m_answeredAt > RenewalSilenceLimit) {
-        return Milliseconds(0);
-    }
-    const auto left = std::chrono::duration_cast<Milliseconds>(m_leaseLimit - now);
-    return std::clamp(left, Milliseconds(0), m_options.leaseTimes.lease);
-}
-
 std::int64_t HostAgent::leaseUntil(TimePoint now, Milliseconds lease) const
 {
     // A lower bound of the upstream's clock, since the answer was sent before it arrived here.
@@ -168,12 +155,6 @@
     return m_clockMs + elapsed.count() + lease.count();
 }
 
-void HostAgent::recordLeaseRequest(TimePoint now, Milliseconds lease)
-{
-    const auto longest = lease * Scheduling::LeaseTimes::ClockFactor;
-    m_leasesExpireBy = std::max(m_leasesExpireBy, now + std::chrono::duration_cast<Duration>(longest) + LeaseMargin);
-}
-
 asio::awaitable<void> HostAgent::renewLoop()
 {
     bool reachable = false;
@@ -184,7 +165,7 @@
             continue;
         }
         // An upstream that did not answer may have been restarted, which the first answer shows.
-        const bool mayWait = reachable && m_fencedEpoch == m_epoch;
+        const bool mayWait = m_leases.isConfirmed() && m_fencedEpoch == m_epoch;
         const bool answered = co_await renewOnce(mayWait ? listWait() : Milliseconds(0));
         if (answered != reachable) {
             reachable = answered;
@@ -217,20 +198,28 @@
                          .leaseUntilMs = std::nullopt,
                          .wait = wait};
     const auto identity = request.upstream;
-    if (const Milliseconds lease = allowedLease(sentAt); lease > Milliseconds(0)) {
+    if (const Milliseconds lease = m_leases.allowedLease(sentAt); lease > Milliseconds(0)) {
         request.leaseUntilMs = leaseUntil(sentAt, lease);
-        recordLeaseRequest(sentAt, lease);
+        m_leases.onRequested(sentAt, lease);
     }
     const LeaseOutcome outcome = co_await m_link.renew(std::move(request));
+    const TimePoint endedAt = suspendAwareNow();
     const auto *lists = std::get_if<UpstreamLists>(&outcome);
-    if (lists == nullptr || !m_upstream || m_upstream->identity != identity) {
+    if (!m_upstream || m_upstream->identity != identity) {
+        co_return false;
+    }
+    if (lists == nullptr) {
+        m_leases.onUnanswered(endedAt);
         co_return false;
     }
     if (lists->incarnation != identity.incarnation) {
+        m_leases.onUnanswered(endedAt);
+        m_leases.onRestarted(endedAt);
         noteIncarnation(lists->incarnation);
         co_return false;
     }
-    apply(*lists, epoch, suspendAwareNow());
+    m_leases.onAnswered(sentAt, endedAt);
+    apply(*lists, epoch, endedAt);
     co_return true;
 }
 
@@ -249,7 +238,7 @@
         .with("upstream", m_upstream->identity.id)
         .with("incarnation", m_upstream->identity.incarnation)
         .with("listed", incarnation)
-        .with("leases_expire_in_ms", timeLeft(m_leasesExpireBy).count())
+        .with("leases_expire_in_ms", timeLeft(m_leases.expireBy()).count())
         .with("remedy", "none needed; starts are rejected until the upstream announces itself");
 }
 
@@ -267,7 +256,6 @@
     const bool wasKnown = m_clockAt != TimePoint{};
     m_clockMs = lists.clockMs;
     m_clockAt = receivedAt;
-    m_answeredAt = receivedAt;
     const std::uint64_t newestBefore = m_ended.empty() ? m_acknowledgedEnd : m_ended.back().number;
     m_running = lists.running;
     observeRunning(receivedAt);
@@ -310,13 +298,13 @@
 
 void HostAgent::observeOutlastedLeases()
 {
-    const bool outlasted = !m_running.empty() && timeLeft(m_leasesExpireBy) < Milliseconds(0);
+    const bool outlasted = !m_running.empty() && timeLeft(m_leases.expireBy()) < Milliseconds(0);
     if (outlasted && !std::exchange(m_leasesOutlasted, true)) {
         logWarning("leases-outlasted")
             .with("upstream", m_upstream->identity.id)
             .with("runs", m_running.size())
             .with("first", m_running.front().run.task.toString())
-            .with("by_ms", -timeLeft(m_leasesExpireBy).count())
+            .with("by_ms", -timeLeft(m_leases.expireBy()).count())
             .with("remedy", "check the clock of the upstream; its tasks may have been started elsewhere too");
     }
     m_leasesOutlasted = outlasted;
@@ -392,8 +380,9 @@
                                   .agentIncarnation = m_incarnation,
                                   .fencedEpoch = m_fencedEpoch,
                                   .upstream = m_upstream,
-                                  .silence = std::chrono::duration_cast<Milliseconds>(now - m_answeredAt),
-                                  .leaseLeft = std::chrono::duration_cast<Milliseconds>(m_leasesExpireBy - now),
+                                  .silence = std::chrono::duration_cast<Milliseconds>(now - m_leases.answeredAt()),
+                                  .leaseLeft = timeLeft(m_leases.expireBy()),
+                                  .formerLeaseLeft = std::max(timeLeft(m_leases.formerExpireBy()), Milliseconds(0)),
                                   .tailPressure = m_pacer.pressure(),
                                   .running = m_running,
                                   .ended = m_ended,
@@ -469,12 +458,10 @@
     adoptEpoch(reply.leader().epoch());
     m_leaderAnsweredAt = suspendAwareNow();
     const Milliseconds allowed(reply.lease_ms());
-    const TimePoint limit = std::max(
-        m_leaseLimit,
-        sentAt + std::clamp(allowed, Milliseconds(0), m_options.leaseTimes.leaseAfterReport(Duration(0))));
-    const bool wasShort = m_leaseLimit - m_leaderAnsweredAt < ShortLease;
-    m_leaseLimit = limit;
-    if (wasShort && m_upstream && limit - m_leaderAnsweredAt >= ShortLease) {
+    const bool wasShort = m_leases.allowedUntil() - m_leaderAnsweredAt < ShortLease;
+    m_leases.allowUntil(sentAt
+                        + std::clamp(allowed, Milliseconds(0), m_options.leaseTimes.leaseAfterReport(Duration(0))));
+    if (wasShort && m_upstream && m_leases.allowedUntil() - m_leaderAnsweredAt >= ShortLease) {
         // The pending long poll may last longer than the leases.
         asio::co_spawn(
             m_strand, [this]() -> asio::awaitable<void> { co_await renewOnce(Milliseconds(0)); }, asio::detached);
@@ -529,12 +516,12 @@
         co_return epoch < m_epoch ? StartOutcome::Fenced : StartOutcome::NotAccepted;
     }
     const TimePoint now = suspendAwareNow();
-    const Milliseconds lease = allowedLease(now);
+    const Milliseconds lease = m_leases.allowedLease(now);
     if (lease < ShortestStartLease) {
         co_return StartOutcome::LeaseOver;
     }
     const std::int64_t until = leaseUntil(now, lease);
-    recordLeaseRequest(now, lease);
+    m_leases.onRequested(now, lease);
     m_descriptions[order.run.task] = {
         .image = order.image, .tailTarget = order.tailTarget, .fillsLeftover = order.fillsLeftover};
     co_return co_await m_link.start(std::move(order), epoch, until);
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -6,7 +6,7 @@
 #include "carobflow/control/upstreamlink.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/scheduler/host.h"
-#include "carobflow/scheduler/leasetimes.h"
+#include "carobflow/scheduler/leaseaccount.h"
 #include "carobflow/scheduler/pacer.h"
 
 #include <map>
@@ -90,9 +90,6 @@
     void resetUpstream(const Scheduling::UpstreamDescription &upstream);
     /// The time on the upstream's clock at which a lease of this duration ends.
     [[nodiscard]] std::int64_t leaseUntil(TimePoint now, Milliseconds lease) const;
-    void recordLeaseRequest(TimePoint now, Milliseconds lease);
-    /// Duration of the lease to ask for; 0 when none may be.
-    [[nodiscard]] Milliseconds allowedLease(TimePoint now) const;
     /// Time for which the agent waits after an answered report although there is something to report.
     [[nodiscard]] Milliseconds reportPause() const;
     /// True when the upstream's lists have shown a later incarnation than the announced one. Nothing is known of that
@@ -124,8 +121,7 @@
     std::int64_t m_listedIncarnation = 0;
     Epoch m_epoch = 0;
     Epoch m_fencedEpoch = 0;
-    /// Time up to which the leader allows leases.
-    TimePoint m_leaseLimit;
+    Scheduling::LeaseAccount m_leases;
     /// Duration of the last report that was answered.
     Duration m_reportTook{0};
     TimePoint m_leaderAnsweredAt;
@@ -135,9 +131,6 @@
     /// The upstream's clock in its last answer, and the local time at which the answer arrived.
     std::int64_t m_clockMs = 0;
     TimePoint m_clockAt;
-    TimePoint m_answeredAt;
-    /// Every lease that this agent has requested expires by this time.
-    TimePoint m_leasesExpireBy;
     /// The last lists contained runs although their leases should have expired.
     bool m_leasesOutlasted = false;
     std::vector<Scheduling::RunningRun> m_running;
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -287,7 +287,10 @@
         }
         const std::string name = StoredRows::nameOf(row, StoreLayout::HostPrefix);
         m_contacts[name] = {.address = known->address()};
-        m_scheduler.expectHost(name, now, leasesExpireBy(*known, now));
+        m_scheduler.expectHost(name,
+                               {.now = now,
+                                .leasesExpireBy = leasesExpireBy(*known, now),
+                                .formerExpireBy = formerLeasesExpireBy(*known, now)});
     }
 }
 
@@ -306,6 +309,17 @@
     return std::min(expiry, latest);
 }
 
+TimePoint LeaderTerm::formerLeasesExpireBy(const wire::KnownHost &host, TimePoint now) const
+{
+    if (host.former_leases_expire_store_ms() == 0) {
+        return {};
+    }
+    // No restart that is noticed from now on is counted here.
+    const TimePoint latest = now + m_options.leaseTimes.untilFreeAfterRestart();
+    const auto storeNow = m_table.clock().earliest(now);
+    return storeNow ? std::min(latest, now + (Milliseconds(host.former_leases_expire_store_ms()) - *storeNow)) : latest;
+}
+
 void LeaderTerm::publishPeers()
 {
     std::vector<std::string> peers;
@@ -456,10 +470,11 @@
     wire::KnownHost known;
     known.set_address(m_contacts.at(name).address);
     known.set_granted_by_epoch(m_ledger->epoch());
-    const auto until = m_scheduler.silentUntil(name);
-    if (const auto expiry = until ? m_table.clock().latest(*until) : std::nullopt) {
-        known.set_leases_expire_store_ms(expiry->count());
-    }
+    const auto storeTimeOf = [&](std::optional<TimePoint> time) {
+        return time ? m_table.clock().latest(*time).value_or(Milliseconds(0)).count() : 0;
+    };
+    known.set_leases_expire_store_ms(storeTimeOf(m_scheduler.silentUntil(name)));
+    known.set_former_leases_expire_store_ms(storeTimeOf(m_scheduler.formerLeasesExpireBy(name)));
     return {.key = StoreLayout::keyOf(StoreLayout::HostPrefix, name), .value = known.SerializeAsString()};
 }
 
@@ -471,6 +486,11 @@
         m_silentHosts.push_back(std::move(name));
     }
     std::ranges::move(m_scheduler.takeNewHosts(), std::back_inserter(m_newHosts));
+    for (std::string &name : m_scheduler.takeRestartedHosts()) {
+        if (std::ranges::find(m_restartedHosts, name) == m_restartedHosts.end()) {
+            m_restartedHosts.push_back(std::move(name));
+        }
+    }
     std::vector<std::string> reporting;
     const auto addRows = [&](std::deque<std::string> &names, const auto &added) {
         while (!names.empty()) {
@@ -484,7 +504,14 @@
     };
     std::erase_if(m_silentHosts, [&](const std::string &name) { return !m_scheduler.silentUntil(name); });
     std::erase_if(m_newHosts, [&](const std::string &name) { return m_scheduler.silentUntil(name).has_value(); });
-    addRows(m_silentHosts, [](const std::string & /*name*/) {});
+    // The rows of new and silent hosts contain the times after a restart as well.
+    std::erase_if(m_restartedHosts, [&](const std::string &name) {
+        return std::ranges::find(m_silentHosts, name) != m_silentHosts.end()
+            || std::ranges::find(m_newHosts, name) != m_newHosts.end();
+    });
+    const auto ignore = [](const std::string & /*name*/) {};
+    addRows(m_restartedHosts, ignore);
+    addRows(m_silentHosts, ignore);
     addRows(m_newHosts, [&](const std::string &name) {
         // A forgotten host may report again before its row is removed.
         std::erase(m_deletions, StoreLayout::keyOf(StoreLayout::HostPrefix, name));
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -121,8 +121,8 @@
     /// These functions fill a write up to its limits, in this order: other candidates wait for renewals, and a
     /// successor needs the address of each host on which a job's tasks are placed.
     void addLeadership(TransactionBatch &batch, TimePoint now);
-    /// Adds hosts that have reported for the first time, and when the leases of silent hosts expire. Returns the
-    /// former.
+    /// Adds hosts that have reported for the first time, and when the leases of silent hosts and of hosts whose
+    /// upstreams have restarted expire. Returns the first.
     std::vector<std::string> addHosts(TransactionBatch &batch);
     /// Returns the jobs whose changes are part of the write.
     std::vector<std::string> addJobs(TransactionBatch &batch);
@@ -149,6 +149,8 @@
     [[nodiscard]] Milliseconds leaseFor(const Scheduling::HostReport &report, TimePoint now) const;
     /// Time by which every lease has expired that former leaders granted to a host.
     [[nodiscard]] TimePoint leasesExpireBy(const carobflow::control::KnownHost &host, TimePoint now) const;
+    /// Time by which the leases have expired that calls for former incarnations may have given the host's upstream.
+    [[nodiscard]] TimePoint formerLeasesExpireBy(const carobflow::control::KnownHost &host, TimePoint now) const;
     /// The row of a host that has reported to this leader.
     [[nodiscard]] Mutation hostRow(const std::string &name) const;
     /// Adds the hosts of former leaders. Called before restoreJobs(), which places runs on them.
@@ -207,6 +209,8 @@
     std::deque<std::string> m_newHosts;
     /// Hosts of which the store does not say yet that they are silent.
     std::deque<std::string> m_silentHosts;
+    /// Hosts of which the store does not say yet that their upstreams have restarted.
+    std::deque<std::string> m_restartedHosts;
     /// Keys of rows to remove.
     std::deque<std::string> m_deletions;
     std::map<std::string, TimePoint> m_finishedSince;
--- a/packages/control/tests/conversion_test.cpp
+++ b/packages/control/tests/conversion_test.cpp
@@ -44,6 +44,13 @@
     CHECK(fromMessage(toMessage(Scheduling::HostReport{.moreEnds = moreEnds})).moreEnds == moreEnds);
 }
 
+// Guards against a leader that counts the leases of a restarted upstream too short.
+TEST_CASE("A report says how long leases of former incarnations may last", "[conversion][replaced]")
+{
+    const Scheduling::HostReport report{.formerLeaseLeft = Milliseconds(9876)};
+    CHECK(fromMessage(toMessage(report)).formerLeaseLeft == report.formerLeaseLeft);
+}
+
 // Guards against settings of a removed queue that a row of another writer makes unusable.
 TEST_CASE("The settings of a job's queue are stored with its progress", "[conversion]")
 {
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -664,6 +664,53 @@
     CHECK(std::chrono::steady_clock::now() - lostAt > longestLease);
 }
 
+TEST_CASE("The next leader waits for the leases of an upstream that has restarted under its id",
+          "[leaderterm][replaced]")
+{
+    // Guards against TWICE: the leases that calls for the former incarnation give the new one end later than those that
+    // the leader allowed, and the next leader did not know of the restart.
+    TermFixture fixture;
+    fixture.options.leaseTimes = {
+        .lease = Milliseconds(300), .contactGap = Milliseconds(200), .longestGranted = Milliseconds(3000)};
+    fixture.replaceLeader();
+    fixture.runUntil([&] {
+        fixture.report("host-0");
+        return fixture.lastReply.lease_ms() > 0;
+    });
+    Scheduling::HostReport restarted = fixture.reportOf("host-0");
+    restarted.upstream->identity.incarnation = 2;
+    restarted.fencedEpoch = fixture.directory.current().epoch;
+    fixture.send(restarted);
+    const auto restartedAt = std::chrono::steady_clock::now();
+    fixture.submit("job");
+    fixture.runUntil([&] { return !fixture.hostOf("job").empty(); });
+    REQUIRE(fixture.hostOf("job") == "host-0");
+    CHECK(fixture.storedHost("host-0").former_leases_expire_store_ms() > 0);
+
+    SECTION("When the leader after it has not heard of the restart either")
+    {
+        fixture.replaceLeader();
+    }
+    SECTION("Also one after another leader that heard of it from an agent")
+    {
+        fixture.replaceLeader();
+        restarted.fencedEpoch = 0;
+        restarted.formerLeaseLeft = Milliseconds(3000);
+        fixture.send(restarted);
+        fixture.runUntil(
+            [&] { return fixture.storedHost("host-0").granted_by_epoch() == fixture.directory.current().epoch; });
+        CHECK(fixture.storedHost("host-0").former_leases_expire_store_ms() > 0);
+        fixture.replaceLeader();
+    }
+    const auto until = restartedAt + Seconds(6);
+    while (fixture.hostOf("job") == "host-0" && std::chrono::steady_clock::now() < until) {
+        fixture.report("host-1");
+        fixture.io.run_for(Milliseconds(50));
+    }
+    CHECK(fixture.hostOf("job") == "host-1");
+    CHECK(std::chrono::steady_clock::now() - restartedAt > Milliseconds(3060));
+}
+
 TEST_CASE("A queue that the leader's newer configuration does not have takes no jobs", "[leaderterm][configuration]")
 {
     // Guards against an entry with an old configuration that accepts jobs of a removed queue.
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -27,6 +27,9 @@
     Milliseconds silence{0};
     /// Time until every lease of the upstream's runs has expired if none is renewed.
     Milliseconds leaseLeft{0};
+    /// Time until the leases have expired that calls for former incarnations may have given the upstream. Positive
+    /// after a restart of the upstream under its id.
+    Milliseconds formerLeaseLeft{0};
     /// Largest ratio of tail latency to its target among the tasks that serve requests.
     double tailPressure = 0;
     std::vector<RunningRun> running;
--- a/packages/scheduler/src/carobflow/scheduler/leasetimes.h
+++ b/packages/scheduler/src/carobflow/scheduler/leasetimes.h
@@ -23,11 +23,16 @@
     /// writes every 0.6 s. Longer ages leave a successor too little of the nine seconds to start the tasks.
     Milliseconds fullLeaseAge{600};
 
+    /// Longest lease that upstreams grant. An upstream that has restarted grants it to calls for its former
+    /// incarnation: its clock has started anew, so the time at which their lease ends is far ahead.
+    Milliseconds longestGranted{6000};
+
     /// Lease times for upstreams that shorten longer leases to `upstreamMaximum`.
     static LeaseTimes within(Milliseconds upstreamMaximum)
     {
         LeaseTimes times;
         times.lease = std::min(times.lease, upstreamMaximum);
+        times.longestGranted = upstreamMaximum;
         return times;
     }
 
@@ -52,9 +57,18 @@
         return fullLeaseAge + untilFreeAfterReport();
     }
 
+    /// Time after the restart of an upstream has been noticed by which the leases have ended that calls for its former
+    /// incarnation may have given it.
+    [[nodiscard]] Duration untilFreeAfterRestart() const
+    {
+        return std::chrono::duration_cast<Duration>(longestGranted * ClockFactor) + CallTimeout + Slack;
+    }
+
     /// Upstream clocks may be 2% slow; the slack covers the delay of messages.
     static constexpr double ClockFactor = 1.03;
     static constexpr Milliseconds Slack{300};
+    /// A call in progress when a restart is noticed may still be executed until its time-out.
+    static constexpr Milliseconds CallTimeout{500};
 };
 
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -66,6 +66,9 @@
 /// while ended runs are not acknowledged. Otherwise they come every 400 ms.
 constexpr Milliseconds SurvivalTime{200};
 
+/// Two reports on one restart of an upstream differ by less. The times that follow a restart contain a longer slack.
+constexpr Milliseconds SameRestartTolerance{100};
+
 bool isMostlyFree(std::span<Host *const> hosts)
 {
     const auto isHalfFree = [](const Host *host) {
@@ -115,11 +118,20 @@
     bool hasUnconfirmed = false;
     /// Time at which every lease here must have expired unless a further report arrives.
     TimePoint leaseFreeAt;
+    /// Time by which the leases have expired that calls for former incarnations may have given the upstream.
+    TimePoint formerLeasesExpireBy;
     /// Time from which on the host has been known to this leader, for the silence of a host that has never reported.
     TimePoint expectedSince;
     bool silent = false;
     /// Taken by takeNewHosts().
     bool taken = false;
+
+    /// Time from which on nothing here can hold a lease unless a further report arrives.
+    [[nodiscard]] TimePoint freeAt() const
+    {
+        return std::max(leaseFreeAt, formerLeasesExpireBy);
+    }
+
     UpstreamIdentity endsUpstream;
     std::uint64_t highestEndNumber = 0;
     std::map<std::uint64_t, PendingEnd> pendingEnds;
@@ -178,7 +190,7 @@
     for (const auto &[name, state] : m_hosts) {
         const bool reporting = state->host.hasReported() && now - state->host.reportedAt() < timeout;
         contact.reporting += reporting ? 1 : 0;
-        contact.expected += reporting || now <= state->leaseFreeAt ? 1 : 0;
+        contact.expected += reporting || now <= state->freeAt() ? 1 : 0;
     }
     return contact;
 }
@@ -189,7 +201,7 @@
     std::erase_if(m_hosts, [&](const auto &entry) {
         const HostState &state = *entry.second;
         const TimePoint lastContact = state.host.hasReported() ? state.host.reportedAt() : state.expectedSince;
-        const bool lost = state.attempts.empty() && now > state.leaseFreeAt && now - lastContact > LostHostRetention;
+        const bool lost = state.attempts.empty() && now > state.freeAt() && now - lastContact > LostHostRetention;
         if (lost) {
             names.push_back(entry.first);
         }
@@ -259,7 +271,10 @@
         for (const Attempt &attempt : task.attempts) {
             if (!m_hosts.contains(attempt.host)) {
                 // Its row is missing or unreadable, so the longest wait applies.
-                expectHost(attempt.host, now, now + m_options.leaseTimes.untilFreeAfterWrite());
+                expectHost(attempt.host,
+                           {.now = now,
+                            .leasesExpireBy = now + m_options.leaseTimes.untilFreeAfterWrite(),
+                            .formerExpireBy = now + m_options.leaseTimes.untilFreeAfterRestart()});
             }
             HostState &state = hostState(attempt.host);
             state.host.reserve(job->step(id));
@@ -276,12 +291,13 @@
     m_jobs.insert_or_assign(id, std::move(job));
 }
 
-void Scheduler::expectHost(std::string_view name, TimePoint now, TimePoint leasesExpireBy)
+void Scheduler::expectHost(std::string_view name, const ExpectedHost &expected)
 {
     HostState &state = hostState(name);
     if (!state.host.hasReported()) {
-        state.expectedSince = now;
-        state.leaseFreeAt = leasesExpireBy;
+        state.expectedSince = expected.now;
+        state.leaseFreeAt = expected.leasesExpireBy;
+        state.formerLeasesExpireBy = expected.formerExpireBy;
     }
 }
 
@@ -291,7 +307,7 @@
     const UpstreamDescription *known = state.host.upstream();
     const bool isOlder = known != nullptr && report.upstream
         && report.upstream->identity.incarnation < known->identity.incarnation;
-    if (isOlder && (report.agentIncarnation == state.host.report().agentIncarnation || now <= state.leaseFreeAt)) {
+    if (isOlder && (report.agentIncarnation == state.host.report().agentIncarnation || now <= state.freeAt())) {
         // Out of order: a report on a newer incarnation of the upstream has arrived before. A restarted agent may have
         // received a late announcement, whose sender may have had another id. Once all leases have ended nothing
         // depends on that any more.
@@ -307,6 +323,7 @@
     if (mayRenew(report)) {
         state.leaseFreeAt = std::max(state.leaseFreeAt, now + m_options.leaseTimes.untilFreeAfterReport());
     }
+    noteFormerLeases(state, report, replaced && before.id == report.upstream->identity.id, now);
     if (replaced && !wasLeaving) {
         observeCrash(state, now);
     }
@@ -316,7 +333,7 @@
     if (replaced) {
         releaseReplaced(state, before);
     }
-    if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0) {
+    if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0 && now > state.formerLeasesExpireBy) {
         // All leases there have expired, even if the upstream has never confirmed its lists under this leader.
         noteRecentStarts(state);
         dropAttempts(state, "upstream-silent", [](const Attempt & /*attempt*/) { return true; });
@@ -330,6 +347,22 @@
     observeColocation(report, now);
 }
 
+void Scheduler::noteFormerLeases(HostState &host, const HostReport &report, bool restarted, TimePoint now)
+{
+    TimePoint expireBy;
+    if (report.formerLeaseLeft > Milliseconds(0)) {
+        expireBy = now + std::min<Duration>(report.formerLeaseLeft, m_options.leaseTimes.untilFreeAfterRestart());
+    } else if (restarted) {
+        // The agent has been restarted as well, and does not know of the calls of its predecessor.
+        expireBy = now + m_options.leaseTimes.untilFreeAfterRestart();
+    }
+    // Reports on one restart differ by the delays of their messages.
+    if (expireBy > host.formerLeasesExpireBy + SameRestartTolerance) {
+        host.formerLeasesExpireBy = expireBy;
+        m_restartedHosts.push_back(host.host.name());
+    }
+}
+
 void Scheduler::applyEnds(HostState &host, const HostReport &report, TimePoint now)
 {
     if (host.endsUpstream != report.upstream->identity) {
@@ -748,7 +781,7 @@
                                  .event = event,
                                  .runs = host.attempts.size(),
                                  .hasReported = host.host.hasReported(),
-                                 .leasesExpireIn = std::chrono::duration_cast<Milliseconds>(host.leaseFreeAt - now)});
+                                 .leasesExpireIn = std::chrono::duration_cast<Milliseconds>(host.freeAt() - now)});
     }
 }
 
@@ -773,7 +806,7 @@
 {
     std::size_t released = 0;
     for (const auto &[name, state] : m_hosts) {
-        if (now > state->leaseFreeAt && released < MaxReleasedRuns) {
+        if (now > state->freeAt() && released < MaxReleasedRuns) {
             if (!state->attempts.empty()) {
                 reportContact(*state, "given-up", now);
                 released += state->attempts.size();
@@ -1167,10 +1200,23 @@
     return std::exchange(m_silentHosts, {});
 }
 
+std::vector<std::string> Scheduler::takeRestartedHosts()
+{
+    return std::exchange(m_restartedHosts, {});
+}
+
+std::optional<TimePoint> Scheduler::formerLeasesExpireBy(std::string_view host) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && found->second->formerLeasesExpireBy != TimePoint{}
+        ? std::optional(found->second->formerLeasesExpireBy)
+        : std::nullopt;
+}
+
 std::optional<TimePoint> Scheduler::silentUntil(std::string_view host) const
 {
     const auto found = m_hosts.find(host);
-    return found != m_hosts.end() && found->second->silent ? std::optional(found->second->leaseFreeAt) : std::nullopt;
+    return found != m_hosts.end() && found->second->silent ? std::optional(found->second->freeAt()) : std::nullopt;
 }
 
 std::vector<StartOrder> Scheduler::takeStarts()
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -112,9 +112,17 @@
     /// Takes over a job of a previous leader with its progress from the store.
     void restore(JobSpec spec, const JobProgress &progress, TimePoint acceptedAt, TimePoint now);
 
-    /// Adds a host of previous leaders. Runs placed there count as running until the host reports or `leasesExpireBy`,
-    /// the time by which every lease that those leaders granted there has expired. Called before restore().
-    void expectHost(std::string_view name, TimePoint now, TimePoint leasesExpireBy);
+    struct ExpectedHost {
+        TimePoint now;
+        /// Time by which every lease that previous leaders allowed there has expired.
+        TimePoint leasesExpireBy;
+        /// Time by which the leases have expired that calls for former incarnations may have given the upstream.
+        TimePoint formerExpireBy{};
+    };
+
+    /// Adds a host of previous leaders. Runs placed there count as running until the host reports or all leases have
+    /// expired. Called before restore().
+    void expectHost(std::string_view name, const ExpectedHost &expected);
 
     /// Processes a report. The agent's grant is counted from `now`.
     void onReport(const HostReport &report, TimePoint now);
@@ -156,6 +164,14 @@
     /// next leader does not wait longer. A silent host that reports again counts as new.
     std::vector<std::string> takeSilentHosts();
 
+    /// Takes the hosts whose upstreams have restarted under their ids. The caller has to write, before any start there,
+    /// when the leases expire that calls for former incarnations may have given them, so that the next leader waits as
+    /// long.
+    std::vector<std::string> takeRestartedHosts();
+
+    /// Time by which those leases expire; empty for a host whose upstream has not restarted.
+    [[nodiscard]] std::optional<TimePoint> formerLeasesExpireBy(std::string_view host) const;
+
     /// Time by which the leases of a silent host expire; empty for any other host.
     [[nodiscard]] std::optional<TimePoint> silentUntil(std::string_view host) const;
 
@@ -203,6 +219,8 @@
     struct HostState;
 
     HostState &hostState(std::string_view name);
+    /// Notes until when the upstream may hold leases of calls for its former incarnations.
+    void noteFormerLeases(HostState &host, const HostReport &report, bool restarted, TimePoint now);
     void applyEnds(HostState &host, const HostReport &report, TimePoint now);
     void applyEnd(HostState &host, const EndedRun &ended, TimePoint now);
     void applyRunning(HostState &host, const HostReport &report, TimePoint now);
@@ -267,6 +285,7 @@
     std::size_t m_placedStarts = 0;
     WaitingTasks m_waiting;
     std::vector<std::string> m_silentHosts;
+    std::vector<std::string> m_restartedHosts;
     /// Time of the last check of all attempts.
     TimePoint m_supervisedAt;
     /// When an upstream last crashed without a start before it.
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -148,7 +148,8 @@
     ++fixture.epoch;
     fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch});
     fixture.scheduler->setOperatorView(fixture.view);
-    fixture.scheduler->expectHost(starts[0].host, fixture.now, fixture.now + Milliseconds(5000));
+    fixture.scheduler->expectHost(starts[0].host,
+                                  {.now = fixture.now, .leasesExpireBy = fixture.now + Milliseconds(5000)});
     fixture.scheduler->restore(SchedulerFixture::quickJob("job"), stored, fixture.now, fixture.now);
 
     SECTION("A run that its host lists is adopted")
@@ -706,15 +707,142 @@
         }
         SECTION("Or its leases have to expire when it does not answer")
         {
-            // Guards against tasks that are never started again because of an upstream that hangs after its start.
-            unconfirmed.silence = Milliseconds(7000);
+            // Guards against tasks that are never started again because of an upstream that hangs after its start, and
+            // against two runs of one task: an agent that has restarted knows nothing of the calls before its start.
+            unconfirmed.silence = Milliseconds(4000);
             unconfirmed.leaseLeft = Milliseconds(-1);
+            fixture.advance(Milliseconds(4000));
+            fixture.scheduler->onReport(unconfirmed, fixture.now);
+            fixture.reportAll();
+            CHECK(fixture.step().empty());
+            unconfirmed.silence = Milliseconds(7000);
+            fixture.advance(Milliseconds(3000));
             fixture.scheduler->onReport(unconfirmed, fixture.now);
+            fixture.reportAll();
             CHECK(fixture.step().size() == (isCancelled ? 0 : 1));
         }
     }
 }
 
+TEST_CASE("After a restart under its id a silent upstream keeps its tasks until its longest lease has expired",
+          "[scheduler][replaced]")
+{
+    // Guards against TWICE: calls for the former incarnation give the new one a longer lease than agents ask for, and
+    // its tasks were started elsewhere while they ran.
+    SchedulerFixture fixture;
+    const LeaseTimes times = LeaseTimes::within(Milliseconds(10000));
+    fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch, .leaseTimes = times});
+    fixture.scheduler->setOperatorView(fixture.view);
+    fixture.reportAll();
+    HostReport report = fixture.reportOf("host-1");
+    const auto elsewhereAt = [&](TimePoint from) {
+        std::erase(fixture.hostNames, "host-1");
+        fixture.now = from;
+        while (fixture.step().empty()) {
+            fixture.advance(Milliseconds(10));
+            fixture.reportAll();
+        }
+        return fixture.now;
+    };
+    fixture.hostNames = {"host-1"};
+    const TimePoint restartedAt = fixture.now;
+    // The clocks of upstreams may be 2% slow.
+    const auto lapsesBy = restartedAt + std::chrono::ceil<Milliseconds>(times.longestGranted * 1.02);
+    const auto startThere = [&] {
+        fixture.advance(Milliseconds(1200));
+        fixture.scheduler->onReport(report, fixture.now);
+        fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+        const auto starts = fixture.step();
+        REQUIRE(starts.size() == 1);
+        REQUIRE(starts[0].host == "host-1");
+        report.running.push_back({.run = starts[0].run, .percent = 5});
+        fixture.scheduler->onReport(report, fixture.now);
+        fixture.hostNames = {"host-1", "host-2"};
+    };
+
+    SECTION("As the restart shows that the leader sees")
+    {
+        report.upstream->identity.incarnation = 2;
+        fixture.scheduler->onReport(report, fixture.now);
+        startThere();
+        CHECK(elsewhereAt(fixture.now) > lapsesBy);
+    }
+    SECTION("As the agent reports of a restart that this leader has not seen")
+    {
+        report.formerLeaseLeft = std::chrono::duration_cast<Milliseconds>(times.untilFreeAfterRestart());
+        fixture.scheduler->onReport(report, fixture.now);
+        report.formerLeaseLeft = Milliseconds(0);
+        startThere();
+
+        SECTION("When the host is silent")
+        {
+            CHECK(elsewhereAt(fixture.now) > lapsesBy);
+        }
+        SECTION("When its agent has restarted since and counts shorter leases")
+        {
+            report.agentIncarnation = 2;
+            report.silence = Milliseconds(7000);
+            report.leaseLeft = Milliseconds(-1);
+            fixture.advance(Milliseconds(7000));
+            fixture.scheduler->onReport(report, fixture.now);
+            CHECK(elsewhereAt(fixture.now) > lapsesBy);
+        }
+    }
+    SECTION("As the store says to the next leader")
+    {
+        report.upstream->identity.incarnation = 2;
+        fixture.scheduler->onReport(report, fixture.now);
+        REQUIRE(fixture.scheduler->takeRestartedHosts() == std::vector<std::string>{"host-1"});
+        const auto stored = fixture.scheduler->formerLeasesExpireBy("host-1");
+        REQUIRE(stored);
+        startThere();
+        const JobProgress progress = fixture.scheduler->find("job")->progress();
+        const TimePoint lastWrite = fixture.now;
+        fixture.scheduler = std::make_unique<Scheduler>(
+            Scheduler::Options{.epoch = ++fixture.epoch, .leaseTimes = times});
+        fixture.scheduler->setOperatorView(fixture.view);
+        fixture.scheduler->expectHost(
+            "host-1",
+            {.now = fixture.now, .leasesExpireBy = lastWrite + times.untilFreeAfterWrite(), .formerExpireBy = *stored});
+        fixture.scheduler->restore(SchedulerFixture::quickJob("job"), progress, fixture.now, fixture.now);
+        CHECK(elsewhereAt(fixture.now) > lapsesBy);
+    }
+}
+
+TEST_CASE("A restart under its id delays nothing on an upstream that answers or is lost later", "[scheduler][replaced]")
+{
+    // Guards against LOST: callers expect the long-running tasks of a lost host elsewhere within nine seconds.
+    SchedulerFixture fixture;
+    const LeaseTimes times = LeaseTimes::within(Milliseconds(10000));
+    fixture.scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = fixture.epoch, .leaseTimes = times});
+    fixture.scheduler->setOperatorView(fixture.view);
+    HostReport report = fixture.reportOf("host-1");
+    fixture.scheduler->onReport(report, fixture.now);
+    report.upstream->identity.incarnation = 2;
+    fixture.scheduler->onReport(report, fixture.now);
+    fixture.scheduler->submit(SchedulerFixture::quickJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    fixture.hostNames = {"host-2"};
+
+    SECTION("The end of a run that it lists starts the task again at once")
+    {
+        fixture.reportAll();
+        report.ended.push_back({.number = 1, .run = starts[0].run, .end = RunEnd::Failed});
+        fixture.scheduler->onReport(report, fixture.now);
+        CHECK(fixture.step().size() == 1);
+    }
+    SECTION("Three seconds later the times of any lost host apply")
+    {
+        fixture.advance(Milliseconds(3000));
+        report.running.push_back({.run = starts[0].run, .percent = 5});
+        fixture.scheduler->onReport(report, fixture.now);
+        fixture.advance(Milliseconds(8500));
+        fixture.reportAll();
+        CHECK(fixture.step().size() == 1);
+    }
+}
+
 TEST_CASE("A late announcement of an earlier incarnation releases no run", "[scheduler][replaced]")
 {
     // Guards against two runs of one task: an agent that has just started cannot tell that the announcement is late.
