Leave the leadership to processes that are not cut off with the leader

Cause: a leader that hears fewer than half of its hosts resigns after 5 s, in time for the leases, which last 7.5 s. But its successor was another process of the same data centre, cut off as well, three times in a row; the vacancy did not say why it was one.

Change: the row of a leader that resigns for want of contact says so, and a process that has just had an answer from that leader takes over a second later than others.

--- a/packages/control/src/carobflow/control/election.cpp
+++ b/packages/control/src/carobflow/control/election.cpp
@@ -22,6 +22,9 @@
 constexpr Milliseconds CandidateInterval{40};
 /// Candidates spread their attempts over this time by the hash of their names.
 constexpr Milliseconds AttemptSpread{240};
+/// A leader that has answered within this time is heard. Less than the five seconds without contact after which it
+/// resigns, and longer than an answer of an overloaded leader takes.
+constexpr Milliseconds HeardRecently{3500};
 /// Delay after a failed attempt and after a term, while others lead.
 constexpr Milliseconds CandidacyBackoff{1000};
 
@@ -56,20 +59,29 @@
 {
     wire::Leadership leadership;
     if (row == nullptr) {
-        m_candidacy.onRow(0, false, now);
+        m_candidacy.onRow(0, Scheduling::Vacancy::None, now);
         return;
     }
     if (!leadership.ParseFromString(row->value) || leadership.epoch() == 0
         || leadership.epoch() > StoreLayout::HighestEpoch) {
         // A leader writes its row again within its renewal interval, so the row says nothing about a vacancy.
         logWarning("leader-row-unreadable").with("row", row->key).with("row_version", row->version);
-        m_candidacy.onRow(row->version, false, now);
+        m_candidacy.onRow(row->version, Scheduling::Vacancy::None, now);
         return;
     }
     m_directory.learn(leadership.epoch(), leadership.address());
+    m_candidacy.onRow(row->version, vacancyOf(leadership, now), now);
+}
+
+Scheduling::Vacancy Election::vacancyOf(const wire::Leadership &leadership, TimePoint now) const
+{
+    if (leadership.address().empty()) {
+        const bool isHeard = m_directory.hasAnsweredSince(leadership.epoch(), now - HeardRecently);
+        return leadership.lost_contact() && isHeard ? Scheduling::Vacancy::LeftToOthers : Scheduling::Vacancy::Vacant;
+    }
     // A row that names this process while it neither leads nor is taking over dates from before a restart.
     const bool isOwn = leadership.address() == m_options.ledger.address && !m_takingOver;
-    m_candidacy.onRow(row->version, isOwn || leadership.address().empty(), now);
+    return isOwn ? Scheduling::Vacancy::Vacant : Scheduling::Vacancy::None;
 }
 
 asio::awaitable<void> Election::watchLoop()
--- a/packages/control/src/carobflow/control/election.h
+++ b/packages/control/src/carobflow/control/election.h
@@ -49,6 +49,7 @@
     boost::asio::awaitable<void> candidateLoop();
     boost::asio::awaitable<void> tryToLead();
     void onLeaderRow(const Row *row, TimePoint now);
+    [[nodiscard]] Scheduling::Vacancy vacancyOf(const carobflow::control::Leadership &leadership, TimePoint now) const;
 
     boost::asio::any_io_executor m_executor;
     boost::asio::any_io_executor m_strand;
--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -457,6 +457,7 @@
     }
     adoptEpoch(reply.leader().epoch());
     m_leaderAnsweredAt = suspendAwareNow();
+    m_directory.noteAnswer(m_epoch, m_leaderAnsweredAt);
     const Milliseconds allowed(reply.lease_ms());
     const bool wasShort = m_leases.allowedUntil() - m_leaderAnsweredAt < ShortLease;
     m_leases.allowUntil(sentAt
--- a/packages/control/src/carobflow/control/leaderdirectory.cpp
+++ b/packages/control/src/carobflow/control/leaderdirectory.cpp
@@ -30,6 +30,19 @@
     return m_leader;
 }
 
+void LeaderDirectory::noteAnswer(Epoch epoch, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_answeredEpoch = epoch;
+    m_answeredAt = now;
+}
+
+bool LeaderDirectory::hasAnsweredSince(Epoch epoch, TimePoint time) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_answeredEpoch == epoch && m_answeredAt >= time;
+}
+
 carobflow::control::LeaderHint LeaderDirectory::hint() const
 {
     const Leader leader = current();
--- a/packages/control/src/carobflow/control/leaderdirectory.h
+++ b/packages/control/src/carobflow/control/leaderdirectory.h
@@ -31,6 +31,12 @@
 
     [[nodiscard]] Leader current() const;
 
+    /// Notes that the leader of this epoch has answered this process.
+    void noteAnswer(Epoch epoch, TimePoint now);
+
+    /// True when the leader of this epoch has answered since the given time.
+    [[nodiscard]] bool hasAnsweredSince(Epoch epoch, TimePoint time) const;
+
     /// The known leader in the form in which messages carry it.
     [[nodiscard]] carobflow::control::LeaderHint hint() const;
 
@@ -41,6 +47,8 @@
 private:
     mutable std::mutex m_mutex;
     Leader m_leader;
+    Epoch m_answeredEpoch = 0;
+    TimePoint m_answeredAt;
     std::vector<std::string> m_peers;
 };
 
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -458,7 +458,7 @@
 void LeaderTerm::addLeadership(TransactionBatch &batch, TimePoint now)
 {
     if (m_resigning) {
-        batch.add({m_ledger->resignation()});
+        batch.add({m_ledger->resignation(m_lostContact)});
     } else if (now - m_renewedAt >= RenewInterval) {
         m_renewedAt = now;
         batch.add({m_ledger->renewal()});
@@ -999,6 +999,7 @@
         m_contactAt = now;
     } else if (now - m_contactAt > ContactTimeout && !m_resigning) {
         logWarning("contact-lost").with("reporting", contact.reporting).with("hosts", contact.expected);
+        m_lostContact = true;
         m_resigning = true;
     }
 }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -174,6 +174,8 @@
     bool m_changed = true;
     bool m_loaded = false;
     bool m_resigning = false;
+    /// It resigns because it hears too few hosts.
+    bool m_lostContact = false;
     std::atomic<bool> m_over{false};
     TimePoint m_startedAt;
     TimePoint m_renewedAt;
--- a/packages/control/src/carobflow/control/ledger.cpp
+++ b/packages/control/src/carobflow/control/ledger.cpp
@@ -78,13 +78,14 @@
                       storeNow - std::chrono::duration_cast<Milliseconds>(m_options.termRetention));
 }
 
-std::string Ledger::leaderValue(const std::string &address) const
+std::string Ledger::leaderValue(const std::string &address, bool lostContact) const
 {
     wire::Leadership leadership;
     leadership.set_epoch(m_epoch);
     leadership.set_name(m_options.name);
     leadership.set_address(address);
     leadership.set_renewal(m_renewal);
+    leadership.set_lost_contact(lostContact);
     return leadership.SerializeAsString();
 }
 
@@ -94,9 +95,9 @@
     return {.key = std::string(StoreLayout::LeaderKey), .value = leaderValue(m_options.address)};
 }
 
-Mutation Ledger::resignation() const
+Mutation Ledger::resignation(bool lostContact) const
 {
-    return {.key = std::string(StoreLayout::LeaderKey), .value = leaderValue({})};
+    return {.key = std::string(StoreLayout::LeaderKey), .value = leaderValue({}, lostContact)};
 }
 
 asio::awaitable<Status> Ledger::takeOver(Epoch lastKnown)
--- a/packages/control/src/carobflow/control/ledger.h
+++ b/packages/control/src/carobflow/control/ledger.h
@@ -54,8 +54,8 @@
     /// The mutation that renews leadership; other processes see from it that the leader is alive.
     [[nodiscard]] Mutation renewal();
 
-    /// The mutation that resigns leadership.
-    [[nodiscard]] Mutation resignation() const;
+    /// The mutation that resigns leadership, for want of contact to the hosts or for another reason.
+    [[nodiscard]] Mutation resignation(bool lostContact) const;
 
     /// When the last write by which the store confirmed that this process leads was sent.
     [[nodiscard]] TimePoint confirmedAt() const
@@ -80,7 +80,7 @@
     [[nodiscard]] std::string headValue(std::uint64_t token, TimePoint sentAt) const;
     /// Adds the term that the head row of the previous leader describes to the former ones.
     void recordFormerTerms(const carobflow::control::LedgerHead &before, TimePoint now);
-    [[nodiscard]] std::string leaderValue(const std::string &address) const;
+    [[nodiscard]] std::string leaderValue(const std::string &address, bool lostContact = false) const;
     /// The epoch in the leader's row; 0 when there is none or it cannot be read.
     boost::asio::awaitable<Result<Epoch>> readLeaderEpoch();
     /// Determines from the head row whether the write with this token was applied. Errors: NotFound when it was not,
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -601,6 +601,39 @@
     CHECK(!fixture.term->isOver());
 }
 
+TEST_CASE("A leader that resigns says whether it has lost contact to most hosts", "[leaderterm]")
+{
+    // Guards against a successor that is cut off from the same hosts.
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.report("host-1");
+    fixture.report("host-2");
+    fixture.runUntil([&] { return fixture.table.countRows(StoreLayout::HostPrefix) == 3; });
+    const auto leaderRow = [&] {
+        wire::Leadership row;
+        row.ParseFromString(fixture.table.valueOf(StoreLayout::LeaderKey));
+        return row;
+    };
+
+    SECTION("When it has")
+    {
+        const auto until = std::chrono::steady_clock::now() + Seconds(7);
+        while (!fixture.term->isOver() && std::chrono::steady_clock::now() < until) {
+            fixture.report("host-0");
+            fixture.io.run_for(Milliseconds(100));
+        }
+        REQUIRE(fixture.term->isOver());
+        CHECK(leaderRow().lost_contact());
+    }
+    SECTION("When it stops for another reason")
+    {
+        fixture.term->resign();
+        fixture.runUntil([&] { return fixture.term->isOver(); });
+        CHECK_FALSE(leaderRow().lost_contact());
+    }
+    CHECK(leaderRow().address().empty());
+}
+
 TEST_CASE("Tasks of a host that is lost with the leader start elsewhere in time", "[leaderterm]")
 {
     // Guards against LOST: each new leader waited 15 s for such a host, counted from its own load.
--- a/packages/scheduler/src/carobflow/scheduler/candidacy.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/candidacy.cpp
@@ -3,14 +3,14 @@
 namespace Carobflow::Scheduling
 {
 
-void Candidacy::onRow(std::uint64_t version, bool resigned, TimePoint now)
+void Candidacy::onRow(std::uint64_t version, Vacancy vacancy, TimePoint now)
 {
     if (!m_known || version != m_version) {
         m_unchangedSince = now;
     }
     m_known = true;
     m_version = version;
-    m_resigned = resigned;
+    m_vacancy = vacancy;
     m_readAt = now;
 }
 
@@ -24,8 +24,12 @@
     if (!m_known || now < m_notBefore || now - m_readAt > m_options.maxRowAge) {
         return false;
     }
-    const bool vacant = m_version == 0 || m_resigned;
-    const Milliseconds timeout = vacant ? Milliseconds(0) : m_options.renewalTimeout;
+    Milliseconds timeout = m_options.renewalTimeout;
+    if (m_vacancy == Vacancy::LeftToOthers) {
+        timeout = m_options.yieldTime;
+    } else if (m_version == 0 || m_vacancy == Vacancy::Vacant) {
+        timeout = Milliseconds(0);
+    }
     return m_readAt - m_unchangedSince >= timeout && now - m_unchangedSince >= timeout + m_options.delay;
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/candidacy.h
+++ b/packages/scheduler/src/carobflow/scheduler/candidacy.h
@@ -7,6 +7,17 @@
 namespace Carobflow::Scheduling
 {
 
+/// What the leader's row says about the leadership.
+enum class Vacancy {
+    /// There is a leader, or it is gone without notice.
+    None,
+    /// The leader has resigned.
+    Vacant,
+    /// The leader has resigned because it hears too few hosts, and this process still hears it. This process is most
+    /// likely cut off together with it, so others go first.
+    LeftToOthers
+};
+
 /// Decides when a process takes over the leadership.
 ///
 /// A process sees the leader's row only through the store. The renewal timeout therefore runs only while the store
@@ -20,6 +31,9 @@
         Milliseconds renewalTimeout{1800};
         /// Additional delay that differs between processes, so that they do not all try at once.
         Milliseconds delay{0};
+        /// Additional delay of a process that leaves the leadership to others. These need about 0.5 s, and leases end
+        /// 2.5 s after such a resignation.
+        Milliseconds yieldTime{1000};
         /// Age of the last read of the row from which on it is not relied on.
         Milliseconds maxRowAge{1700};
     };
@@ -30,7 +44,7 @@
     }
 
     /// The leader's row was read from the store. `version` is 0 when there is none.
-    void onRow(std::uint64_t version, bool resigned, TimePoint now);
+    void onRow(std::uint64_t version, Vacancy vacancy, TimePoint now);
 
     /// The store did not answer.
     void onStoreUnavailable();
@@ -47,7 +61,7 @@
     Options m_options;
     bool m_known = false;
     std::uint64_t m_version = 0;
-    bool m_resigned = false;
+    Vacancy m_vacancy = Vacancy::None;
     TimePoint m_unchangedSince;
     TimePoint m_readAt;
     TimePoint m_notBefore;
--- a/packages/scheduler/tests/policy_test.cpp
+++ b/packages/scheduler/tests/policy_test.cpp
@@ -164,7 +164,7 @@
     TimePoint now{Seconds(100)};
     const auto read = [&](std::uint64_t version, bool resigned, Milliseconds later) {
         now += later;
-        candidacy.onRow(version, resigned, now);
+        candidacy.onRow(version, resigned ? Vacancy::Vacant : Vacancy::None, now);
     };
     CHECK_FALSE(candidacy.shouldTakeOver(now));
 
@@ -198,6 +198,16 @@
             read(10, true, Milliseconds(300));
             CHECK(candidacy.shouldTakeOver(now + Milliseconds(150)));
         }
+        SECTION("After others when a leader without contact to most hosts has resigned and is heard here")
+        {
+            // Guards against a series of leaders that are all cut off from most hosts, while leases there end.
+            now += Milliseconds(300);
+            candidacy.onRow(10, Vacancy::LeftToOthers, now);
+            CHECK_FALSE(candidacy.shouldTakeOver(now + Milliseconds(900)));
+            now += Milliseconds(1000);
+            candidacy.onRow(10, Vacancy::LeftToOthers, now);
+            CHECK(candidacy.shouldTakeOver(now + Milliseconds(150)));
+        }
     }
     SECTION("Not from a row that was read too long ago")
     {
