Test a restarted worker that stops answering, with a stand-in whose clock starts anew

Its clock now starts anew, as the users' page says, and the longest lease is an option of the hosted system.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -314,7 +314,7 @@
     if (host.former_leases_expire_store_ms() == 0) {
         return {};
     }
-    // No restart that is noticed from now on is counted here.
+    // The restart was noticed before the row was written.
     const TimePoint latest = now + m_options.leaseTimes.untilFreeAfterRestart();
     const auto storeNow = m_table.clock().earliest(now);
     return storeNow ? std::min(latest, now + (Milliseconds(host.former_leases_expire_store_ms()) - *storeNow)) : latest;
--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -81,6 +81,7 @@
         StandIn::ServerStandIn::Options worker;
         worker.id = "i-" + std::to_string(index);
         worker.cpuMillis = options.workerCpuMillis;
+        worker.maxHold = options.maxLease;
         worker.zone = "zone-" + std::to_string(index % 3);
         m_workers.push_back(std::make_unique<StandIn::ServerStandIn>(m_io, worker, m_record));
         m_workers.back()->checkIn(m_agentPorts.back().http);
@@ -127,7 +128,8 @@
     if (role == "entry") {
         file << "ready = " << address(ports.ready) << "\n";
     }
-    file << "[hosted]\nstore = " << address(m_store->port()) << "\nmax_lease_ms = 6000\n";
+    file << "[hosted]\nstore = " << address(m_store->port()) << "\nmax_lease_ms = " << m_options.maxLease.count()
+         << "\n";
     if (upstream != 0) {
         file << "upstream = " << address(upstream) << "\n";
     }
--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -25,6 +25,8 @@
         std::size_t entries = 1;
         std::size_t agents = 3;
         std::int64_t workerCpuMillis = 4000;
+        /// Longest lease that workers grant.
+        Milliseconds maxLease{6000};
     };
 
     explicit HostedSystem(Options options);
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -156,6 +156,33 @@
     CHECK(system.violations().empty());
 }
 
+TEST_CASE("Tasks of a worker that restarts and then stops answering start elsewhere when their lease has ended",
+          "[hosted]")
+{
+    // Guards against TWICE: a call for the process before gives the worker the longest lease, since its clock starts
+    // anew.
+    HostedSystem system({.maxLease = Milliseconds(10000)});
+    system.waitUntilReady();
+    // Longer than any lease, so that no run on the silent worker ends done.
+    constexpr Milliseconds work{20000};
+    REQUIRE(system.submit(jobId(1), 6, work) == 200);
+    const std::size_t worker = system.waitForRunning(6);
+    system.onStandIns([&] { system.worker(worker).restart(); });
+    REQUIRE(system.submit(jobId(2), 6, work) == 200);
+    system.waitForRunning(12);
+    std::size_t runs = 0;
+    std::size_t lost = 0;
+    system.onStandIns([&] {
+        lost = system.worker(worker).runningCount();
+        system.worker(worker).silent = true;
+    });
+    runs = system.runs().size();
+    REQUIRE(lost > 0);
+    waitUntil(
+        "the tasks run elsewhere", [&] { return system.runs().size() == runs + lost; }, Milliseconds(15000));
+    CHECK(system.violations().empty());
+}
+
 TEST_CASE("Tasks of an upstream that stops answering start elsewhere when their lease has ended", "[hosted]")
 {
     HostedSystem system({});
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -23,6 +23,8 @@
 /// Further ends are listed when these are acknowledged.
 constexpr std::size_t EndsPerAnswer = 500;
 constexpr std::int64_t FullPercent = 100;
+/// Reading of the clock of a worker when a test begins.
+constexpr std::int64_t UptimeMilliseconds = 100'000;
 
 } // namespace
 
@@ -30,6 +32,7 @@
     : m_io(io)
     , m_options(std::move(options))
     , m_record(record)
+    , m_clockStart(clockMilliseconds() - UptimeMilliseconds)
     , m_born(clockMilliseconds())
     , m_server(io, [this](const ServerRequest &request) { return serve(request); })
     , m_port(m_server.listen("127.0.0.1", m_options.port))
@@ -54,9 +57,21 @@
     m_fence = 0;
     m_leaseUntil = 0;
     m_sequence = 0;
+    m_clockStart = clockMilliseconds();
     m_born = std::max(m_born + 1, clockMilliseconds());
 }
 
+std::int64_t ServerStandIn::clock() const
+{
+    return clockMilliseconds() - m_clockStart;
+}
+
+std::int64_t ServerStandIn::leaseEnd(const json::object &body) const
+{
+    const std::int64_t now = clockMilliseconds();
+    return std::min(numberOr(body, "deadline-ms", 0) + m_clockStart, now + m_options.maxHold.count());
+}
+
 asio::awaitable<void> ServerStandIn::checkInLoop()
 {
     HttpClient client(m_io.get_executor());
@@ -73,7 +88,7 @@
                 {"state", draining ? "draining" : "ready"},
                 {"capacity", json::object{{"cpu", m_options.cpuMillis}, {"memory-limit-mb", 32000}}},
                 {"labels", json::array{"a", "rack-" + m_options.zone}},
-                {"clock-ms", clockMilliseconds()},
+                {"clock-ms", clock()},
                 {"sequence", ++m_sequence},
                 {"born", m_born}};
             HttpRequest request;
@@ -118,7 +133,7 @@
 
 ServerReply ServerStandIn::conflict(std::string_view reason) const
 {
-    return jsonReply(409, json::object{{"clock-ms", clockMilliseconds()}, {"reason", reason}});
+    return jsonReply(409, json::object{{"clock-ms", clock()}, {"reason", reason}});
 }
 
 asio::awaitable<ServerReply> ServerStandIn::serve(const ServerRequest &request)
@@ -153,7 +168,7 @@
     if (request.target() == "/carobflow/run-stop") {
         co_return stop(body);
     }
-    co_return request.target() == "/carobflow/pace" ? jsonReply(200, json::object{{"clock-ms", clockMilliseconds()}})
+    co_return request.target() == "/carobflow/pace" ? jsonReply(200, json::object{{"clock-ms", clock()}})
                                                     : ServerReply{.status = 404};
 }
 
@@ -162,15 +177,14 @@
     const auto fence = static_cast<std::uint64_t>(numberOr(body, "fencing-token", 0));
     const std::string task = textOr(body, "task", "");
     const auto run = static_cast<std::uint32_t>(numberOr(body, "run", 0));
-    const std::int64_t until = std::min(numberOr(body, "deadline-ms", 0),
-                                        clockMilliseconds() + m_options.maxHold.count());
+    const std::int64_t until = leaseEnd(body);
     if (fence < m_fence) {
         return conflict("fence");
     }
     m_fence = fence;
     const auto running = m_running.find(task);
     if (running != m_running.end() && running->second.run == run) {
-        return jsonReply(200, json::object{{"clock-ms", clockMilliseconds()}});
+        return jsonReply(200, json::object{{"clock-ms", clock()}});
     }
     if (running != m_running.end() || run <= m_highestEnded[task]) {
         return conflict("old");
@@ -188,7 +202,7 @@
                         .worker = m_options.id,
                         .checkpoint = textOr(body, "checkpoint", ""),
                         .startedAt = now});
-    return jsonReply(200, json::object{{"clock-ms", now}, {"born", m_born}});
+    return jsonReply(200, json::object{{"clock-ms", clock()}, {"born", m_born}});
 }
 
 ServerReply ServerStandIn::stop(const json::object &body)
@@ -205,7 +219,7 @@
     if (running != m_running.end() && running->second.run <= run) {
         end(task, "stopped");
     }
-    return jsonReply(200, json::object{{"clock-ms", clockMilliseconds()}});
+    return jsonReply(200, json::object{{"clock-ms", clock()}});
 }
 
 asio::awaitable<ServerReply> ServerStandIn::hold(const json::object &body)
@@ -216,7 +230,7 @@
     }
     m_fence = fence;
     const std::int64_t now = clockMilliseconds();
-    m_leaseUntil = std::max(m_leaseUntil, std::min(numberOr(body, "deadline-ms", 0), now + m_options.maxHold.count()));
+    m_leaseUntil = std::max(m_leaseUntil, leaseEnd(body));
     const auto seen = static_cast<std::uint64_t>(numberOr(body, "last-seen", 0));
     std::erase_if(m_ended, [&](const Ended &ended) { return ended.number <= seen; });
     const std::int64_t until = now + numberOr(body, "wait-ms", 0);
@@ -242,8 +256,7 @@
             entry.number, entry.task, entry.run, entry.endState == "crashed" ? "failed" : entry.endState, ""});
     }
     co_return jsonReply(
-        200,
-        json::object{{"clock-ms", clockMilliseconds()}, {"born", m_born}, {"running", running}, {"finished", ended}});
+        200, json::object{{"clock-ms", clock()}, {"born", m_born}, {"running", running}, {"finished", ended}});
 }
 
 } // namespace Carobflow::StandIn
--- a/tests/standins/serverstandin.h
+++ b/tests/standins/serverstandin.h
@@ -93,6 +93,10 @@
     void advance();
     void end(const std::string &task, const std::string &endState);
     [[nodiscard]] ServerReply conflict(std::string_view reason) const;
+    /// The worker's own clock, which starts anew with each of its processes.
+    [[nodiscard]] std::int64_t clock() const;
+    /// When the lease that a call asks for ends, on the clock of the test.
+    [[nodiscard]] std::int64_t leaseEnd(const boost::json::object &body) const;
 
     boost::asio::io_context &m_io;
     Options m_options;
@@ -103,6 +107,8 @@
     std::uint64_t m_nextEnd = 1;
     std::uint64_t m_fence = 0;
     std::int64_t m_leaseUntil = 0;
+    /// Time on the clock of the test at which the worker's own clock showed 0.
+    std::int64_t m_clockStart;
     std::int64_t m_born;
     std::uint64_t m_sequence = 0;
     HttpServer m_server;
