Charge no crash to a start whose agent did not reply

Cause: the leader orders a start on a host whose agent has just frozen, after the upstream there has crashed. The agent never executes the order, and when it reports the upstream's next incarnation the crash is charged to that start.

Change: a missing reply of the agent is an event of its own. The start is ordered again or stopped as before, and a crash is not charged to it. A start that the agent has called the upstream for is charged as before.

The new case of the test of upstreams that crash for reasons of their own fails without the change: the job is given up.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -916,8 +916,7 @@
     }
     if (!reply || !reply->accepted()) {
         for (const wire::StartOrder &order : request.starts()) {
-            m_scheduler.onStartOutcome(
-                host, runOf(order.task(), order.run()), Scheduling::StartOutcome::Unanswered, now);
+            m_scheduler.onNoReply(host, runOf(order.task(), order.run()), now);
         }
         m_changed = true;
         m_wake.notify();
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -44,6 +44,8 @@
     bool suspected = false;
     /// The start order has to be sent again, because it was not delivered or not answered.
     bool resend = false;
+    /// The agent has not replied to the last order in time, so it is not known whether it has executed any.
+    bool noReply = false;
     /// Number of times that this leader has sent the start order.
     std::uint32_t sends = 0;
     /// Time at which the phase was entered or the order was last sent.
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -476,8 +476,9 @@
     for (const RunId &run : host.attempts) {
         for (const Attempt &attempt : m_jobs.find(run.task.job)->second->findTask(run.task)->attempts) {
             // A run that the new incarnation may run has been counted for the crash of the previous one.
+            // An agent that is silent may not have received the order.
             const bool mayHaveStarted = attempt.sends > 0 && !attempt.restored && !attempt.mayRunOnSuccessor
-                && !attempt.survivedStart;
+                && !attempt.survivedStart && !attempt.noReply;
             if (attempt.run == run.run && attempt.host == host.host.name() && mayHaveStarted) {
                 recent.push_back(run);
             }
@@ -587,6 +588,7 @@
         attempt->restored = false;
         attempt->mayRunOnSuccessor = false;
         attempt->listed = true;
+        attempt->noReply = false;
         attempt->resend = false;
         attempt->share = running.share;
         if (attempt->percent != running.percent) {
@@ -714,6 +716,7 @@
         return;
     }
     Job &job = *found->second;
+    attempt->noReply = false;
     switch (outcome) {
     case StartOutcome::Started:
         job.markStarted();
@@ -725,12 +728,7 @@
         return;
     case StartOutcome::Unanswered:
     case StartOutcome::Fenced:
-        attempt->resend = true;
-        m_supervisedAt = {};
-        if (attempt->phase == AttemptPhase::Sent && attempt->sends >= MaxStartSends) {
-            hostState(host).host.recordStall(now);
-            stop(run.task, *attempt, "unanswered", now);
-        }
+        repeatStart(run, *attempt, now);
         return;
     case StartOutcome::Superseded:
     case StartOutcome::NoRoom:
@@ -744,6 +742,31 @@
     }
 }
 
+void Scheduler::onNoReply(std::string_view host, const RunId &run, TimePoint now)
+{
+    const auto found = m_jobs.find(run.task.job);
+    Task *task = found == m_jobs.end() ? nullptr : found->second->findTask(run.task);
+    if (task == nullptr) {
+        return;
+    }
+    for (Attempt &attempt : task->attempts) {
+        if (attempt.run == run.run && attempt.host == host) {
+            attempt.noReply = !attempt.listed;
+            repeatStart(run, attempt, now);
+        }
+    }
+}
+
+void Scheduler::repeatStart(const RunId &run, Attempt &attempt, TimePoint now)
+{
+    attempt.resend = true;
+    m_supervisedAt = {};
+    if (attempt.phase == AttemptPhase::Sent && attempt.sends >= MaxStartSends) {
+        hostState(attempt.host).host.recordStall(now);
+        stop(run.task, attempt, "unanswered", now);
+    }
+}
+
 void Scheduler::onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now)
 {
     if (attempt.phase != AttemptPhase::Sent) {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -128,6 +128,8 @@
     void onReport(const HostReport &report, TimePoint now);
 
     void onStartOutcome(std::string_view host, const RunId &run, StartOutcome outcome, TimePoint now);
+    /// The agent has not replied to a start order in time.
+    void onNoReply(std::string_view host, const RunId &run, TimePoint now);
     void onStopOutcome(std::string_view host, const RunId &run, StopOutcome outcome, TimePoint now);
 
     /// Makes all decisions that are possible now. `unixMs` is the wall-clock time, for due times.
@@ -241,6 +243,8 @@
     void markSurvived(HostState &host, const Job &job, Task &task, Attempt &attempt);
     /// Delays the next run of a long-running task after runs that ended soon after their start.
     void delayRestart(Task &task, const Attempt &attempt, TimePoint now) const;
+    /// Sends a start order again that has no answer, up to a limit.
+    void repeatStart(const RunId &run, Attempt &attempt, TimePoint now);
     void onRejected(Job &job, const RunId &run, Attempt &attempt, StartOutcome outcome, TimePoint now);
     void releaseLostHosts(TimePoint now);
     /// Notes hosts on which runs are placed and that have become silent.
--- a/packages/scheduler/tests/crash_test.cpp
+++ b/packages/scheduler/tests/crash_test.cpp
@@ -245,6 +245,21 @@
         }
         CHECK_FALSE(fixture.scheduler->find("job")->isOver());
     }
+    SECTION("When starts were ordered there after the crash, and their agents were frozen and did not reply")
+    {
+        // Guards against LOST: a job was shown as failed although its task had crashed no upstream.
+        fixture.scheduler->submit(SchedulerFixture::quickJob("single"), fixture.now);
+        for (int freeze = 0; freeze < 4; ++freeze) {
+            for (const StartOrder &start : fixture.step()) {
+                fixture.scheduler->onNoReply(start.host, start.run, fixture.now);
+            }
+            crashAll();
+            hosts.reportAll();
+            hosts.answerStops();
+        }
+        CHECK_FALSE(fixture.scheduler->find("job")->isOver());
+        CHECK_FALSE(fixture.scheduler->find("single")->isOver());
+    }
     SECTION("When the upstreams leave and are replaced")
     {
         for (int release = 0; release < 10; ++release) {
