Add switches for scheduling decisions under overload

The decisions of docs/design/overload-and-untrusted-clients.md need settings of their own, so that deployments that do not ask for them are scheduled as before.

The section [scheduling] of an agent's settings has one switch for each decision, off by default. They reach the scheduler as SchedulingFeatures; nothing reads them yet.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -84,6 +84,7 @@
     , m_caller(caller)
     , m_scheduler({.epoch = m_ledger->epoch(),
                    .leaseTimes = m_options.leaseTimes,
+                   .features = m_options.features,
                    .onDecision =
                        [](const Scheduling::RunId &run, std::string_view host, std::string_view event) {
                            logInfo("run-ended")
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -40,6 +40,7 @@
         std::string name;
         std::string address;
         Scheduling::LeaseTimes leaseTimes;
+        Scheduling::SchedulingFeatures features = {};
         /// Counts an event of a task or an upstream for the metrics; may be empty.
         std::function<void(std::string_view event)> countEvent = {};
         /// How long a finished job can be queried.
--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -78,6 +78,11 @@
     Key{"agent", "accelerators", &Settings::accelerators, Need::Optional, 0, 1000, "0"},
     Key{"agent", "entries", &Settings::knownEntries, Need::Optional, 0, 0, "127.0.0.1:9090, 127.0.0.1:9091"},
     Key{"agent", "queue_limit", &Settings::queueLimit, Need::Optional, 0, 10000, "16"},
+    Key{"scheduling", "order_by_value", &Settings::orderByValue, Need::Optional, 0, 0, "on"},
+    Key{"scheduling", "admission", &Settings::admission, Need::Optional, 0, 0, "on"},
+    Key{"scheduling", "preemption", &Settings::preemption, Need::Optional, 0, 0, "on"},
+    Key{"scheduling", "copies", &Settings::copies, Need::Optional, 0, 0, "on"},
+    Key{"scheduling", "host_speed", &Settings::hostSpeed, Need::Optional, 0, 0, "on"},
     Key{"timing", "announce_interval_ms", &Settings::announceInterval, Need::Optional, 10, 10000, "500"},
     Key{"timing", "announce_timeout_ms", &Settings::announceTimeout, Need::Optional, 50, 60000, "2000"},
     Key{"timing", "sheet_poll_interval_ms", &Settings::sheetPollInterval, Need::Optional, 10, 10000, "500"},
@@ -149,12 +154,15 @@
     return {};
 }
 
-Expectation assign(Settings &settings, const Key & /*key*/, bool Settings::*field, const std::string &text)
+Expectation assign(Settings &settings, const Key &key, bool Settings::*field, const std::string &text)
 {
-    if (text != "adaptive" && text != "baseline") {
-        return "adaptive or baseline";
+    const bool isPolicy = key.name == "policy";
+    const std::string_view enabled = isPolicy ? "adaptive" : "on";
+    const std::string_view disabled = isPolicy ? "baseline" : "off";
+    if (text != enabled && text != disabled) {
+        return std::string(enabled) + " or " + std::string(disabled);
     }
-    settings.*field = text == "adaptive";
+    settings.*field = text == enabled;
     return {};
 }
 
--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -82,6 +82,13 @@
     std::vector<Endpoint> knownEntries;
     std::int64_t queueLimit = 16;
 
+    // [scheduling]
+    bool orderByValue = false;
+    bool admission = false;
+    bool preemption = false;
+    bool copies = false;
+    bool hostSpeed = false;
+
     // [timing]
     Milliseconds announceInterval{500};
     Milliseconds announceTimeout{2000};
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -39,10 +39,15 @@
     CHECK(settings.maxSheetAge == Milliseconds(2000));
     CHECK(settings.adaptivePolicy);
 
-    const auto changed = parseSettings(EntryText + "retry_ratio = 0.5\n[timing]\nmax_sheet_age_ms = 3000\n", "t.ini");
+    const auto changed = parseSettings(EntryText
+                                           + "retry_ratio = 0.5\n[timing]\nmax_sheet_age_ms = 3000\n"
+                                             "[scheduling]\ncopies = on\n",
+                                       "t.ini");
     REQUIRE(isOk(changed));
     CHECK(valueOf(changed).retryRatio == 0.5);
     CHECK(valueOf(changed).maxSheetAge == Milliseconds(3000));
+    CHECK_FALSE(settings.copies);
+    CHECK(valueOf(changed).copies);
 }
 
 TEST_CASE("Each fault of the settings names file, section, key, expectation and remedy", "[settings]")
@@ -65,6 +70,9 @@
         {"[entry]",
          "[process]\npolicy = random\n[entry]",
          "[process] policy: 'random' is not valid; expected adaptive"},
+        {"[entry]",
+         "[scheduling]\ncopies = adaptive\n[entry]",
+         "[scheduling] copies: 'adaptive' is not valid; expected on or off"},
         {"[entry]",
          "[process]\nlog_level = loud\n[entry]",
          "expected debug, info, warning or error; write for example"},
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -6,6 +6,7 @@
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/orders.h"
 #include "carobflow/scheduler/placement.h"
+#include "carobflow/scheduler/schedulingfeatures.h"
 
 #include <cstddef>
 #include <deque>
@@ -78,6 +79,7 @@
         LeaseTimes leaseTimes;
         /// Time without a report after which a host gets no starts; three report intervals.
         Milliseconds reportTimeout{1200};
+        SchedulingFeatures features = {};
         /// Called for the log whenever a run ends, is abandoned or fails its job.
         std::function<void(const RunId &run, std::string_view host, std::string_view event)> onDecision;
         /// Called for the log and the counters.
--- a/packages/scheduler/tests/loadsimulator.cpp
+++ b/packages/scheduler/tests/loadsimulator.cpp
@@ -31,7 +31,7 @@
 LoadSimulator::LoadSimulator(Options options)
     : m_options(options)
     , m_random(options.seed)
-    , m_scheduler(std::make_unique<Scheduler>(Scheduler::Options{.epoch = 1}))
+    , m_scheduler(std::make_unique<Scheduler>(Scheduler::Options{.epoch = 1, .features = m_options.features}))
     , m_nextQuick(m_now)
     , m_nextBatch(m_now)
 {
--- a/packages/scheduler/tests/loadsimulator.h
+++ b/packages/scheduler/tests/loadsimulator.h
@@ -38,6 +38,7 @@
         /// Mean number of upstreams that crash and restart per second.
         double crashesPerSecond = 0;
         std::uint64_t seed = 1;
+        SchedulingFeatures features = {};
     };
 
     /// Results of one kind of job.
