Order jobs by the value that their remaining work earns

With the switch order_by_value, jobs of a priority are ordered by value at the predicted end per remaining work, relative to their whole work, so that started jobs are finished first and the size of a job does not decide. The objective follows the likely length of the critical path, with the slowest task of each step. The remaining path and work of a job are kept up to date when tasks finish instead of being counted anew in each plan.

--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -1,5 +1,7 @@
 #include "carobflow/scheduler/job.h"
 
+#include "carobflow/scheduler/jobvalue.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,6 +14,19 @@
 /// About 30 years; several times this still fits into a duration.
 constexpr std::chrono::hours LongestObjective{24 * 365 * 30};
 
+Milliseconds estimateOf(const StepSpec &step)
+{
+    return step.estimate;
+}
+
+/// Core-milliseconds of one task.
+double workOf(const StepSpec &step)
+{
+    return step.longRunning
+        ? 0
+        : static_cast<double>(step.estimate.count()) * static_cast<double>(step.request.cpuMillis) / 1000;
+}
+
 } // namespace
 
 Job::Job(JobSpec spec, Queue queue, TimePoint acceptedAt)
@@ -27,7 +42,16 @@
     m_offsets.push_back(count);
     m_tasks.resize(count * m_spec.occurrences);
     m_remaining = m_tasks.size();
-    m_totalCriticalPath = criticalPath(false);
+    for (std::uint32_t occurrence = 0; occurrence < m_spec.occurrences; ++occurrence) {
+        for (const StepSpec &step : m_spec.steps) {
+            m_unfinished.push_back(step.count);
+            m_totalWork += workOf(step) * step.count;
+        }
+    }
+    m_remainingWork = m_totalWork;
+    m_isService = std::ranges::any_of(m_spec.steps, &StepSpec::longRunning);
+    m_totalCriticalPath = m_remainingCriticalPath = criticalPath(false, estimateOf);
+    m_likelyPath = m_remainingLikelyPath = criticalPath(false, likelyStepLength);
 }
 
 std::size_t Job::firstIndex(std::uint32_t occurrence, std::uint32_t step) const
@@ -106,11 +130,21 @@
             task.checkpoint.clear();
         } else if (!std::exchange(task.done, true)) {
             --m_remaining;
+            noteFinished(id.occurrence, id.step);
         }
     }
 }
 
-Milliseconds Job::criticalPath(bool unfinishedOnly) const
+void Job::noteFinished(std::uint32_t occurrence, std::uint32_t step)
+{
+    m_remainingWork = std::max(0.0, m_remainingWork - workOf(m_spec.steps[step]));
+    if (--m_unfinished[occurrence * m_spec.steps.size() + step] == 0) {
+        m_remainingCriticalPath = criticalPath(true, estimateOf);
+        m_remainingLikelyPath = criticalPath(true, likelyStepLength);
+    }
+}
+
+Milliseconds Job::criticalPath(bool unfinishedOnly, StepLength lengthOf) const
 {
     // Steps depend on earlier ones only, so one pass in order is enough.
     std::vector<Milliseconds> ends(m_spec.steps.size(), Milliseconds(0));
@@ -120,24 +154,24 @@
         for (const std::uint32_t earlier : m_spec.steps[step].after) {
             begin = std::max(begin, ends[earlier]);
         }
-        const bool counts = !unfinishedOnly || !std::ranges::all_of(stepTasks(0, step), &Task::done);
-        ends[step] = begin + (counts ? m_spec.steps[step].estimate : Milliseconds(0));
+        const bool counts = !unfinishedOnly || m_unfinished[step] > 0;
+        ends[step] = begin + (counts ? lengthOf(m_spec.steps[step]) : Milliseconds(0));
         longest = std::max(longest, ends[step]);
     }
     return longest;
 }
 
-Milliseconds Job::remainingCriticalPath() const
+Duration Job::objectiveFor(Milliseconds criticalPath) const
 {
-    return criticalPath(true);
+    const std::chrono::duration<double, std::milli> work = std::min(
+        std::chrono::duration<double, std::milli>(criticalPath) * m_queue.stretch,
+        std::chrono::duration<double, std::milli>(LongestObjective));
+    return std::chrono::duration_cast<Duration>(work) + m_queue.latencyAllowance;
 }
 
 TimePoint Job::objectiveEnd() const
 {
-    const std::chrono::duration<double, std::milli> work = std::min(
-        std::chrono::duration<double, std::milli>(totalCriticalPath()) * m_queue.stretch,
-        std::chrono::duration<double, std::milli>(LongestObjective));
-    return m_acceptedAt + std::chrono::duration_cast<Duration>(work) + m_queue.latencyAllowance;
+    return m_acceptedAt + objectiveFor(totalCriticalPath());
 }
 
 JobProgress Job::progress() const
@@ -180,6 +214,9 @@
     if (progress.completed) {
         forEachTask([](const TaskId & /*id*/, Task &task) { task.succeeded = task.done = true; });
         m_remaining = 0;
+        m_remainingWork = 0;
+        m_remainingCriticalPath = m_remainingLikelyPath = Milliseconds(0);
+        std::ranges::fill(m_unfinished, 0);
     }
     for (const TaskProgress &entry : progress.tasks) {
         if (entry.succeeded && findTask(entry.id) != nullptr) {
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -221,7 +221,10 @@
     void recordSuccess(const TaskId &id);
 
     /// Estimated length of the critical path through those steps of the first occurrence that have unfinished tasks.
-    [[nodiscard]] Milliseconds remainingCriticalPath() const;
+    [[nodiscard]] Milliseconds remainingCriticalPath() const
+    {
+        return m_remainingCriticalPath;
+    }
 
     /// Estimated length of the critical path through all steps.
     [[nodiscard]] Milliseconds totalCriticalPath() const
@@ -229,6 +232,47 @@
         return m_totalCriticalPath;
     }
 
+    /// Likely length of the critical path, with the slowest task of each step, and of its part that is not finished.
+    [[nodiscard]] Milliseconds likelyPath() const
+    {
+        return m_likelyPath;
+    }
+
+    [[nodiscard]] Milliseconds remainingLikelyPath() const
+    {
+        return m_remainingLikelyPath;
+    }
+
+    /// Estimated work of all tasks that end, and of those among them that are not finished, in core-milliseconds.
+    [[nodiscard]] double totalWork() const
+    {
+        return m_totalWork;
+    }
+
+    [[nodiscard]] double remainingWork() const
+    {
+        return m_remainingWork;
+    }
+
+    [[nodiscard]] std::size_t taskCount() const
+    {
+        return m_tasks.size();
+    }
+
+    [[nodiscard]] std::size_t attemptCount() const
+    {
+        return m_attempts;
+    }
+
+    /// True for a job with tasks that run until it is cancelled.
+    [[nodiscard]] bool isService() const
+    {
+        return m_isService;
+    }
+
+    /// Latency objective of a job of this queue with this critical path.
+    [[nodiscard]] Duration objectiveFor(Milliseconds criticalPath) const;
+
     /// Time until which the job has to complete to meet its latency objective.
     [[nodiscard]] TimePoint objectiveEnd() const;
 
@@ -239,7 +283,10 @@
 
 private:
     [[nodiscard]] std::size_t firstIndex(std::uint32_t occurrence, std::uint32_t step) const;
-    [[nodiscard]] Milliseconds criticalPath(bool unfinishedOnly) const;
+    using StepLength = Milliseconds (*)(const StepSpec &step);
+    [[nodiscard]] Milliseconds criticalPath(bool unfinishedOnly, StepLength lengthOf) const;
+    /// Updates what is known of the remaining work after a task has finished.
+    void noteFinished(std::uint32_t occurrence, std::uint32_t step);
 
     JobSpec m_spec;
     Queue m_queue;
@@ -250,7 +297,15 @@
     std::size_t m_remaining = 0;
     /// Number of attempts of all tasks.
     std::size_t m_attempts = 0;
+    /// Unfinished tasks of each step in all occurrences; by occurrence, then step.
+    std::vector<std::size_t> m_unfinished;
     Milliseconds m_totalCriticalPath{0};
+    Milliseconds m_remainingCriticalPath{0};
+    Milliseconds m_likelyPath{0};
+    Milliseconds m_remainingLikelyPath{0};
+    double m_totalWork = 0;
+    double m_remainingWork = 0;
+    bool m_isService = false;
     bool m_cancelled = false;
     bool m_failed = false;
     bool m_started = false;
--- a/packages/scheduler/src/carobflow/scheduler/joborder.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/joborder.cpp
@@ -1,6 +1,7 @@
 #include "carobflow/scheduler/joborder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Carobflow::Scheduling
@@ -10,16 +11,23 @@
 
 /// Multiple of its latency objective after which the result of a job is worthless to the client.
 constexpr int WorthlessAfterObjectives = 3;
+/// Rates are compared in steps of a quarter, so that jobs which have progressed about as far are ordered by slack.
+constexpr double RateStep = 0.25;
 
 } // namespace
 
 JobOrder::Rank JobOrder::rankOf(const Job &job) const
 {
-    if (std::ranges::any_of(job.spec().steps, &StepSpec::longRunning)) {
+    if (job.isService()) {
         // A service has no completion time to miss, and every second without its tasks is an outage.
         return {
-            .priority = job.queue().priority, .lateness = 0, .slack = Duration::min(), .acceptedAt = job.acceptedAt()};
+            .priority = job.queue().priority, .lateness = -1, .slack = Duration::min(), .acceptedAt = job.acceptedAt()};
     }
+    return m_rule == Rule::Value ? rankByValue(job) : rankBySlack(job);
+}
+
+JobOrder::Rank JobOrder::rankBySlack(const Job &job) const
+{
     const Duration objective = job.objectiveEnd() - job.acceptedAt();
     const TimePoint earliestEnd = m_now + job.remainingCriticalPath();
     const Duration slack = job.objectiveEnd() - earliestEnd;
@@ -32,6 +40,14 @@
     return {.priority = job.queue().priority, .lateness = lateness, .slack = slack, .acceptedAt = job.acceptedAt()};
 }
 
+JobOrder::Rank JobOrder::rankByValue(const Job &job) const
+{
+    return {.priority = job.queue().priority,
+            .cost = -std::floor(m_value.rate(job, m_now) / RateStep),
+            .slack = JobValue::objectiveEnd(job) - (m_now + job.remainingLikelyPath()),
+            .acceptedAt = job.acceptedAt()};
+}
+
 void JobOrder::sort(std::vector<Job *> &jobs) const
 {
     std::vector<std::pair<Rank, Job *>> ranked;
@@ -39,7 +55,7 @@
     for (Job *job : jobs) {
         ranked.emplace_back(rankOf(*job), job);
     }
-    std::ranges::stable_sort(ranked, {}, &std::pair<Rank, Job *>::first);
+    std::ranges::stable_sort(ranked, [](const auto &left, const auto &right) { return left.first < right.first; });
     std::ranges::transform(ranked, jobs.begin(), &std::pair<Rank, Job *>::second);
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -889,7 +889,7 @@
     if (hosts.empty()) {
         return;
     }
-    JobOrder(now).sort(open);
+    JobOrder(m_options.features.orderByValue ? JobOrder::Rule::Value : JobOrder::Rule::LeastSlack, now).sort(open);
     Placement placement({}, *m_view, m_fillerAdmission, hosts);
     Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
     const bool mostlyFree = isMostlyFree(hosts);
--- a/packages/scheduler/tests/loadsimulator.h
+++ b/packages/scheduler/tests/loadsimulator.h
@@ -27,6 +27,12 @@
         double batchPerSecond = 1.6;
         std::uint32_t batchWidth = 8;
         std::int64_t batchCpuMillis = 3500;
+        /// Spread of the logarithm of run times, which the estimates do not show.
+        double workSpread = 0.1;
+        /// Fraction of tasks that take seven times as long.
+        double longTasks = 0;
+        /// Multiple of the batch arrivals between the fourth and the tenth second.
+        double batchBurst = 1;
         std::size_t services = 6;
         std::uint32_t serviceWidth = 6;
         std::int64_t serviceCpuMillis = 6400;
@@ -49,6 +55,12 @@
         /// Completed later, but within three times the latency objective.
         std::size_t late = 0;
         std::vector<Duration> firstStart;
+        /// Sums over jobs: their work, and the work of those that completed within the objective.
+        double work = 0;
+        double workInTime = 0;
+        /// The largest fifth of the jobs by work, and those among them that completed within three objectives.
+        std::size_t large = 0;
+        std::size_t largeServed = 0;
     };
 
     explicit LoadSimulator(Options options);
@@ -109,6 +121,7 @@
     struct JobRecord {
         std::string kind;
         TimePoint submittedAt;
+        bool isLarge = false;
         bool started = false;
     };
 
