Move batch work away from hosts whose services hold it back

With the switch relocation, a run of a checkpointing batch step that has been paced below half of its speed for a second is stopped and continues from its checkpoint on another host, when that gains 1.5 s at least. Moves are bounded for each task and in time, and no job moves past one that waits for a host.

--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -86,6 +86,7 @@
     bool orderByValue = false;
     bool admission = false;
     bool preemption = false;
+    bool relocation = false;
     bool copies = false;
     bool hostSpeed = false;
 
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -56,6 +56,8 @@
     std::uint32_t share = 100;
     /// Time at which the reported percentage last changed.
     TimePoint progressedAt;
+    /// Time since which pacing has limited the run to a low share; see Relocation.
+    std::optional<TimePoint> slowSince;
 };
 
 /// A task and the state of its runs.
@@ -80,6 +82,9 @@
     /// The upstream of the last run crashed before it had survived the start. Starts of other jobs keep away from the
     /// next one, so that a further crash has one possible cause.
     bool suspected = false;
+    /// How often a run was stopped to continue on another host, and the hosts that it has left.
+    std::uint32_t moves = 0;
+    std::vector<std::string> movedFrom;
     /// Earliest time of the next start, after a rejected one or a short run.
     TimePoint notBefore;
 };
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -11,6 +11,8 @@
 constexpr double SuspectPenalty = 1000;
 /// Penalty of a host on which the same task has failed; exceeds all terms but SuspectPenalty.
 constexpr double FailedHerePenalty = 500;
+/// Penalty of a host on which services held the task back.
+constexpr double MovedFromPenalty = 20;
 /// A task on a distant rack runs up to three times as long, which outweighs any difference in free capacity.
 constexpr double FarRackPenalty = 10;
 
@@ -93,6 +95,9 @@
         score -= SuspectPenalty;
     }
     const Task &task = *job.findTask(id);
+    if (std::ranges::find(task.movedFrom, host.name()) != task.movedFrom.end()) {
+        score -= MovedFromPenalty;
+    }
     for (const auto *hosts : {&task.failedOn, &task.crashedOn}) {
         if (std::ranges::find(*hosts, host.name()) != hosts->end()) {
             score -= FailedHerePenalty;
--- /dev/null
+++ b/packages/scheduler/src/carobflow/scheduler/relocation.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "carobflow/scheduler/job.h"
+
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Carobflow::Scheduling
+{
+
+/// Decides which runs of batch work are stopped to continue on another host.
+///
+/// A host whose services come near their targets paces the batch work beside them. A step ends with its slowest task,
+/// so one task that is paced to a fifth of its speed delays its whole job by many times its run time. A task with
+/// checkpoints loses almost nothing by a move.
+class Relocation
+{
+public:
+    struct Options {
+        /// A run that is paced to less than this percentage is slow.
+        std::uint32_t slowShare = 50;
+        /// How long a run is slow before it moves. Pacing raises a share again after 0.4 s when the services allow it.
+        Milliseconds slowFor{1000};
+        /// Time that a move takes: a stop, a write to the store and a start from a checkpoint.
+        Milliseconds cost{800};
+        /// Smallest gain for which a run moves, beside the cost.
+        Milliseconds minimumGain{1500};
+        /// A task moves at most this often, so that it is not driven around while all hosts are under pressure.
+        std::uint32_t maxMoves = 3;
+        /// Number of moves in each interval. A move costs the leader a stop and a start.
+        std::size_t movesPerInterval = 3;
+        Milliseconds interval{100};
+    };
+
+    /// A run that may move, and the place of its job in the order of the plan.
+    struct Candidate {
+        RunId run;
+        std::size_t jobRank = 0;
+        Duration gain{};
+    };
+
+    explicit Relocation(Options options)
+        : m_options(options)
+    {
+    }
+
+    /// Time that the task gains by a move; none for a run that stays.
+    [[nodiscard]] std::optional<Duration>
+    gain(const StepSpec &step, const Task &task, const Attempt &attempt, TimePoint now) const;
+
+    /// Selects the moves of one plan, with the largest gain first. Jobs from `firstWaitingRank` on would find no host,
+    /// because tasks of jobs before them wait for one.
+    [[nodiscard]] std::vector<RunId>
+    select(std::vector<Candidate> candidates, std::size_t firstWaitingRank, TimePoint now);
+
+    [[nodiscard]] const Options &options() const
+    {
+        return m_options;
+    }
+
+private:
+    Options m_options;
+    TimePoint m_intervalBegan;
+    std::size_t m_movesInInterval = 0;
+};
+
+} // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -591,6 +591,11 @@
         attempt->noReply = false;
         attempt->resend = false;
         attempt->share = running.share;
+        if (running.share >= m_relocation.options().slowShare) {
+            attempt->slowSince.reset();
+        } else if (!attempt->slowSince) {
+            attempt->slowSince = now;
+        }
         if (attempt->percent != running.percent) {
             attempt->percent = running.percent;
             attempt->progressedAt = now;
@@ -869,6 +874,7 @@
     if (supervisesAll) {
         m_supervisedAt = now;
     }
+    m_slowRuns.clear();
     std::vector<Job *> open;
     for (auto next = m_active.begin(); next != m_active.end();) {
         Job &job = *m_jobs.at(*next);
@@ -893,13 +899,16 @@
     Placement placement({}, *m_view, m_fillerAdmission, hosts);
     Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
     const bool mostlyFree = isMostlyFree(hosts);
-    for (Job *job : open) {
-        if (m_placedStarts >= MaxPlacedStarts) {
-            break;
-        }
+    std::size_t firstWaitingRank = open.size();
+    for (std::size_t rank = 0; rank < open.size() && m_placedStarts < MaxPlacedStarts; ++rank) {
+        Job *job = open[rank];
         const bool starving = isStarving(*job, now) && mostlyFree;
         planJob(*job, starving ? interferingPlacement : placement, now, unixMs);
+        if (m_waiting.unplaced > 0 && firstWaitingRank == open.size()) {
+            firstWaitingRank = rank;
+        }
     }
+    moveSlowRuns(open, firstWaitingRank, now);
     m_waiting.comparisons = placement.comparisons() + interferingPlacement.comparisons();
 }
 
@@ -1022,6 +1031,21 @@
     markDirty(job);
 }
 
+void Scheduler::moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, TimePoint now)
+{
+    for (Relocation::Candidate &candidate : m_slowRuns) {
+        const Job *job = find(candidate.run.task.job);
+        candidate.jobRank = static_cast<std::size_t>(std::ranges::find(order, job) - order.begin());
+    }
+    for (const RunId &run : m_relocation.select(std::exchange(m_slowRuns, {}), firstWaitingRank, now)) {
+        Task &task = *m_jobs.find(run.task.job)->second->findTask(run.task);
+        Attempt &attempt = task.attempts.front();
+        ++task.moves;
+        task.movedFrom.push_back(attempt.host);
+        stop(run.task, attempt, "moved", now);
+    }
+}
+
 void Scheduler::superviseAttempts(Job &job, TimePoint now)
 {
     std::vector<RunId> unsent;
@@ -1105,6 +1129,9 @@
     if (attempt.share < PacedShareThreshold) {
         // Paced by the agent of its host, so the lack of progress is no fault of the upstream.
         attempt.progressedAt = now;
+        if (const auto gain = m_relocation.gain(step, task, attempt, now); gain && m_options.features.relocation) {
+            m_slowRuns.push_back({.run = {.task = id, .run = attempt.run}, .gain = *gain});
+        }
         return;
     }
     if (now - attempt.progressedAt > stallLimit) {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -6,6 +6,7 @@
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/orders.h"
 #include "carobflow/scheduler/placement.h"
+#include "carobflow/scheduler/relocation.h"
 #include "carobflow/scheduler/schedulingfeatures.h"
 
 #include <cstddef>
@@ -260,6 +261,8 @@
     void noteUnplaced(const TaskId &id);
     void placeGang(Job &job, const TaskId &first, Placement &placement, TimePoint now);
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
+    /// Stops runs that services hold back, so that their tasks continue on other hosts.
+    void moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, TimePoint now);
     void superviseAttempts(Job &job, TimePoint now);
     void supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now);
     void stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now);
@@ -289,6 +292,9 @@
     std::map<std::string, TimePoint, std::less<>> m_idleSince;
     /// Starts that the current plan has placed; those of a gang that was given up count as well.
     std::size_t m_placedStarts = 0;
+    Relocation m_relocation{Relocation::Options{}};
+    /// Runs that may move, from the last check of all attempts.
+    std::vector<Relocation::Candidate> m_slowRuns;
     WaitingTasks m_waiting;
     std::vector<std::string> m_silentHosts;
     std::vector<std::string> m_restartedHosts;
--- a/packages/scheduler/src/carobflow/scheduler/schedulingfeatures.h
+++ b/packages/scheduler/src/carobflow/scheduler/schedulingfeatures.h
@@ -12,6 +12,8 @@
     bool admission = false;
     /// Batch work that has checkpoints is stopped for work that loses more by waiting; see PreemptionPlanner.
     bool preemption = false;
+    /// Batch work that services hold back on its host continues on another; see Relocation.
+    bool relocation = false;
     /// Slow tasks of speculative steps get a second attempt; see CopyPlanner.
     bool copies = false;
     /// Tasks are placed by the speed of hosts that is learned from their runs; see HostSpeed.
--- /dev/null
+++ b/packages/scheduler/tests/relocation_test.cpp
@@ -0,0 +1,151 @@
+#include "carobflow/scheduler/relocation.h"
+#include "schedulerfixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace Carobflow::Scheduling
+{
+namespace
+{
+
+/// A batch job of one task with checkpoints, and the reports of the host that runs it.
+class RelocationFixture : public SchedulerFixture
+{
+public:
+    explicit RelocationFixture(SchedulingFeatures features)
+    {
+        scheduler = std::make_unique<Scheduler>(Scheduler::Options{.epoch = epoch, .features = features});
+        scheduler->setOperatorView(view);
+        reportAll();
+    }
+
+    static JobSpec batchJob(const std::string &id, bool checkpointing = true)
+    {
+        return {.id = id,
+                .queue = "batch",
+                .payload = "payload",
+                .steps = {{.count = 1,
+                           .request = {.cpuMillis = 2000, .memoryMiB = 500},
+                           .estimate = Milliseconds(4000),
+                           .checkpointing = checkpointing,
+                           .image = "image",
+                           .fillsLeftover = true}}};
+    }
+
+    /// Reports the run every 400 ms as paced to this share, and returns the stop orders.
+    std::vector<StopOrder> reportPaced(const StartOrder &start, std::uint32_t share, Milliseconds time)
+    {
+        std::vector<StopOrder> all;
+        for (Milliseconds passed{0}; passed <= time; passed += Milliseconds(400)) {
+            reportAll();
+            HostReport report = reportOf(start.host);
+            report.running.push_back({.run = start.run, .checkpoint = "saved", .percent = m_percent++, .share = share});
+            scheduler->onReport(report, now);
+            step(Milliseconds(400));
+            std::ranges::move(stops(), std::back_inserter(all));
+        }
+        return all;
+    }
+
+private:
+    std::uint32_t m_percent = 10;
+};
+
+} // namespace
+
+TEST_CASE("A task that services hold back continues on another host", "[relocation]")
+{
+    RelocationFixture fixture({.relocation = true});
+    fixture.scheduler->submit(RelocationFixture::batchJob("job"), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    const StartOrder &first = starts.front();
+
+    SECTION("It is stopped after a second at a low share")
+    {
+        const auto stops = fixture.reportPaced(first, 20, Milliseconds(1600));
+        REQUIRE(stops.size() == 1);
+        CHECK(stops.front().reason == "moved");
+        CHECK(stops.front().run == first.run);
+
+        SECTION("It does not start again before its end is reported")
+        {
+            // Guards against two runs of one task while the answer to the stop is lost.
+            CHECK(fixture.step(Milliseconds(400)).empty());
+        }
+        SECTION("It starts once, elsewhere, from its last checkpoint")
+        {
+            HostReport report = fixture.reportOf(first.host);
+            report.ended.push_back(
+                {.number = 1, .run = first.run, .end = RunEnd::Stopped, .checkpoint = "at the stop"});
+            fixture.scheduler->onReport(report, fixture.now);
+            const auto next = fixture.step();
+            REQUIRE(next.size() == 1);
+            CHECK(next.front().host != first.host);
+            CHECK(next.front().run.run == 2);
+            CHECK(next.front().checkpoint == "at the stop");
+            CHECK(fixture.step(Milliseconds(400)).empty());
+        }
+    }
+    SECTION("It stays while the share is high, or low for a moment only")
+    {
+        // Guards against moves for the usual swings of pacing.
+        CHECK(fixture.reportPaced(first, 70, Milliseconds(3000)).empty());
+        CHECK(fixture.reportPaced(first, 20, Milliseconds(400)).empty());
+        CHECK(fixture.reportPaced(first, 70, Milliseconds(1200)).empty());
+    }
+}
+
+TEST_CASE("A task stays where a move would lose work, or where moves are switched off", "[relocation]")
+{
+    const bool enabled = GENERATE(true, false);
+    RelocationFixture fixture({.relocation = enabled});
+    fixture.scheduler->submit(RelocationFixture::batchJob("job", !enabled), fixture.now);
+    const auto starts = fixture.step();
+    REQUIRE(starts.size() == 1);
+    CHECK(fixture.reportPaced(starts.front(), 20, Milliseconds(3000)).empty());
+}
+
+TEST_CASE("Moves are bounded", "[relocation]")
+{
+    const TimePoint now{Seconds(100)};
+    Relocation relocation({.movesPerInterval = 2});
+    const auto candidate = [](const std::string &job, std::size_t rank, Seconds gain) {
+        return Relocation::Candidate{.run = {.task = {.job = job}, .run = 1}, .jobRank = rank, .gain = gain};
+    };
+    const std::vector<Relocation::Candidate> candidates{candidate("small", 0, Seconds(2)),
+                                                        candidate("large", 1, Seconds(9)),
+                                                        candidate("middle", 2, Seconds(5)),
+                                                        candidate("behind", 4, Seconds(30))};
+    SECTION("The largest gains go first, and the rest waits for the next interval")
+    {
+        const auto moves = relocation.select(candidates, 3, now);
+        REQUIRE(moves.size() == 2);
+        CHECK(moves[0].task.job == "large");
+        CHECK(moves[1].task.job == "middle");
+        CHECK(relocation.select(candidates, 3, now + Milliseconds(50)).empty());
+        CHECK(relocation.select(candidates, 3, now + Milliseconds(100)).size() == 2);
+    }
+    SECTION("A task does not leave its host for a place that jobs before it wait for")
+    {
+        const auto moves = relocation.select(candidates, 0, now);
+        REQUIRE(moves.size() == 1);
+        CHECK(moves[0].task.job == "small");
+    }
+    SECTION("A task moves at most three times")
+    {
+        const StepSpec step{.count = 1, .estimate = Milliseconds(4000), .checkpointing = true, .fillsLeftover = true};
+        const Attempt attempt{.run = 4,
+                              .phase = AttemptPhase::Running,
+                              .listed = true,
+                              .percent = 10,
+                              .share = 10,
+                              .slowSince = now - Seconds(2)};
+        Task task{.attempts = {attempt}, .moves = 2};
+        CHECK(relocation.gain(step, task, attempt, now));
+        task.moves = 3;
+        CHECK_FALSE(relocation.gain(step, task, attempt, now));
+    }
+}
+
+} // namespace Carobflow::Scheduling
