Move batch work to any host that has room, also without checkpoints

A job that was ordered after one that waits did not move, although the waiting one fitted nowhere and the moving one did; and steps without checkpoints never moved.

A run now moves when a host has room for its task, or its job comes first among those that wait. Without checkpoints the gain is counted from the beginning of the task. Places are looked for eight times in 100 ms at most.

--- a/packages/scheduler/src/carobflow/scheduler/relocation.h
+++ b/packages/scheduler/src/carobflow/scheduler/relocation.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/scheduler/job.h"
 
+#include <functional>
 #include <optional>
 #include <span>
 #include <vector>
@@ -24,22 +25,26 @@
         Milliseconds slowFor{1000};
         /// Time that a move takes: a stop, a write to the store and a start from a checkpoint.
         Milliseconds cost{800};
-        /// Smallest gain for which a run moves, beside the cost.
+        /// Smallest gain for which a run moves, beside the cost and the work that is lost without a checkpoint.
         Milliseconds minimumGain{1500};
         /// A task moves at most this often, so that it is not driven around while all hosts are under pressure.
         std::uint32_t maxMoves = 3;
         /// Number of moves in each interval. A move costs the leader a stop and a start.
         std::size_t movesPerInterval = 3;
+        /// Number of runs in each interval for which a place is looked for; each look compares all hosts.
+        std::size_t looksPerInterval = 8;
         Milliseconds interval{100};
     };
 
-    /// A run that may move, and the place of its job in the order of the plan.
+    /// A run that may move.
     struct Candidate {
         RunId run;
-        std::size_t jobRank = 0;
         Duration gain{};
     };
 
+    /// Tells whether the task of a run would find another host.
+    using HasPlace = std::function<bool(const RunId &run)>;
+
     explicit Relocation(Options options)
         : m_options(options)
     {
@@ -49,10 +54,8 @@
     [[nodiscard]] std::optional<Duration>
     gain(const StepSpec &step, const Task &task, const Attempt &attempt, TimePoint now) const;
 
-    /// Selects the moves of one plan, with the largest gain first. Jobs from `firstWaitingRank` on would find no host,
-    /// because tasks of jobs before them wait for one.
-    [[nodiscard]] std::vector<RunId>
-    select(std::vector<Candidate> candidates, std::size_t firstWaitingRank, TimePoint now);
+    /// Selects the moves of one plan, with the largest gain first.
+    [[nodiscard]] std::vector<RunId> select(std::vector<Candidate> candidates, const HasPlace &hasPlace, TimePoint now);
 
     [[nodiscard]] const Options &options() const
     {
@@ -63,6 +66,7 @@
     Options m_options;
     TimePoint m_intervalBegan;
     std::size_t m_movesInInterval = 0;
+    std::size_t m_looksInInterval = 0;
 };
 
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -908,7 +908,7 @@
             firstWaitingRank = rank;
         }
     }
-    moveSlowRuns(open, firstWaitingRank, now);
+    moveSlowRuns(open, firstWaitingRank, placement, now);
     m_waiting.comparisons = placement.comparisons() + interferingPlacement.comparisons();
 }
 
@@ -1031,13 +1031,19 @@
     markDirty(job);
 }
 
-void Scheduler::moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, TimePoint now)
+void Scheduler::moveSlowRuns(std::span<Job *const> order,
+                             std::size_t firstWaitingRank,
+                             Placement &placement,
+                             TimePoint now)
 {
-    for (Relocation::Candidate &candidate : m_slowRuns) {
-        const Job *job = find(candidate.run.task.job);
-        candidate.jobRank = static_cast<std::size_t>(std::ranges::find(order, job) - order.begin());
-    }
-    for (const RunId &run : m_relocation.select(std::exchange(m_slowRuns, {}), firstWaitingRank, now)) {
+    const auto hasPlace = [&](const RunId &run) {
+        // The next free place goes to a task of the first job of the order that waits.
+        const Job *job = find(run.task.job);
+        const auto rank = static_cast<std::size_t>(std::ranges::find(order, job) - order.begin());
+        return (rank <= firstWaitingRank && firstWaitingRank < order.size())
+            || placement.choose(*job, run.task, now) != nullptr;
+    };
+    for (const RunId &run : m_relocation.select(std::exchange(m_slowRuns, {}), hasPlace, now)) {
         Task &task = *m_jobs.find(run.task.job)->second->findTask(run.task);
         Attempt &attempt = task.attempts.front();
         ++task.moves;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -262,7 +262,7 @@
     void placeGang(Job &job, const TaskId &first, Placement &placement, TimePoint now);
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
     /// Stops runs that services hold back, so that their tasks continue on other hosts.
-    void moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, TimePoint now);
+    void moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, Placement &placement, TimePoint now);
     void superviseAttempts(Job &job, TimePoint now);
     void supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now);
     void stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now);
