Group services by image

Services were packed without regard to their images, so each host had services of several images, and nearly every batch image slowed down one of them: batch work was paced on all hosts.

With the switch group_services, a service prefers hosts with services of its image and avoids hosts with services of others. Batch work then finds hosts whose services it does not disturb.

--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -82,6 +82,7 @@
     Key{"scheduling", "admission", &Settings::admission, Need::Optional, 0, 0, "on"},
     Key{"scheduling", "preemption", &Settings::preemption, Need::Optional, 0, 0, "on"},
     Key{"scheduling", "relocation", &Settings::relocation, Need::Optional, 0, 0, "on"},
+    Key{"scheduling", "group_services", &Settings::groupServices, Need::Optional, 0, 0, "on"},
     Key{"scheduling", "copies", &Settings::copies, Need::Optional, 0, 0, "on"},
     Key{"scheduling", "host_speed", &Settings::hostSpeed, Need::Optional, 0, 0, "on"},
     Key{"timing", "announce_interval_ms", &Settings::announceInterval, Need::Optional, 10, 10000, "500"},
--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -87,6 +87,7 @@
     bool admission = false;
     bool preemption = false;
     bool relocation = false;
+    bool groupServices = false;
     bool copies = false;
     bool hostSpeed = false;
 
--- a/packages/scheduler/src/carobflow/scheduler/host.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/host.cpp
@@ -60,6 +60,7 @@
     }
     if (step.serves()) {
         ++m_servingTasks;
+        ++m_servingImages[step.image];
         m_servingCpu += step.request.cpuMillis;
     }
 }
@@ -75,6 +76,9 @@
     }
     if (step.serves()) {
         --m_servingTasks;
+        if (const auto image = m_servingImages.find(step.image); --image->second == 0) {
+            m_servingImages.erase(image);
+        }
         m_servingCpu -= step.request.cpuMillis;
     }
 }
@@ -110,6 +114,17 @@
     return std::ranges::any_of(m_recentStarts, [](const auto &entry) { return entry.second.suspected > 0; });
 }
 
+std::uint32_t Host::servingTasks(std::string_view image) const
+{
+    const auto found = m_servingImages.find(image);
+    return found == m_servingImages.end() ? 0 : found->second;
+}
+
+std::size_t Host::otherServingImages(std::string_view image) const
+{
+    return m_servingImages.size() - (m_servingImages.contains(image) ? 1 : 0);
+}
+
 bool Host::fits(const StepSpec &step) const
 {
     if (!m_report.upstream) {
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -121,6 +121,10 @@
         return m_servingTasks;
     }
 
+    /// Number of these tasks that run this image, and number of other images among them.
+    [[nodiscard]] std::uint32_t servingTasks(std::string_view image) const;
+    [[nodiscard]] std::size_t otherServingImages(std::string_view image) const;
+
     [[nodiscard]] bool hasLabel(std::string_view label) const;
 
     /// Records a failed run. Callers leave out repeated failures of the same task or job, so that a job that fails
@@ -153,6 +157,7 @@
     Resources m_reserved;
     std::int64_t m_fillerCpu = 0;
     std::uint32_t m_servingTasks = 0;
+    std::map<std::string, std::uint32_t, std::less<>> m_servingImages;
     /// Processor time reserved by tasks that serve requests; included in m_reserved.
     std::int64_t m_servingCpu = 0;
     std::uint32_t m_consecutiveFailures = 0;
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -24,6 +24,10 @@
 /// Score per service task on the host. Outweighs the free fraction of a host, which is at most 1.
 constexpr double ServingHostBonus = 2;
 constexpr std::uint32_t MaxServingCounted = 4;
+/// Score per service task of the same image, and penalty of each other image of services. The penalty outweighs the
+/// bonus of a packed host, so that a host without services is preferred to a mixed one.
+constexpr double SameImageBonus = 4;
+constexpr double OtherImagePenalty = 9;
 
 std::uint32_t countOnHost(std::span<const Task> tasks, const Host &host)
 {
@@ -79,6 +83,10 @@
         // Packs services and short tasks onto the same hosts, which leaves hosts without services to fillers.
         score += std::min(host.servingTasks(), MaxServingCounted) * ServingHostBonus;
     }
+    if (m_options.groupsServices && step.serves()) {
+        score += std::min(host.servingTasks(step.image), MaxServingCounted) * SameImageBonus
+            - static_cast<double>(host.otherServingImages(step.image)) * OtherImagePenalty;
+    }
     if (!step.dataRack.empty() && host.rack() != step.dataRack) {
         score -= FarRackPenalty;
     }
--- a/packages/scheduler/src/carobflow/scheduler/placement.h
+++ b/packages/scheduler/src/carobflow/scheduler/placement.h
@@ -26,6 +26,9 @@
         /// Allows a filler on a host where a service is left with too little headroom, and chooses the host with the
         /// least expected loss. The pacer then keeps the service below its target.
         bool allowsInterference = false;
+        /// Groups services by image, so that each host has services of few images. A filler slows down the services of
+        /// some images only, and is placed where it disturbs none.
+        bool groupsServices = false;
     };
 
     Placement(Options options,
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -896,8 +896,10 @@
         return;
     }
     JobOrder(m_options.features.orderByValue ? JobOrder::Rule::Value : JobOrder::Rule::LeastSlack, now).sort(open);
-    Placement placement({}, *m_view, m_fillerAdmission, hosts);
-    Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
+    const bool groupsServices = m_options.features.groupServices;
+    Placement placement({.groupsServices = groupsServices}, *m_view, m_fillerAdmission, hosts);
+    Placement interferingPlacement(
+        {.allowsInterference = true, .groupsServices = groupsServices}, *m_view, m_fillerAdmission, hosts);
     const bool mostlyFree = isMostlyFree(hosts);
     std::size_t firstWaitingRank = open.size();
     for (std::size_t rank = 0; rank < open.size() && m_placedStarts < MaxPlacedStarts; ++rank) {
--- a/packages/scheduler/src/carobflow/scheduler/schedulingfeatures.h
+++ b/packages/scheduler/src/carobflow/scheduler/schedulingfeatures.h
@@ -14,6 +14,8 @@
     bool preemption = false;
     /// Batch work that services hold back on its host continues on another; see Relocation.
     bool relocation = false;
+    /// Services are grouped by image; see Placement.
+    bool groupServices = false;
     /// Slow tasks of speculative steps get a second attempt; see CopyPlanner.
     bool copies = false;
     /// Tasks are placed by the speed of hosts that is learned from their runs; see HostSpeed.
--- a/packages/scheduler/tests/policy_test.cpp
+++ b/packages/scheduler/tests/policy_test.cpp
@@ -2,6 +2,10 @@
 #include "carobflow/scheduler/filleradmission.h"
 #include "carobflow/scheduler/joborder.h"
 #include "carobflow/scheduler/pacer.h"
+#include "schedulerfixture.h"
+
+#include <map>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -301,4 +305,40 @@
     }
 }
 
+TEST_CASE("Services of the same image share hosts", "[placement]")
+{
+    SchedulerFixture fixture;
+    const bool grouped = GENERATE(true, false);
+    fixture.scheduler = std::make_unique<Scheduler>(
+        Scheduler::Options{.epoch = fixture.epoch, .features = {.groupServices = grouped}});
+    fixture.scheduler->setOperatorView(fixture.view);
+    fixture.reportAll();
+    const auto service = [](const std::string &id, const std::string &image) {
+        return JobSpec{.id = id,
+                       .queue = "quick",
+                       .steps = {{.count = 2,
+                                  .request = {.cpuMillis = 1000, .memoryMiB = 500},
+                                  .estimate = Milliseconds(100),
+                                  .longRunning = true,
+                                  .image = image,
+                                  .tailTarget = Milliseconds(100)}}};
+    };
+    std::map<std::string, std::set<std::string>> imagesOnHost;
+    const auto submit = [&](const std::string &id, const std::string &image) {
+        fixture.scheduler->submit(service(id, image), fixture.now);
+        for (const StartOrder &start : fixture.step()) {
+            imagesOnHost[start.host].insert(image);
+        }
+    };
+    submit("a1", "a");
+    submit("b1", "b");
+    submit("c1", "c");
+    submit("a2", "a");
+    submit("b2", "b");
+    submit("c2", "c");
+    const auto mixed = std::ranges::count_if(imagesOnHost, [](const auto &host) { return host.second.size() > 1; });
+    // Guards against hosts on which every filler slows down some service.
+    CHECK((mixed == 0) == grouped);
+}
+
 } // namespace Carobflow::Scheduling
