Examine only the ends of written jobs at each write

The leader searched the ends of all hosts twice for each job of a write, which costs the product of jobs and hosts under load. The scheduler now keeps the hosts of each job's ends.

The new test counts the examined hosts and ends: 4 for each end, with 80 and with 300 hosts.

--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -406,7 +406,7 @@
             markDirty(job);
         }
         if (isDirty(job.spec().id)) {
-            host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
+            addPendingEnd(host, ended.number, job.spec().id);
         }
         return;
     }
@@ -426,7 +426,40 @@
         delayRestart(*task, *attempt, now);
     }
     dropAttempt(job, ended.run.task, ended.run.run, host.host.name());
-    host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
+    addPendingEnd(host, ended.number, job.spec().id);
+}
+
+void Scheduler::addPendingEnd(HostState &host, std::uint64_t number, const std::string &job)
+{
+    host.pendingEnds.emplace(number, HostState::PendingEnd{.job = job});
+    m_endHosts[job].insert(host.host.name());
+}
+
+void Scheduler::acknowledgeEnds(std::string_view job)
+{
+    const auto hosts = m_endHosts.find(job);
+    if (hosts == m_endHosts.end()) {
+        return;
+    }
+    std::erase_if(hosts->second, [&](const std::string &name) {
+        ++m_endChecks;
+        const auto host = m_hosts.find(name);
+        if (host == m_hosts.end()) {
+            return true;
+        }
+        // Ends that were reported during the write wait for the next one.
+        bool hasLater = false;
+        std::erase_if(host->second->pendingEnds, [&](const auto &entry) {
+            ++m_endChecks;
+            const bool isOfJob = entry.second.job == job;
+            hasLater = hasLater || (isOfJob && !entry.second.committing);
+            return isOfJob && entry.second.committing;
+        });
+        return !hasLater;
+    });
+    if (hosts->second.empty()) {
+        m_endHosts.erase(hosts);
+    }
 }
 
 void Scheduler::delayRestart(Task &task, const Attempt &attempt, TimePoint now) const
@@ -1182,9 +1215,17 @@
                 }
             }
         });
-        for (const auto &[name, host] : m_hosts) {
-            for (auto &[number, end] : host->pendingEnds) {
-                end.committing = end.committing || end.job == id;
+        if (const auto hosts = m_endHosts.find(id); hosts != m_endHosts.end()) {
+            for (const std::string &name : hosts->second) {
+                ++m_endChecks;
+                const auto host = m_hosts.find(name);
+                if (host == m_hosts.end()) {
+                    continue;
+                }
+                for (auto &[number, end] : host->second->pendingEnds) {
+                    ++m_endChecks;
+                    end.committing = end.committing || end.job == id;
+                }
             }
         }
         m_committing.insert_or_assign(id, found->second->isOver());
@@ -1197,10 +1238,7 @@
 {
     const auto written = m_committing.extract(std::string(id));
     const bool isFinal = !written.empty() && written.mapped();
-    for (const auto &[name, host] : m_hosts) {
-        std::erase_if(host->pendingEnds,
-                      [&](const auto &entry) { return entry.second.committing && entry.second.job == id; });
-    }
+    acknowledgeEnds(id);
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end()) {
         return;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -214,6 +214,13 @@
         return m_waiting;
     }
 
+    /// Number of ends that takeDirtyJobs() and commitJob() have examined so far, and of hosts that they have searched
+    /// for such ends.
+    [[nodiscard]] std::size_t endChecks() const
+    {
+        return m_endChecks;
+    }
+
     /// Headroom that services of one image lose per core of fillers of another.
     [[nodiscard]] double effect(std::string_view serviceImage, std::string_view fillerImage) const
     {
@@ -272,6 +279,10 @@
     bool isStarving(const Job &job, TimePoint now);
     [[nodiscard]] bool isUsable(const HostState &host, TimePoint now) const;
     void markDirty(const Job &job);
+    /// Notes an end that is acknowledged with the next write of the job.
+    void addPendingEnd(HostState &host, std::uint64_t number, const std::string &job);
+    /// Acknowledges the ends that the write of the job contained.
+    void acknowledgeEnds(std::string_view job);
     void report(const RunId &run, std::string_view host, std::string_view event) const;
 
     Options m_options;
@@ -281,6 +292,9 @@
     /// Jobs that are not over or still have attempts.
     std::set<std::string, std::less<>> m_active;
     std::map<std::string, std::unique_ptr<HostState>, std::less<>> m_hosts;
+    /// The hosts that have ends which a write of the job acknowledges, by job. May name hosts without such ends.
+    std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_endHosts;
+    std::size_t m_endChecks = 0;
     std::set<std::string, std::less<>> m_dirty;
     /// The jobs of m_dirty in the order of their first change.
     std::deque<std::string> m_dirtyOrder;
--- a/packages/scheduler/tests/plancost_test.cpp
+++ b/packages/scheduler/tests/plancost_test.cpp
@@ -1,6 +1,7 @@
 #include "schedulerfixture.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include <catch2/catch.hpp>
 
@@ -102,6 +103,56 @@
     }
 }
 
+TEST_CASE("A write examines the hosts and ends of its own jobs only", "[scheduler][plancost]")
+{
+    // Guards against writes whose cost is the product of their jobs and the hosts of the deployment. Under load, each
+    // write contains the ends of tens of jobs.
+    constexpr std::uint32_t tasksPerJob = 10;
+    const std::size_t hosts = GENERATE(80U, 300U);
+    CAPTURE(hosts);
+    PlanFixture fixture(hosts);
+    for (std::size_t job = 0; job < hosts / tasksPerJob; ++job) {
+        fixture.submit("job-" + std::to_string(job), {.count = tasksPerJob});
+    }
+    std::vector<StartOrder> started;
+    while (started.size() < hosts) {
+        std::ranges::move(fixture.step(Milliseconds(10)), std::back_inserter(started));
+    }
+    SECTION("Starts examine none")
+    {
+        CHECK(fixture.scheduler->endChecks() == 0);
+    }
+    SECTION("An end is examined a fixed number of times, with its host")
+    {
+        for (const StartOrder &start : started) {
+            fixture.end(start, RunEnd::Done, 1);
+        }
+        fixture.step(Milliseconds(10));
+        CHECK(fixture.scheduler->endChecks() == 4 * hosts);
+        const auto isAcknowledged = [&](const StartOrder &start) {
+            return fixture.scheduler->acknowledgedEnd(start.host, start.upstream) == 1;
+        };
+        CHECK(std::ranges::all_of(started, isAcknowledged));
+    }
+    SECTION("An end that is reported during the write waits for the next one")
+    {
+        fixture.end(started[0], RunEnd::Done, 1);
+        fixture.scheduler->plan(fixture.now, fixture.unixMs);
+        const auto written = fixture.scheduler->takeDirtyJobs(1000);
+        REQUIRE(written == std::vector{started[0].run.task.job});
+        const auto next = std::ranges::find_if(started, [&](const StartOrder &start) {
+            return start.run.task.job == written[0] && start.host != started[0].host;
+        });
+        REQUIRE(next != started.end());
+        fixture.end(*next, RunEnd::Done, 1);
+        fixture.scheduler->commitJob(written[0], fixture.now);
+        CHECK(fixture.scheduler->acknowledgedEnd(started[0].host, started[0].upstream) == 1);
+        CHECK(fixture.scheduler->acknowledgedEnd(next->host, next->upstream) == 0);
+        fixture.step(Milliseconds(10));
+        CHECK(fixture.scheduler->acknowledgedEnd(next->host, next->upstream) == 1);
+    }
+}
+
 TEST_CASE("A kind of task that fits nowhere is tried again as soon as it may fit", "[scheduler][plancost]")
 {
     PlanFixture fixture(3);
