--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -123,6 +123,9 @@
     std::ofstream file(path);
     const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
     file << "[process]\nrole = " << role << "\ndeployment = hosted\nname = " << name << "\ndata_centre = zone-1\n"
+         << (role == "agent" && m_options.agentThreads > 0
+                 ? "threads = " + std::to_string(m_options.agentThreads) + "\n"
+                 : "")
          << "[listen]\nhttp = " << address(ports.http) << "\ngrpc = " << address(ports.grpc)
          << "\nmetrics = " << address(ports.metrics) << "\n";
     if (role == "entry") {
--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -27,6 +27,8 @@
         std::int64_t workerCpuMillis = 4000;
         /// Longest lease that workers grant.
         Milliseconds maxLease{6000};
+        /// Threads of each agent's event loop; the daemon's default when it is 0.
+        std::size_t agentThreads = 0;
     };
 
     explicit HostedSystem(Options options);
--- a/tests/hosted/load_test.cpp
+++ b/tests/hosted/load_test.cpp
@@ -1,9 +1,75 @@
 #include "hostedsystem.h"
 
+#include <algorithm>
+#include <atomic>
+#include <ctime>
+#include <map>
+#include <thread>
+#include <vector>
+
 #include <catch2/catch.hpp>
+#include <csignal>
 
 namespace Carobflow::Bench
 {
+namespace
+{
+
+/// Processor time that a process has used.
+std::chrono::nanoseconds cpuTime(int pid)
+{
+    clockid_t clock{};
+    timespec used{};
+    if (clock_getcpuclockid(pid, &clock) != 0 || clock_gettime(clock, &used) != 0) {
+        throw std::runtime_error("the processor time of a process cannot be read");
+    }
+    return Seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
+/// Stops a process for the rest of each 100 ms in which it has used its share of a core, as the users' platform does.
+class CpuQuota
+{
+public:
+    CpuQuota(int pid, double share)
+        : m_thread([this, pid, share](const std::stop_token &token) {
+            while (!token.stop_requested()) {
+                enforce(pid, share);
+            }
+        })
+    {
+    }
+
+    /// Periods in which the process was stopped.
+    [[nodiscard]] unsigned stops() const
+    {
+        return m_stops;
+    }
+
+private:
+    void enforce(int pid, double share)
+    {
+        constexpr Milliseconds period{100};
+        const auto end = std::chrono::steady_clock::now() + period;
+        const auto limit = cpuTime(pid) + std::chrono::duration_cast<std::chrono::nanoseconds>(period * share);
+        bool stopped = false;
+        while (std::chrono::steady_clock::now() < end) {
+            if (!stopped && cpuTime(pid) >= limit) {
+                kill(pid, SIGSTOP);
+                stopped = true;
+                ++m_stops;
+            }
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
+        if (stopped) {
+            kill(pid, SIGCONT);
+        }
+    }
+
+    std::atomic<unsigned> m_stops = 0;
+    std::jthread m_thread;
+};
+
+} // namespace
 
 // Hidden, because it loads a whole machine. Run it with "hosted-tests [load]" and watch the leading agent's processor
 // time, or attach a profiler to it.
@@ -70,4 +136,55 @@
     CHECK(system.violations().empty());
 }
 
+// Hidden like the ones above. Prints what a start and its end cost the leader, and how long starts wait.
+TEST_CASE("The leader's processor time for each start", "[.][leadercost]")
+{
+    constexpr std::size_t hosts = 40;
+    constexpr unsigned jobs = 200;
+    constexpr Milliseconds betweenJobs{50};
+    // Without a limit the costs can be compared; with the limit of the users' platform, the waiting times.
+    const double share = GENERATE(0.0, 0.15);
+    HostedSystem system({.entries = 2, .agents = hosts, .workerCpuMillis = 16000, .agentThreads = 1});
+    system.waitUntilReady();
+    std::this_thread::sleep_for(Seconds(2));
+    const int leader = system.agent(system.leader().value()).pid();
+    std::optional<CpuQuota> quota;
+    if (share > 0) {
+        quota.emplace(leader, share);
+    }
+    const auto usedBefore = cpuTime(leader);
+    std::map<std::string, std::int64_t> submittedAt;
+    auto next = std::chrono::steady_clock::now();
+    const auto began = next;
+    for (unsigned job = 0; job < jobs; ++job) {
+        std::string id = std::to_string(job);
+        id.insert(0, 16 - id.size(), 'd');
+        const std::string step = R"({"count":10,"cpu":300,"memory-limit-mb":100,"estimated-ms":1000)";
+        const std::string work = std::to_string(700 + job * 211 % 600);
+        submittedAt[id] = std::chrono::duration_cast<Milliseconds>(next.time_since_epoch()).count();
+        system.submitBody(
+            id, R"({"task-spec":")" + work + R"(","steps":[)" + step + "}," + step + R"(,"after":[0]}]})", job % 2);
+        next += betweenJobs;
+        std::this_thread::sleep_until(next);
+    }
+    const auto used = cpuTime(leader) - usedBefore;
+    const auto took = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - began).count();
+    const auto runs = system.runs();
+    std::vector<std::int64_t> waits;
+    for (const StandIn::ObservedRun &run : runs) {
+        const auto job = submittedAt.find(run.task.substr(0, 16));
+        if (job != submittedAt.end() && run.task.substr(16).starts_with(".0.0.")) {
+            waits.push_back(run.startedAt - job->second);
+        }
+    }
+    std::ranges::sort(waits);
+    const std::chrono::duration<double, std::milli> usedMs = used;
+    const double perStart = usedMs.count() / static_cast<double>(runs.size());
+    WARN("share " << share << ", " << runs.size() << " starts in " << took << " ms, leader " << perStart
+                  << " ms a start, wait of first starts p50 " << waits.at(waits.size() / 2) << " ms, p95 "
+                  << waits.at(waits.size() * 95 / 100) << " ms, stopped in " << (quota ? quota->stops() : 0)
+                  << " periods");
+    CHECK(system.violations().empty());
+}
+
 } // namespace Carobflow::Bench
