Combine the changes of 20 ms into one round of a busy leader

A leader planned and wrote again as soon as the last write had ended, so each report with an end could cost a plan, a write and its HTTP call. Five rounds may still follow each other at once; then one starts each 20 ms, so nothing is delayed at a low load. Order of writes and orders, and renewals, are unchanged.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -353,7 +353,11 @@
         co_return;
     }
     while (!m_over) {
+        if (const Duration delay = m_pace.delay(suspendAwareNow()); delay > Duration(0) && !m_resigning) {
+            co_await sleepFor(delay);
+        }
         const TimePoint now = suspendAwareNow();
+        m_pace.onRound(now);
         if (m_directory.current().epoch > m_ledger->epoch()) {
             logInfo("deposed").with("epoch", m_ledger->epoch()).with("by", m_directory.current().epoch);
             co_return;
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -5,6 +5,7 @@
 #include "carobflow/control/ledger.h"
 #include "carobflow/control/operatorsync.h"
 #include "carobflow/control/progressrows.h"
+#include "carobflow/control/roundpace.h"
 #include "carobflow/control/transactionbatch.h"
 #include "carobflow/daemon/internal/asyncwait.h"
 #include "carobflow/scheduler/scheduler.h"
@@ -172,6 +173,7 @@
     Scheduling::Scheduler m_scheduler;
     std::shared_ptr<const Scheduling::OperatorView> m_view;
     Notifier m_wake;
+    RoundPace m_pace{RoundPace::Options{}};
     bool m_changed = true;
     bool m_loaded = false;
     bool m_resigning = false;
