Start copies of slow tasks in speculative steps

A step ends with its slowest task. In one deployment 3 of 100 tasks take 7 times as long because of their host or by chance, and 30 of 100 quick steps allow several attempts of a task, but no second attempt was ever started.

With the switch copies, CopyPlanner compares the running tasks of speculative steps every 100 ms. A task gets one copy on another host when the time that it still needs, predicted from its progress, exceeds twice the median time of its siblings and the cost of a start. Copies are bounded to three in 100 ms and a tenth of the free processor time; none starts while tasks wait for room, for tasks that may crash upstreams, or when the next failure would be the last allowed one. The first end that is done counts; the failure of one attempt fails the job only when no other attempt is left.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -66,6 +66,22 @@
     return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+/// Writes one line for each copy, at its end.
+void noteCopy(const Scheduling::CopyChange &change, const std::function<void(std::string_view event)> &countEvent)
+{
+    if (change.event == "started") {
+        countEvent("copy-started");
+        return;
+    }
+    logInfo("copy-ended")
+        .with("task", change.run.task.toString())
+        .with("run", change.run.run)
+        .with("host", change.host)
+        .with("how", change.event)
+        .with("expected_gain_ms", change.expectedGain.count());
+    countEvent(change.event == "won" ? "copy-won" : "copy-without-use");
+}
+
 } // namespace
 
 LeaderTerm::LeaderTerm(const asio::any_io_executor &executor,
@@ -114,6 +130,11 @@
                                .with("runs", change.runs)
                                .with("known_from", change.hasReported ? "report" : "store")
                                .with("leases_expire_in_ms", change.leasesExpireIn.count());
+                       },
+                   .onCopy =
+                       [countEvent = m_options.countEvent](const Scheduling::CopyChange &change) {
+                           noteCopy(
+                               change, countEvent ? countEvent : [](std::string_view /*event*/) {});
                        }})
     , m_wake(m_strand)
     , m_startedAt(suspendAwareNow())
--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -244,6 +244,7 @@
                         .phase = AttemptPhase::Sent,
                         .restored = true,
                         .suspected = entry.suspected,
+                        .isCopy = !task->attempts.empty(),
                         .since = now,
                         .startedAt = now,
                         .progressedAt = now});
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -42,6 +42,10 @@
     bool survivedStart = false;
     /// The task was suspected when it was placed; see Task::suspected.
     bool suspected = false;
+    /// Another attempt of the task ran when this one was placed, and how much earlier this one was expected to end; see
+    /// CopyPlanner.
+    bool isCopy = false;
+    Duration expectedGain{};
     /// The start order has to be sent again, because it was not delivered or not answered.
     bool resend = false;
     /// The agent has not replied to the last order in time, so it is not known whether it has executed any.
@@ -85,6 +89,11 @@
     /// How often a run was stopped to continue on another host, and the hosts that it has left.
     std::uint32_t moves = 0;
     std::vector<std::string> movedFrom;
+    /// Number of copies that this leader has started.
+    std::uint32_t copies = 0;
+    /// The run that finished the task, and its run time, as far as this leader knows them; else 0.
+    std::uint32_t finishedBy = 0;
+    Duration took{};
     /// Earliest time of the next start, after a rejected one or a short run.
     TimePoint notBefore;
 };
@@ -175,6 +184,12 @@
         }
     }
 
+    /// False when as many runs of the task have failed as its queue allows.
+    [[nodiscard]] bool allowsRun(const StepSpec &step, const Task &task) const
+    {
+        return step.longRunning || task.failures < m_queue.maxAttempts;
+    }
+
     /// The state that clients see.
     [[nodiscard]] JobPhase phase() const;
 
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -16,6 +16,10 @@
 /// A task on a distant rack runs up to three times as long, which outweighs any difference in free capacity.
 constexpr double FarRackPenalty = 10;
 
+/// Penalty for the copy of a task in the rack of another attempt, which may be slow for a reason that the rack shares.
+/// Exceeds the bonus of hosts with services; the distance to the data weighs more.
+constexpr double SameRackPenalty = 9.5;
+
 /// Weight of the fraction of a service's headroom that is lost. Losing all of it outweighs the free fraction of a host,
 /// which is at most 1.
 constexpr double LossPenalty = 5;
@@ -95,6 +99,10 @@
         score -= SuspectPenalty;
     }
     const Task &task = *job.findTask(id);
+    for (const Attempt &attempt : task.attempts) {
+        const auto other = std::ranges::find(m_hosts, attempt.host, &Host::name);
+        score -= other != m_hosts.end() && (*other)->rack() == host.rack() ? SameRackPenalty : 0;
+    }
     if (std::ranges::find(task.movedFrom, host.name()) != task.movedFrom.end()) {
         score -= MovedFromPenalty;
     }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -402,6 +402,7 @@
         // does not: a previous leader may have counted it, and the task may have been started again since.
         if (ended.end == RunEnd::Done && !task->succeeded && !job.isOver()) {
             report(ended.run, host.host.name(), "done-after-all");
+            task->finishedBy = ended.run.run;
             job.recordSuccess(ended.run.task);
             markDirty(job);
         }
@@ -417,9 +418,13 @@
         task->checkpoint = ended.checkpoint;
     }
     if (ended.end == RunEnd::Done && !job.isOver()) {
+        if (!task->done) {
+            task->finishedBy = ended.run.run;
+            task->took = attempt->restored ? Duration(0) : now - attempt->startedAt;
+        }
         job.recordSuccess(ended.run.task);
         host.host.recordSuccess();
-    } else if (ended.end == RunEnd::Failed) {
+    } else if (ended.end == RunEnd::Failed && !(task->done && job.step(ended.run.task).speculative)) {
         countFailure(job, *task, host, ended.run, now);
     }
     if (job.step(ended.run.task).longRunning && (ended.end == RunEnd::Done || ended.end == RunEnd::Failed)) {
@@ -464,7 +469,8 @@
             member.failedRun = std::max(member.failedRun, task.failedRun);
         }
     }
-    if (!step.longRunning && task.failures >= job.queue().maxAttempts && !task.done) {
+    // While another attempt of a speculative task is left, it may still succeed; see dropAttempt().
+    if (!job.allowsRun(step, task) && !task.done && task.attempts.size() == 1) {
         job.fail();
         report(run, host.host.name(), "job-failed");
     }
@@ -581,6 +587,10 @@
             attempt->phase = AttemptPhase::Running;
             attempt->progressedAt = now;
         }
+        if (attempt->restored && found->second->step(running.run.task).speculative) {
+            // Started under a previous leader; a prediction from its progress needs the time since then.
+            attempt->startedAt = std::min(attempt->startedAt, now - running.listedFor);
+        }
         if (running.listedFor >= SurvivalTime) {
             markSurvived(host, *found->second, *task, *attempt);
         }
@@ -701,10 +711,19 @@
         if (!attempt->survivedStart) {
             state.host.removeRecentStart(job.spec().id, attempt->suspected);
         }
+        if (attempt->isCopy) {
+            const std::string_view result = task.finishedBy == run ? "won" : task.done ? "lost" : "no-result";
+            reportCopy(*attempt, id, result);
+        }
         job.removeAttempt(task, attempt);
         state.host.release(job.step(id));
         state.attempts.erase({.task = id, .run = run});
         markDirty(job);
+        const StepSpec &step = job.step(id);
+        if (step.speculative && task.attempts.empty() && isStillNeeded(job, task) && !job.allowsRun(step, task)) {
+            job.fail();
+            report({.task = id, .run = run}, host, "job-failed");
+        }
     }
 }
 
@@ -909,6 +928,7 @@
         }
     }
     moveSlowRuns(open, firstWaitingRank, now);
+    startCopies(open, hosts, placement, now);
     m_waiting.comparisons = placement.comparisons() + interferingPlacement.comparisons();
 }
 
@@ -1025,6 +1045,7 @@
                     .upstream = host.upstream()->identity,
                     .phase = AttemptPhase::Planned,
                     .suspected = task.suspected,
+                    .isCopy = !task.attempts.empty(),
                     .since = now,
                     .startedAt = now,
                     .progressedAt = now});
@@ -1046,6 +1067,39 @@
     }
 }
 
+void Scheduler::startCopies(std::span<Job *const> order,
+                            std::span<Host *const> hosts,
+                            Placement &placement,
+                            TimePoint now)
+{
+    // A plan that has reached its limit does not show whether further tasks would wait for room.
+    if (!m_options.features.copies || m_waiting.unplaced > 0 || m_placedStarts >= MaxPlacedStarts) {
+        return;
+    }
+    for (const CopyPlanner::Copy &copy : m_copyPlanner.plan(order, hosts, now)) {
+        Job &job = *m_jobs.find(copy.task.job)->second;
+        Task &task = *job.findTask(copy.task);
+        Host *host = placement.choose(job, copy.task, now);
+        if (host == nullptr || host->isSuspect(now)) {
+            continue;
+        }
+        place(job, copy.task, *host, task.lastRun + 1, now);
+        ++task.copies;
+        task.attempts.back().expectedGain = copy.gain;
+        reportCopy(task.attempts.back(), copy.task, "started");
+    }
+}
+
+void Scheduler::reportCopy(const Attempt &copy, const TaskId &id, std::string_view event) const
+{
+    if (m_options.onCopy) {
+        m_options.onCopy({.run = {.task = id, .run = copy.run},
+                          .host = copy.host,
+                          .event = event,
+                          .expectedGain = std::chrono::duration_cast<Milliseconds>(copy.expectedGain)});
+    }
+}
+
 void Scheduler::superviseAttempts(Job &job, TimePoint now)
 {
     std::vector<RunId> unsent;
@@ -1154,7 +1208,7 @@
 {
     const Task &task = *job.findTask(id);
     const auto host = m_hosts.find(attempt.host);
-    if (!isStillNeeded(job, task) || host == m_hosts.end()) {
+    if (!isStillNeeded(job, task) || host == m_hosts.end() || (attempt.isCopy && !job.allowsRun(job.step(id), task))) {
         return false;
     }
     const UpstreamDescription *upstream = host->second->host.upstream();
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobflow/scheduler/copyplanner.h"
 #include "carobflow/scheduler/host.h"
 #include "carobflow/scheduler/job.h"
 #include "carobflow/scheduler/leasetimes.h"
@@ -47,6 +48,16 @@
     std::string_view job;
 };
 
+/// A copy of a task has been started or has ended.
+struct CopyChange {
+    RunId run;
+    std::string_view host;
+    /// "started"; or at the end of the copy "won", "lost" to another attempt, or "no-result" when the task is not done.
+    std::string_view event;
+    /// How much earlier than the first attempt the copy was expected to end; 0 when a previous leader decided it.
+    Milliseconds expectedGain{0};
+};
+
 /// Tasks that are ready and have no run, and the hosts for whose leases others wait.
 struct WaitingTasks {
     /// Steps and gangs for which the last plan found no host, and the first task among them in the order of the plan.
@@ -87,6 +98,8 @@
         std::function<void(const UpstreamCrash &crash)> onUpstreamCrash;
         /// Called for the log when a host on which runs are placed stops reporting, reports again, or is given up.
         std::function<void(const HostContactChange &change)> onHostContact;
+        /// Called for the log and the counters when a copy of a task is started, and when it ends.
+        std::function<void(const CopyChange &change)> onCopy;
     };
 
     enum class Submission { Accepted, Known };
@@ -198,6 +211,12 @@
 
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
+    /// Number of steps of which the tasks have been compared to find slow ones.
+    [[nodiscard]] std::size_t examinedSteps() const
+    {
+        return m_copyPlanner.examinedSteps();
+    }
+
     /// Counts hosts; those whose last report is younger than `timeout` are reporting.
     [[nodiscard]] ContactCount contact(TimePoint now, Duration timeout) const;
 
@@ -263,6 +282,9 @@
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
     /// Stops runs that services hold back, so that their tasks continue on other hosts.
     void moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, TimePoint now);
+    /// Starts copies of slow tasks of speculative steps.
+    void startCopies(std::span<Job *const> order, std::span<Host *const> hosts, Placement &placement, TimePoint now);
+    void reportCopy(const Attempt &copy, const TaskId &id, std::string_view event) const;
     void superviseAttempts(Job &job, TimePoint now);
     void supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now);
     void stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now);
@@ -295,6 +317,7 @@
     Relocation m_relocation{Relocation::Options{}};
     /// Runs that may move, from the last check of all attempts.
     std::vector<Relocation::Candidate> m_slowRuns;
+    CopyPlanner m_copyPlanner{CopyPlanner::Options{}};
     WaitingTasks m_waiting;
     std::vector<std::string> m_silentHosts;
     std::vector<std::string> m_restartedHosts;
