Keep arrivals and task lengths of simulated loads independent of decisions

Arrivals have their own sequence, and the length of a task follows from its identifier and the seed, so all runs of a task have one length. A stopped task with checkpoints continues from its last full second. The simulator counts preemptions.

--- a/packages/scheduler/tests/loadsimulator.cpp
+++ b/packages/scheduler/tests/loadsimulator.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <ctime>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -20,6 +21,7 @@
 constexpr std::int64_t UnixMs = 1'000'000;
 constexpr Milliseconds QuickWork{1000};
 constexpr Milliseconds BatchWork{1700};
+constexpr Milliseconds CheckpointInterval{1000};
 /// Longer than it takes to send three start orders for a run and the stop order that follows them.
 constexpr Milliseconds LateStartDelay{2500};
 
@@ -33,6 +35,7 @@
 LoadSimulator::LoadSimulator(Options options)
     : m_options(options)
     , m_random(options.seed)
+    , m_arrivals(options.seed)
     , m_scheduler(std::make_unique<Scheduler>(Scheduler::Options{.epoch = 1, .features = m_options.features}))
     , m_nextQuick(m_now)
     , m_nextBatch(m_now)
@@ -109,10 +112,10 @@
 {
     const auto pause = [&](double perSecond) {
         return std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(std::exponential_distribution<double>(perSecond)(m_random)));
+            std::chrono::duration<double>(std::exponential_distribution<double>(perSecond)(m_arrivals)));
     };
     const auto width = [&](std::uint32_t mean) {
-        return std::uniform_int_distribution<std::uint32_t>(mean / 2, mean + mean / 2)(m_random);
+        return std::uniform_int_distribution<std::uint32_t>(mean / 2, mean + mean / 2)(m_arrivals);
     };
     while (m_nextQuick <= m_now) {
         submit("quick", width(m_options.quickWidth));
@@ -165,8 +168,8 @@
                       .ended = host.ended};
     for (const Running &running : host.running) {
         const auto percent = running.serves ? 100
-                                            : (m_now - running.startedAt) * 100
-                / std::max<Duration>(Milliseconds(1), running.endsAt - running.startedAt);
+                                            : (running.doneBefore + (m_now - running.startedAt)) * 100
+                / std::max<Duration>(Milliseconds(1), running.work);
         report.running.push_back({.run = running.run,
                                   .checkpoint = {},
                                   .percent = static_cast<std::uint32_t>(percent),
@@ -232,13 +235,20 @@
     const Job *job = m_scheduler->find(order.run.task.job);
     const StepSpec &step = job->step(order.run.task);
     const double spread = m_options.workSpread;
-    const bool isLong = m_options.longTasks > 0 && std::bernoulli_distribution(m_options.longTasks)(m_random);
-    const double factor = std::lognormal_distribution<double>(-spread / 2, spread)(m_random) * (isLong ? 7 : 1);
-    const Duration work = std::chrono::duration_cast<Duration>(step.estimate * factor);
+    // The length of a task is the same in each of its runs, and whatever the scheduler decides.
+    std::mt19937_64 random(std::hash<std::string>()(order.run.task.toString()) ^ m_options.seed);
+    const bool isLong = m_options.longTasks > 0 && std::bernoulli_distribution(m_options.longTasks)(random);
+    const double factor = std::lognormal_distribution<double>(-spread / 2, spread)(random) * (isLong ? 7 : 1);
+    const auto saved = m_checkpoints.find(order.run.task);
+    const auto [work, doneBefore] = saved != m_checkpoints.end()
+        ? saved->second
+        : std::pair(std::chrono::duration_cast<Duration>(step.estimate * factor), Duration(0));
     host.running.push_back(
         {.run = order.run,
-         .endsAt = m_now + work,
+         .endsAt = m_now + work - doneBefore,
          .startedAt = m_now,
+         .work = work,
+         .doneBefore = doneBefore,
          .request = step.fillsLeftover ? Resources{.memoryMiB = step.request.memoryMiB} : step.request,
          .serves = step.serves(),
          .fails = std::bernoulli_distribution(m_options.failures)(m_random)});
@@ -280,7 +290,13 @@
     if (order.upstream != host.upstream.identity) {
         return;
     }
-    if (std::ranges::find(host.running, order.run, &Running::run) != host.running.end()) {
+    m_preemptions += order.reason == "preempted" ? 1 : 0;
+    const auto running = std::ranges::find(host.running, order.run, &Running::run);
+    if (running != host.running.end()) {
+        const Duration ran = m_now - running->startedAt;
+        if (m_scheduler->find(order.run.task.job)->step(order.run.task).checkpointing) {
+            m_checkpoints[order.run.task] = {running->work, running->doneBefore + (ran - ran % CheckpointInterval)};
+        }
         endRun(host, order.run, RunEnd::Stopped);
         return;
     }
--- a/packages/scheduler/tests/loadsimulator.h
+++ b/packages/scheduler/tests/loadsimulator.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Carobflow::Scheduling
@@ -80,6 +81,12 @@
         return m_starts;
     }
 
+    /// Number of stop orders with the reason "preempted".
+    [[nodiscard]] std::size_t preemptions() const
+    {
+        return m_preemptions;
+    }
+
     /// Violated invariants: two runs of a task at once, a run after its task was done, an overcommitted host.
     [[nodiscard]] const std::vector<std::string> &violations() const
     {
@@ -91,6 +98,9 @@
         RunId run;
         TimePoint endsAt;
         TimePoint startedAt;
+        /// Length of the task, and the part of it that earlier runs have done.
+        Duration work{};
+        Duration doneBefore{};
         Resources request;
         bool serves = false;
         bool fails = false;
@@ -139,6 +149,8 @@
 
     Options m_options;
     std::mt19937_64 m_random;
+    /// Arrivals have their own random numbers, so that they are the same whatever the scheduler decides.
+    std::mt19937_64 m_arrivals;
     TimePoint m_now{Seconds(1000)};
     TimePoint m_commitAt;
     std::vector<std::string> m_committing;
@@ -151,8 +163,11 @@
     TimePoint m_nextBatch;
     std::size_t m_submitted = 0;
     std::size_t m_starts = 0;
+    std::size_t m_preemptions = 0;
     std::map<TaskId, std::size_t> m_activeRuns;
     std::set<TaskId> m_done;
+    /// Length of each task with checkpoints that was stopped, and the part of it that its checkpoint contains.
+    std::map<TaskId, std::pair<Duration, Duration>> m_checkpoints;
     std::vector<std::string> m_violations;
 };
 
