Stop late batch work for jobs that can still end in time

Under overload a batch job that can end in time waits while tasks of late jobs occupy the hosts, and a quick task waits for reservations of batch work.

With the switch preemption, PreemptionPlanner stops checkpointing batch runs whose job cannot end in time and has at most half the rate of a waiting job that can, and reservations of a lower priority. Stops are bounded to two per 100 ms and one per task in 10 s. PreemptionSurvey collects the facts; Placement tells which hosts would suit. The stop, the checkpoint and a change of leader work as for any other stop.

--- a/packages/scheduler/src/carobflow/scheduler/host.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/host.cpp
@@ -124,6 +124,13 @@
     return needed.fitsIn(m_report.upstream->capacity);
 }
 
+Resources Host::free() const
+{
+    Resources free = m_report.upstream ? m_report.upstream->capacity : m_reserved;
+    free -= m_reserved;
+    return free;
+}
+
 std::int64_t Host::leftoverCpu() const
 {
     if (!m_report.upstream) {
--- a/packages/scheduler/src/carobflow/scheduler/host.h
+++ b/packages/scheduler/src/carobflow/scheduler/host.h
@@ -112,9 +112,12 @@
 
     [[nodiscard]] std::int64_t freeMemory() const
     {
-        return m_report.upstream ? m_report.upstream->capacity.memoryMiB - m_reserved.memoryMiB : 0;
+        return free().memoryMiB;
     }
 
+    /// Resources that no run reserves; negative on an upstream that has shrunk.
+    [[nodiscard]] Resources free() const;
+
     /// Number of tasks of latency-critical services on this host.
     [[nodiscard]] std::uint32_t servingTasks() const
     {
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -85,6 +85,8 @@
     /// How often a run was stopped to continue on another host, and the hosts that it has left.
     std::uint32_t moves = 0;
     std::vector<std::string> movedFrom;
+    /// When a run was last stopped for other work. Only this leader knows it.
+    std::optional<TimePoint> preemptedAt;
     /// Earliest time of the next start, after a rejected one or a short run.
     TimePoint notBefore;
 };
--- a/packages/scheduler/src/carobflow/scheduler/jobvalue.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/jobvalue.cpp
@@ -39,12 +39,17 @@
 }
 
 double JobValue::rate(const Job &job, TimePoint now) const
+{
+    return rateWithEnd(job, now + job.remainingLikelyPath());
+}
+
+double JobValue::rateWithEnd(const Job &job, TimePoint end) const
 {
     const double total = std::max(1.0, job.totalWork());
     const double running = RunningWorkDone * total * static_cast<double>(job.attemptCount())
         / static_cast<double>(std::max<std::size_t>(1, job.taskCount()));
     const double remainder = std::max(SmallestRemainder, (job.remainingWork() - running) / total);
-    return worthAt(job, now + job.remainingLikelyPath()) / remainder;
+    return worthAt(job, end) / remainder;
 }
 
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/jobvalue.h
+++ b/packages/scheduler/src/carobflow/scheduler/jobvalue.h
@@ -34,6 +34,9 @@
     /// The rate of a batch job that gets resources from now on. Jobs with long-running tasks have no end to rate.
     [[nodiscard]] double rate(const Job &job, TimePoint now) const;
 
+    /// The rate of a batch job that ends at a time.
+    [[nodiscard]] double rateWithEnd(const Job &job, TimePoint end) const;
+
     /// The fraction of its worth that the job's result has for its caller at a time.
     [[nodiscard]] double worthAt(const Job &job, TimePoint end) const;
 
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-bool Placement::isEligible(const Host &host, const Job &job, const TaskId &id) const
+bool Placement::isAllowed(const Host &host, const Job &job, const TaskId &id) const
 {
     const UpstreamDescription *upstream = host.upstream();
     const StepSpec &step = job.step(id);
@@ -47,7 +47,21 @@
     if (!step.requiredLabel.empty() && !host.hasLabel(step.requiredLabel)) {
         return false;
     }
-    if (!host.fits(step) || !host.admitsStart(job.spec().id, job.findTask(id)->suspected)) {
+    if (!host.admitsStart(job.spec().id, job.findTask(id)->suspected)) {
+        return false;
+    }
+    const auto tasks = job.stepTasks(id.occurrence, id.step);
+    if (step.maxPerUpstream > 0 && countOnHost(tasks, host) >= step.maxPerUpstream) {
+        return false;
+    }
+    // A speculative copy is only useful on another host.
+    return std::ranges::find(tasks[id.index].attempts, host.name(), &Attempt::host) == tasks[id.index].attempts.end();
+}
+
+bool Placement::isEligible(const Host &host, const Job &job, const TaskId &id) const
+{
+    const StepSpec &step = job.step(id);
+    if (!host.fits(step)) {
         return false;
     }
     if (step.fillsLeftover && m_options.allowsInterference) {
@@ -59,12 +73,17 @@
                && (host.leftoverCpu() < step.request.cpuMillis || host.freeMemory() < m_options.fillerMemoryReserve)) {
         return false;
     }
-    const auto tasks = job.stepTasks(id.occurrence, id.step);
-    if (step.maxPerUpstream > 0 && countOnHost(tasks, host) >= step.maxPerUpstream) {
+    return isAllowed(host, job, id);
+}
+
+bool Placement::isSuitable(const Host &host, const Job &job, const TaskId &id, TimePoint now) const
+{
+    if (host.isSuspect(now) || !isAllowed(host, job, id)) {
         return false;
     }
-    // A speculative copy is only useful on another host.
-    return std::ranges::find(tasks[id.index].attempts, host.name(), &Attempt::host) == tasks[id.index].attempts.end();
+    const StepSpec &step = job.step(id);
+    return !step.fillsLeftover
+        || m_fillerAdmission.expectedLoss(host.name(), step.image, coresOf(step.request.cpuMillis), now).has_value();
 }
 
 double Placement::score(const Host &host, const Job &job, const TaskId &id, double fillerLoss, TimePoint now) const
--- a/packages/scheduler/src/carobflow/scheduler/placement.h
+++ b/packages/scheduler/src/carobflow/scheduler/placement.h
@@ -47,6 +47,14 @@
     /// Chooses the host for one more run of the task. Returns null when no host can take it now.
     [[nodiscard]] Host *choose(const Job &job, const TaskId &id, TimePoint now);
 
+    /// True when the host could take a run of the task if it had enough free resources.
+    [[nodiscard]] bool isSuitable(const Host &host, const Job &job, const TaskId &id, TimePoint now) const;
+
+    [[nodiscard]] const Options &options() const
+    {
+        return m_options;
+    }
+
     /// Resources of hosts have been given back since the last choice.
     void onReleased()
     {
@@ -64,6 +72,8 @@
     /// because waiting for another host is better than a failed run, which counts as an attempt.
     [[nodiscard]] bool avoidsSuspects(TimePoint now) const;
     [[nodiscard]] bool isEligible(const Host &host, const Job &job, const TaskId &id) const;
+    /// The part of isEligible() that does not depend on free resources.
+    [[nodiscard]] bool isAllowed(const Host &host, const Job &job, const TaskId &id) const;
     /// Rates the host for the task; the highest score wins. `fillerLoss` is the fraction of a service's headroom that
     /// the task would take.
     [[nodiscard]] double
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "carobflow/core/invariant.h"
 #include "carobflow/scheduler/joborder.h"
+#include "carobflow/scheduler/preemptionsurvey.h"
 
 #include <algorithm>
 #include <iterator>
@@ -868,6 +869,7 @@
 void Scheduler::plan(TimePoint now, std::int64_t unixMs)
 {
     m_waiting = {};
+    m_unplaced.clear();
     m_placedStarts = 0;
     releaseLostHosts(now);
     const bool supervisesAll = now - m_supervisedAt >= SuperviseInterval;
@@ -909,6 +911,7 @@
         }
     }
     moveSlowRuns(open, firstWaitingRank, now);
+    preempt(open, hosts, placement, now);
     m_waiting.comparisons = placement.comparisons() + interferingPlacement.comparisons();
 }
 
@@ -971,6 +974,9 @@
     if (++m_waiting.unplaced == 1) {
         m_waiting.firstUnplaced = id.toString();
     }
+    if (m_options.features.preemption) {
+        m_unplaced.push_back(id);
+    }
 }
 
 void Scheduler::placeGang(Job &job, const TaskId &first, Placement &placement, TimePoint now)
@@ -1046,6 +1052,22 @@
     }
 }
 
+void Scheduler::preempt(std::span<Job *const> order,
+                        std::span<Host *const> hosts,
+                        const Placement &placement,
+                        TimePoint now)
+{
+    if (m_unplaced.empty() || !m_preemption.isDue(now)) {
+        return;
+    }
+    const PreemptionSurvey survey(order, m_unplaced, hosts, placement, now);
+    for (const RunId &run : m_preemption.plan(survey.waiting(), survey.running(), survey.rooms(), now)) {
+        Task &task = *m_jobs.find(run.task.job)->second->findTask(run.task);
+        task.preemptedAt = now;
+        stop(run.task, task.attempts.front(), "preempted", now);
+    }
+}
+
 void Scheduler::superviseAttempts(Job &job, TimePoint now)
 {
     std::vector<RunId> unsent;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -6,6 +6,7 @@
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/orders.h"
 #include "carobflow/scheduler/placement.h"
+#include "carobflow/scheduler/preemptionplanner.h"
 #include "carobflow/scheduler/relocation.h"
 #include "carobflow/scheduler/schedulingfeatures.h"
 
@@ -263,6 +264,8 @@
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
     /// Stops runs that services hold back, so that their tasks continue on other hosts.
     void moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, TimePoint now);
+    /// Stops runs of batch work for tasks that found no host and lose more by waiting.
+    void preempt(std::span<Job *const> order, std::span<Host *const> hosts, const Placement &placement, TimePoint now);
     void superviseAttempts(Job &job, TimePoint now);
     void supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now);
     void stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now);
@@ -295,6 +298,9 @@
     Relocation m_relocation{Relocation::Options{}};
     /// Runs that may move, from the last check of all attempts.
     std::vector<Relocation::Candidate> m_slowRuns;
+    PreemptionPlanner m_preemption{PreemptionPlanner::Options{}};
+    /// One task of each step that the last plan found no host for, in the order of the plan.
+    std::vector<TaskId> m_unplaced;
     WaitingTasks m_waiting;
     std::vector<std::string> m_silentHosts;
     std::vector<std::string> m_restartedHosts;
