Prefer hosts that do not run tasks slowly

A host that runs tasks at a fraction of the usual speed gets as many as any other, and a step ends with its slowest task.

With the switch host_speed, the leader compares the run times of a step's tasks with their median when the step has ended. Runs that were paced, resumed or restored from a previous leader do not count. Progress of running tasks is not used.

--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -85,6 +85,9 @@
     /// How often a run was stopped to continue on another host, and the hosts that it has left.
     std::uint32_t moves = 0;
     std::vector<std::string> movedFrom;
+    /// How long the task took on a host when it ran from its beginning to its end at full speed; otherwise 0.
+    Duration took{};
+    std::string tookOn;
     /// When a run was last stopped for other work. Only this leader knows it.
     std::optional<TimePoint> preemptedAt;
     /// Earliest time of the next start, after a rejected one or a short run.
@@ -160,6 +163,12 @@
     /// True when every task of the steps that this one depends on has succeeded and the occurrence is due.
     [[nodiscard]] bool isStepReady(std::uint32_t occurrence, std::uint32_t step, std::int64_t unixMs) const;
 
+    /// True when no task of the step has to run any more.
+    [[nodiscard]] bool isStepFinished(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return m_unfinished[occurrence * m_spec.steps.size() + step] == 0;
+    }
+
     /// Calls `visit(const TaskId &, Task &)` for each task. The identifier is valid during the call.
     template<typename Visitor>
     void forEachTask(Visitor &&visit)
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -16,6 +16,11 @@
 /// A task on a distant rack runs up to three times as long, which outweighs any difference in free capacity.
 constexpr double FarRackPenalty = 10;
 
+/// Penalty of a host for each multiple of the usual run time, up to this factor. Outweighs the bonus of hosts with
+/// services.
+constexpr double SlowHostPenalty = 10;
+constexpr double LargestSlowFactor = 3;
+
 /// Weight of the fraction of a service's headroom that is lost. Losing all of it outweighs the free fraction of a host,
 /// which is at most 1.
 constexpr double LossPenalty = 5;
@@ -113,6 +118,9 @@
     if (host.isSuspect(now)) {
         score -= SuspectPenalty;
     }
+    if (m_options.hostSpeed != nullptr) {
+        score -= SlowHostPenalty * (std::min(LargestSlowFactor, m_options.hostSpeed->factor(host.name(), now)) - 1);
+    }
     const Task &task = *job.findTask(id);
     if (std::ranges::find(task.movedFrom, host.name()) != task.movedFrom.end()) {
         score -= MovedFromPenalty;
--- a/packages/scheduler/src/carobflow/scheduler/placement.h
+++ b/packages/scheduler/src/carobflow/scheduler/placement.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/scheduler/filleradmission.h"
 #include "carobflow/scheduler/host.h"
+#include "carobflow/scheduler/hostspeed.h"
 #include "carobflow/scheduler/job.h"
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/unplaceableshapes.h"
@@ -26,6 +27,8 @@
         /// Allows a filler on a host where a service is left with too little headroom, and chooses the host with the
         /// least expected loss. The pacer then keeps the service below its target.
         bool allowsInterference = false;
+        /// Prefers hosts that are not slow; null when speeds are not considered.
+        const HostSpeed *hostSpeed = nullptr;
     };
 
     Placement(Options options,
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -25,6 +25,7 @@
 constexpr Milliseconds StallTime{2000};
 /// Fillers that are paced to a lower percentage may make no visible progress for seconds.
 constexpr std::uint32_t PacedShareThreshold = 60;
+constexpr std::uint32_t FullShare = 100;
 /// Interval of the checks of all attempts. Under load, calls of plan() are less than 10 ms apart, which is more often
 /// than the time limits of runs require.
 constexpr Milliseconds SuperviseInterval{40};
@@ -332,6 +333,7 @@
         state.recentBeforeSilence.clear();
     }
     if (replaced) {
+        m_hostSpeed.forget(report.host);
         releaseReplaced(state, before);
     }
     if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0 && now > state.formerLeasesExpireBy) {
@@ -420,6 +422,7 @@
     if (ended.end == RunEnd::Done && !job.isOver()) {
         job.recordSuccess(ended.run.task);
         host.host.recordSuccess();
+        noteRunTime(job, ended.run.task, *task, *attempt, now);
     } else if (ended.end == RunEnd::Failed) {
         countFailure(job, *task, host, ended.run, now);
     }
@@ -430,6 +433,22 @@
     host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
 }
 
+void Scheduler::noteRunTime(const Job &job, const TaskId &id, Task &task, const Attempt &attempt, TimePoint now)
+{
+    const StepSpec &step = job.step(id);
+    if (!m_options.features.hostSpeed || step.longRunning || step.gang) {
+        return;
+    }
+    // A later run may have continued from a checkpoint. A paced run is slow because of the services beside it.
+    if (attempt.run == 1 && attempt.share >= FullShare && !attempt.restored) {
+        task.took = now - attempt.startedAt;
+        task.tookOn = attempt.host;
+    }
+    if (job.isStepFinished(id.occurrence, id.step)) {
+        m_hostSpeed.onStepEnd(job.stepTasks(id.occurrence, id.step), now);
+    }
+}
+
 void Scheduler::delayRestart(Task &task, const Attempt &attempt, TimePoint now) const
 {
     if (now - attempt.startedAt >= ShortRunTime) {
@@ -898,8 +917,9 @@
         return;
     }
     JobOrder(m_options.features.orderByValue ? JobOrder::Rule::Value : JobOrder::Rule::LeastSlack, now).sort(open);
-    Placement placement({}, *m_view, m_fillerAdmission, hosts);
-    Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
+    const HostSpeed *speed = m_options.features.hostSpeed ? &m_hostSpeed : nullptr;
+    Placement placement({.hostSpeed = speed}, *m_view, m_fillerAdmission, hosts);
+    Placement interferingPlacement({.allowsInterference = true, .hostSpeed = speed}, *m_view, m_fillerAdmission, hosts);
     const bool mostlyFree = isMostlyFree(hosts);
     std::size_t firstWaitingRank = open.size();
     for (std::size_t rank = 0; rank < open.size() && m_placedStarts < MaxPlacedStarts; ++rank) {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobflow/scheduler/host.h"
+#include "carobflow/scheduler/hostspeed.h"
 #include "carobflow/scheduler/job.h"
 #include "carobflow/scheduler/leasetimes.h"
 #include "carobflow/scheduler/operatorview.h"
@@ -235,6 +236,8 @@
     /// Settles the attempts of which the upstream's lists had to show whether they run.
     void settleUnlisted(HostState &host, const HostReport &report, TimePoint now);
     void observeColocation(const HostReport &report, TimePoint now);
+    /// Notes how long a finished task took, for the speed of its host.
+    void noteRunTime(const Job &job, const TaskId &id, Task &task, const Attempt &attempt, TimePoint now);
     void countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now);
     /// Runs whose start the upstream may have performed and has not survived yet.
     [[nodiscard]] std::vector<RunId> recentStarts(const HostState &host) const;
@@ -298,6 +301,7 @@
     Relocation m_relocation{Relocation::Options{}};
     /// Runs that may move, from the last check of all attempts.
     std::vector<Relocation::Candidate> m_slowRuns;
+    HostSpeed m_hostSpeed{HostSpeed::Options{}};
     PreemptionPlanner m_preemption{PreemptionPlanner::Options{}};
     /// One task of each step that the last plan found no host for, in the order of the plan.
     std::vector<TaskId> m_unplaced;
--- a/packages/scheduler/tests/loadsimulator.cpp
+++ b/packages/scheduler/tests/loadsimulator.cpp
@@ -238,7 +238,8 @@
     // The length of a task is the same in each of its runs, and whatever the scheduler decides.
     std::mt19937_64 random(std::hash<std::string>()(order.run.task.toString()) ^ m_options.seed);
     const bool isLong = m_options.longTasks > 0 && std::bernoulli_distribution(m_options.longTasks)(random);
-    const double factor = std::lognormal_distribution<double>(-spread / 2, spread)(random) * (isLong ? 7 : 1);
+    const double factor = std::lognormal_distribution<double>(-spread / 2, spread)(random) * (isLong ? 7 : 1)
+        * (m_hostIndex.at(host.name) < m_options.slowHosts ? 3 : 1);
     const auto saved = m_checkpoints.find(order.run.task);
     const auto [work, doneBefore] = saved != m_checkpoints.end()
         ? saved->second
--- a/packages/scheduler/tests/loadsimulator.h
+++ b/packages/scheduler/tests/loadsimulator.h
@@ -34,6 +34,8 @@
         double longTasks = 0;
         /// Multiple of the batch arrivals between the fourth and the tenth second.
         double batchBurst = 1;
+        /// Number of hosts on which tasks take three times as long.
+        std::size_t slowHosts = 0;
         std::size_t services = 6;
         std::uint32_t serviceWidth = 6;
         std::int64_t serviceCpuMillis = 6400;
