--- a/tests/hosted/load_test.cpp
+++ b/tests/hosted/load_test.cpp
@@ -162,8 +162,9 @@
         const std::string step = R"({"count":10,"cpu":300,"memory-limit-mb":100,"estimated-ms":1000)";
         const std::string work = std::to_string(700 + job * 211 % 600);
         submittedAt[id] = std::chrono::duration_cast<Milliseconds>(next.time_since_epoch()).count();
-        system.submitBody(
-            id, R"({"task-spec":")" + work + R"(","steps":[)" + step + "}," + step + R"(,"after":[0]}]})", job % 2);
+        std::string body = R"({"task-spec":")";
+        body.append(work).append(R"(","steps":[)").append(step).append("},").append(step).append(R"(,"after":[0]}]})");
+        system.submitBody(id, body, job % 2);
         next += betweenJobs;
         std::this_thread::sleep_until(next);
     }
