--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -61,7 +61,7 @@
 } // namespace
 
 HostedSystem::HostedSystem(Options options)
-    : m_options(options)
+    : m_options(std::move(options))
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "carobflow-hosted-XXXXXX").string();
     if (mkdtemp(pattern.data()) == nullptr) {
@@ -76,29 +76,29 @@
                      .grpc = m_ports.reserve(),
                      .metrics = m_ports.reserve()};
     };
-    for (std::size_t index = 0; index < options.agents; ++index) {
+    for (std::size_t index = 0; index < m_options.agents; ++index) {
         m_agentPorts.push_back(ports());
         StandIn::ServerStandIn::Options worker;
         worker.id = "i-" + std::to_string(index);
-        worker.cpuMillis = options.workerCpuMillis;
-        worker.maxHold = options.maxLease;
+        worker.cpuMillis = m_options.workerCpuMillis;
+        worker.maxHold = m_options.maxLease;
         worker.zone = "zone-" + std::to_string(index % 3);
         m_workers.push_back(std::make_unique<StandIn::ServerStandIn>(m_io, worker, m_record));
         m_workers.back()->checkIn(m_agentPorts.back().http);
     }
-    for (std::size_t index = 0; index < options.entries; ++index) {
+    for (std::size_t index = 0; index < m_options.entries; ++index) {
         m_entryPorts.push_back(ports());
     }
     m_thread = std::thread([this] {
         const auto guard = asio::make_work_guard(m_io);
         m_io.run();
     });
-    m_agents.resize(options.agents);
-    m_entries.resize(options.entries);
-    for (std::size_t index = 0; index < options.agents; ++index) {
+    m_agents.resize(m_options.agents);
+    m_entries.resize(m_options.entries);
+    for (std::size_t index = 0; index < m_options.agents; ++index) {
         startAgent(index);
     }
-    for (std::size_t index = 0; index < options.entries; ++index) {
+    for (std::size_t index = 0; index < m_options.entries; ++index) {
         startEntry(index);
     }
 }
@@ -133,6 +133,9 @@
     if (upstream != 0) {
         file << "upstream = " << address(upstream) << "\n";
     }
+    if (!m_options.limits.empty()) {
+        file << "[limits]\n" << m_options.limits;
+    }
     file << "[timing]\ndrain_delay_ms = 100\n";
     return path;
 }
--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -27,6 +27,15 @@
         std::int64_t workerCpuMillis = 4000;
         /// Longest lease that workers grant.
         Milliseconds maxLease{6000};
+        /// Lines for the section [limits] of every process; empty leaves the defaults.
+        std::string limits{};
+    };
+
+    struct Ports {
+        std::uint16_t http = 0;
+        std::uint16_t ready = 0;
+        std::uint16_t grpc = 0;
+        std::uint16_t metrics = 0;
     };
 
     explicit HostedSystem(Options options);
@@ -75,6 +84,16 @@
         return *m_entries[index];
     }
 
+    [[nodiscard]] const Ports &entryPorts(std::size_t index) const
+    {
+        return m_entryPorts[index];
+    }
+
+    [[nodiscard]] const Ports &agentPorts(std::size_t index) const
+    {
+        return m_agentPorts[index];
+    }
+
     StandIn::StoreStandIn &store()
     {
         return *m_store;
@@ -90,13 +109,6 @@
     std::vector<std::string> violations();
 
 private:
-    struct Ports {
-        std::uint16_t http = 0;
-        std::uint16_t ready = 0;
-        std::uint16_t grpc = 0;
-        std::uint16_t metrics = 0;
-    };
-
     std::string
     writeSettings(const std::string &name, const std::string &role, const Ports &ports, std::uint16_t upstream);
     [[nodiscard]] HttpEndpoint entryEndpoint(std::size_t entry) const;
