Give the jobs of the untrusted tests a task-spec that workers can read

The stand-in of a worker reads task-spec as a number and crashed the test program on other text. The specifications keep their length of 4,000 bytes; crowd and bounds are unchanged.

--- a/tests/hosted/untrusted_test.cpp
+++ b/tests/hosted/untrusted_test.cpp
@@ -234,12 +234,13 @@
     }
 }
 
+/// A job with the longest `task-spec`, which the stand-in of a worker reads as a number of milliseconds.
 std::string jobOfSteps(std::size_t steps, std::size_t tasks)
 {
     const std::string step = R"({"count":)" + std::to_string(tasks)
         + R"(,"cpu":500,"memory-limit-mb":100,"estimated-ms":1})";
-    return R"({"task-spec":")" + std::string(4000, 'x') + R"(","steps":[)" + step + repeated("," + step, steps - 1)
-        + "]}";
+    return R"({"task-spec":")" + std::string(3999, '0') + "1" + R"(","steps":[)" + step
+        + repeated("," + step, steps - 1) + "]}";
 }
 
 } // namespace
@@ -315,7 +316,7 @@
              R"("repetitions":4294967295,"steps":[{"count":4294967295,"cpu":9223372036854775807,)"
              R"("memory-limit-mb":-1,"estimated-ms":1e308}]})"),
         once("the most tasks with the longest times",
-             R"({"task-spec":"x","steps":[{"count":1000,"cpu":500,"memory-limit-mb":100,)"
+             R"({"task-spec":"1","steps":[{"count":1000,"cpu":500,"memory-limit-mb":100,)"
              R"("estimated-ms":9223372036854775807}]})")});
 }
 
