Measure the processes again after the ordinary job

An entry could still be reading the last requests of the crowd at the first measurement, so the memory that they take was missed. Stricter; crowd and bounds are unchanged.

--- a/tests/hosted/untrusted_test.cpp
+++ b/tests/hosted/untrusted_test.cpp
@@ -199,6 +199,9 @@
         checkProcess("agent", m_agentPid);
         waitUntil("an ordinary job is accepted", [&] { return m_system.submit(jobId(9), 1, Milliseconds(50)) == 200; });
         CHECK(m_system.waitForState(jobId(9), "completed", Milliseconds(15000)));
+        // Guards against requests that are read only after the first measurement.
+        checkProcess("entry afterwards", m_entryPid);
+        checkProcess("agent afterwards", m_agentPid);
     }
 
     static void checkProcess(std::string_view name, int pid)
