Bound what one connection and all connections may use

The parser buffered trailers, chunk-size lines and chunk extensions without an end: 8 connections of 12 MB raised an entry to 95 MiB, the metrics port to 134 MiB, and connections had no bound. Headers, whole requests, idle connections and responses have their own times.

Headers of up to 32,768 bytes are accepted: the parser's default of 8,192 refused clients within the operators' limit of 16,384.

--- a/packages/daemon/src/carobflow/daemon/agentprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/agentprocess.cpp
@@ -71,9 +71,11 @@
                       .adaptivePolicy = m_settings.adaptivePolicy},
                      m_upstreamClient,
                      m_metrics)
-        , m_http(m_executor, {.endpoint = m_settings.http}, [this](HttpServerRequest request) {
-            return serve(std::move(request));
-        })
+        , m_http(m_executor,
+                 {.endpoint = m_settings.http,
+                  .limits = m_settings.limits,
+                  .onLimit = [this](std::string_view limit) { m_metrics.countClientLimit(limit); }},
+                 [this](HttpServerRequest request) { return serve(std::move(request)); })
     {
     }
 
--- a/packages/daemon/src/carobflow/daemon/entryprocess.cpp
+++ b/packages/daemon/src/carobflow/daemon/entryprocess.cpp
@@ -90,7 +90,10 @@
                      m_burn,
                      m_metrics)
         , m_http(m_executor,
-                 {.endpoint = m_settings.http, .maxBodyBytes = static_cast<std::uint64_t>(m_settings.maxBodyBytes)},
+                 {.endpoint = m_settings.http,
+                  .maxBodyBytes = static_cast<std::uint64_t>(m_settings.maxBodyBytes),
+                  .limits = m_settings.limits,
+                  .onLimit = [this](std::string_view limit) { m_metrics.countClientLimit(limit); }},
                  [this](HttpServerRequest request) { return serve(std::move(request)); })
     {
     }
--- a/packages/daemon/src/carobflow/daemon/httpserver.h
+++ b/packages/daemon/src/carobflow/daemon/httpserver.h
@@ -49,8 +49,10 @@
     struct Options {
         Endpoint endpoint;
         std::uint64_t maxBodyBytes = 1048576;
-        /// Time limit for reading one request, and for keeping an idle connection open.
-        Milliseconds idleTimeout{60000};
+        /// Limits of connections and requests; their meaning is that of the settings in [limits].
+        ClientLimits limits{};
+        /// Called with the name of each limit that a connection reaches; may be empty.
+        std::function<void(std::string_view limit)> onLimit{};
     };
 
     HttpServer(const boost::asio::any_io_executor &executor, Options options, Handler handler);
--- a/packages/daemon/src/carobflow/daemon/metrics.cpp
+++ b/packages/daemon/src/carobflow/daemon/metrics.cpp
@@ -37,6 +37,8 @@
     , m_storeOperations(counter(
           *m_registry, "carobflow_store_operations_total", "Operations on the platform's store by kind and outcome."))
     , m_taskEvents(counter(*m_registry, "carobflow_task_events_total", "Starts, stops and ends of tasks."))
+    , m_clientLimits(
+          counter(*m_registry, "carobflow_client_limits_total", "Limits that connections of clients reached."))
     , m_sheetVersion(gauge(*m_registry, "carobflow_sheet_version", "Version of the sheet that is in force here."))
     , m_sheetAge(gauge(*m_registry,
                        "carobflow_sheet_confirmed_age_seconds",
@@ -94,6 +96,11 @@
     m_taskEvents.Add({{"event", std::string(event)}}).Increment();
 }
 
+void Metrics::countClientLimit(std::string_view limit)
+{
+    m_clientLimits.Add({{"limit", std::string(limit)}}).Increment();
+}
+
 void Metrics::setSheetVersion(double version)
 {
     m_sheetVersion.Add({}).Set(version);
--- a/packages/daemon/src/carobflow/daemon/metrics.h
+++ b/packages/daemon/src/carobflow/daemon/metrics.h
@@ -29,6 +29,8 @@
     void countCharge(std::string_view outcome);
     void countStoreOperation(std::string_view operation, std::string_view outcome);
     void countTaskEvent(std::string_view event);
+    /// Counts a limit of [limits] that a connection reached.
+    void countClientLimit(std::string_view limit);
     void setSheetVersion(double version);
     void setSheetAgeSeconds(double seconds);
     void setLeading(double shard, bool leading);
@@ -46,6 +48,7 @@
     prometheus::Family<prometheus::Counter> &m_charges;
     prometheus::Family<prometheus::Counter> &m_storeOperations;
     prometheus::Family<prometheus::Counter> &m_taskEvents;
+    prometheus::Family<prometheus::Counter> &m_clientLimits;
     prometheus::Family<prometheus::Gauge> &m_sheetVersion;
     prometheus::Family<prometheus::Gauge> &m_sheetAge;
     prometheus::Family<prometheus::Gauge> &m_leading;
--- a/packages/daemon/src/carobflow/daemon/settings.cpp
+++ b/packages/daemon/src/carobflow/daemon/settings.cpp
@@ -25,6 +25,8 @@
                            double Settings::*,
                            bool Settings::*,
                            Milliseconds Settings::*,
+                           std::int64_t ClientLimits::*,
+                           Milliseconds ClientLimits::*,
                            Endpoint Settings::*,
                            std::vector<Endpoint> Settings::*,
                            Role Settings::*,
@@ -73,6 +75,15 @@
     Key{"entry", "max_timeout_ms", &Settings::maxTimeout, Need::Optional, 10, 25000, "25000"},
     Key{"entry", "retry_ratio", &Settings::retryRatio, Need::Optional, 0, 1, "0.2"},
     Key{"entry", "max_charge_flows", &Settings::maxChargeFlows, Need::Optional, 1, 100000, "1000"},
+    // Of about 4,100 descriptors 200 are for files; the rest also holds connections between processes.
+    Key{"limits", "connections", &ClientLimits::connections, Need::Optional, 16, 3000, "2000"},
+    Key{"limits", "status_connections", &Settings::statusConnections, Need::Optional, 8, 400, "128"},
+    Key{"limits", "header_bytes", &ClientLimits::headerBytes, Need::Optional, 16384, 262144, "32768"},
+    Key{"limits", "reading_bytes", &ClientLimits::readingBytes, Need::Optional, 4194304, 1073741824, "33554432"},
+    Key{"limits", "header_ms", &ClientLimits::headerTime, Need::Optional, 100, 600000, "10000"},
+    Key{"limits", "request_ms", &ClientLimits::requestTime, Need::Optional, 100, 600000, "60000"},
+    Key{"limits", "idle_ms", &ClientLimits::idleTime, Need::Optional, 100, 600000, "60000"},
+    Key{"limits", "write_ms", &ClientLimits::writeTime, Need::Optional, 100, 600000, "60000"},
     Key{"agent", "cpu_millis", &Settings::cpuMillis, Need::StandaloneAgent, 1, 1e9, "32000"},
     Key{"agent", "memory_mib", &Settings::memoryMiB, Need::StandaloneAgent, 1, 1e9, "128000"},
     Key{"agent", "accelerators", &Settings::accelerators, Need::Optional, 0, 1000, "0"},
@@ -135,7 +146,8 @@
     return {};
 }
 
-Expectation assign(Settings &settings, const Key &key, std::int64_t Settings::*field, const std::string &text)
+template<typename Owner>
+Expectation assign(Owner &settings, const Key &key, std::int64_t Owner::*field, const std::string &text)
 {
     std::int64_t number = 0;
     if (!parseBounded(key, text, number)) {
@@ -167,7 +179,8 @@
     return {};
 }
 
-Expectation assign(Settings &settings, const Key &key, Milliseconds Settings::*field, const std::string &text)
+template<typename Owner>
+Expectation assign(Owner &settings, const Key &key, Milliseconds Owner::*field, const std::string &text)
 {
     std::int64_t number = 0;
     if (!parseBounded(key, text, number)) {
@@ -177,6 +190,12 @@
     return {};
 }
 
+template<typename Value>
+Expectation assign(Settings &settings, const Key &key, Value ClientLimits::*field, const std::string &text)
+{
+    return assign(settings.limits, key, field, text);
+}
+
 Expectation assign(Settings &settings, const Key & /*key*/, Endpoint Settings::*field, const std::string &text)
 {
     auto endpoint = parseEndpoint(text);
@@ -333,6 +352,18 @@
             fault("timing", "announce_timeout_ms")
                 << "expected at least twice announce_interval_ms, so that one lost message removes no upstream\n";
         }
+        // One request of the largest size must fit: its body in a string that doubles as it grows, and its headers.
+        const std::int64_t largest = 2 * m_settings.maxBodyBytes + 64 * m_settings.limits.headerBytes;
+        if (!m_values.contains({"limits", "reading_bytes"})) {
+            m_settings.limits.readingBytes = std::max(m_settings.limits.readingBytes, largest);
+        }
+        if (m_settings.limits.readingBytes < largest) {
+            fault("limits", "reading_bytes") << "expected at least twice max_body_bytes and 64 times header_bytes, so "
+                                                "that every request within these can be read\n";
+        }
+        if (m_settings.limits.requestTime < m_settings.limits.headerTime) {
+            fault("limits", "request_ms") << "expected at least header_ms, which is a part of it\n";
+        }
     }
 
     [[nodiscard]] IniValues::const_iterator find(const Key &key) const
--- a/packages/daemon/src/carobflow/daemon/settings.h
+++ b/packages/daemon/src/carobflow/daemon/settings.h
@@ -25,6 +25,25 @@
     [[nodiscard]] std::string toString() const;
 };
 
+/// What the connections to one address may use. The defaults are beyond what clients within the operators' limits need:
+/// headers of 16,384 bytes, 3 s for a header, 15 s idle.
+struct ClientLimits {
+    /// Open connections; above, the one that has been idle longest is closed.
+    std::int64_t connections = 2000;
+    /// Request line, headers, trailers, chunk-size lines and chunk extensions of one request.
+    std::int64_t headerBytes = 32768;
+    /// All requests from their first byte until they are answered.
+    std::int64_t readingBytes = 33554432;
+    /// Time to send the headers of a request, from its first byte.
+    Milliseconds headerTime{10000};
+    /// Time to send a whole request, from its first byte.
+    Milliseconds requestTime{60000};
+    /// Time between requests.
+    Milliseconds idleTime{60000};
+    /// Time to read a response.
+    Milliseconds writeTime{60000};
+};
+
 /// All settings of the daemon, with their defaults. `docs/OPERATIONS.md` describes each.
 struct Settings {
     /// The file that the settings were read from.
@@ -74,6 +93,11 @@
     double retryRatio = 0.2;
     std::int64_t maxChargeFlows = 1000;
 
+    // [limits]
+    ClientLimits limits;
+    /// Connections to each of [listen] ready and metrics.
+    std::int64_t statusConnections = 128;
+
     // [agent]
     std::int64_t cpuMillis = 0;
     std::int64_t memoryMiB = 0;
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -79,6 +79,11 @@
         {"[entry]", "[entry]\nretry_ratio = 2", "[entry] retry_ratio: '2' is not valid; expected a number from 0 to 1"},
         {"[entry]", "[timing]\nstop_timeout_ms = 1\n[entry]", "expected a number of milliseconds from 100 to 120000"},
         {"[entry]", "[timing]\nannounce_timeout_ms = 600\n[entry]", "[timing] announce_timeout_ms: expected at least"},
+        {"[entry]", "[limits]\nheader_bytes = 8192\n[entry]", "[limits] header_bytes: '8192' is not valid; expected"},
+        {"[entry]",
+         "[limits]\nreading_bytes = 4194304\nheader_bytes = 65536\n[entry]",
+         "[limits] reading_bytes: expected at least twice"},
+        {"[entry]", "[limits]\nrequest_ms = 100\n[entry]", "[limits] request_ms: expected at least header_ms"},
         {"operator_token = secret\n", "", "[entry] operator_token: missing"},
         {"[entry]",
          "[agent]\nentries = 127.0.0.1:9090,\n[entry]",
@@ -97,6 +102,10 @@
     REQUIRE(isOk(read));
     REQUIRE(valueOf(read).knownEntries.size() == 2);
     CHECK(valueOf(read).knownEntries.back().toString() == "[::1]:9");
+    // Guards against a body limit that was valid before [limits] and that the default for all requests would refuse.
+    const auto large = parseSettings(replaced(EntryText, "[entry]", "[entry]\nmax_body_bytes = 16777216"), "test.ini");
+    REQUIRE(isOk(large));
+    CHECK(valueOf(large).limits.readingBytes >= 2 * 16777216);
     const std::string two = faultsOf(replaced(replaced(EntryText, "[entry]", "[enty]"), "role = entry", "role = x"));
     CHECK(std::count(two.begin(), two.end(), '\n') >= 2);
     CHECK(errorOf(loadSettings("/nonexistent/x.ini")).kind == ErrorKind::NotFound);
