--- a/packages/daemon/src/carobflow/daemon/httpserver.cpp
+++ b/packages/daemon/src/carobflow/daemon/httpserver.cpp
@@ -195,9 +195,11 @@
                 continue;
             }
             socket.set_option(tcp::no_delay(true), error);
-            if (self->isFull() && !self->evictIdlest([](State) { return true; })) {
+            if (self->isFull()) {
                 self->m_report.record(ClientLimit::Connections);
-                continue;
+                if (!self->evictIdlest([](State) { return true; })) {
+                    continue;
+                }
             }
             auto connection = std::make_shared<Connection>(std::move(socket));
             self->add(connection);
@@ -417,7 +419,6 @@
             }
             m_openConnections.erase(idlest);
         }
-        m_report.record(ClientLimit::Connections);
         asio::post(idlest->stream.get_executor(), [self = shared_from_this(), idlest] {
             if (idlest->state != State::Handling) {
                 idlest->evicted = true;
--- a/packages/daemon/src/carobflow/daemon/internal/requestreader.h
+++ b/packages/daemon/src/carobflow/daemon/internal/requestreader.h
@@ -20,6 +20,7 @@
         return body.size();
     }
 
+    // NOLINTNEXTLINE(readability-identifier-naming): the library looks for this name
     class reader
     {
     public:
--- a/packages/daemon/tests/httpserver_test.cpp
+++ b/packages/daemon/tests/httpserver_test.cpp
@@ -137,9 +137,9 @@
     };
     const std::string chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
     const std::string tooMuch(32768, 'a');
-    for (const Case &test : {Case{Head + "A: " + tooMuch, "431", "header_bytes"},
-                             Case{chunked + "0\r\nA: " + tooMuch, "431", "header_bytes"},
-                             Case{chunked + "1;a=" + tooMuch, "431", "header_bytes"},
+    for (const Case &test : {Case{std::string(Head).append("A: ").append(tooMuch), "431", "header_bytes"},
+                             Case{std::string(chunked).append("0\r\nA: ").append(tooMuch), "431", "header_bytes"},
+                             Case{std::string(chunked).append("1;a=").append(tooMuch), "431", "header_bytes"},
                              Case{Head + "Content-Length: 1048577\r\n\r\n", "413", "max_body_bytes"},
                              Case{Head + "Content-Length: -1\r\n\r\n", "400", ""},
                              Case{Head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\na", "400", ""},
