Reject batch jobs that could only end when worthless

Under lasting overload every job was accepted, also those that could only end after three objectives; their callers waited for nothing and came back late. CompletionEstimator measures the rate at which batch work finishes, and JobAdmission rejects a job at its submission when work has waited throughout the estimator's window and a favourable prediction ends after three objectives. Rejected clients get spread times to return and are decided before newer ones. Behind SchedulingFeatures::admission.

--- a/packages/scheduler/src/carobflow/scheduler/joborder.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/joborder.cpp
@@ -59,4 +59,14 @@
     std::ranges::transform(ranked, jobs.begin(), &std::pair<Rank, Job *>::second);
 }
 
+double JobOrder::workBefore(const Job &job, std::span<const Job *const> jobs) const
+{
+    const Rank rank = rankOf(job);
+    double work = 0;
+    for (const Job *other : jobs) {
+        work += rankOf(*other) < rank ? other->remainingWork() : 0;
+    }
+    return work;
+}
+
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/joborder.h
+++ b/packages/scheduler/src/carobflow/scheduler/joborder.h
@@ -32,6 +32,9 @@
     /// Sorts the jobs; the first one is served first.
     void sort(std::vector<Job *> &jobs) const;
 
+    /// Work that remains of those jobs that are served before another one, in core-milliseconds.
+    [[nodiscard]] double workBefore(const Job &job, std::span<const Job *const> jobs) const;
+
 private:
     struct Rank {
         std::uint32_t priority = 0;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -221,6 +221,25 @@
     }
 }
 
+JobOrder::Rule Scheduler::orderRule() const
+{
+    return m_options.features.orderByValue ? JobOrder::Rule::Value : JobOrder::Rule::LeastSlack;
+}
+
+JobAdmission::Decision Scheduler::admit(const JobSpec &spec, TimePoint now)
+{
+    const Queue *queue = m_view->findQueue(spec.queue);
+    const auto highest = std::ranges::min_element(
+        m_view->queues, {}, [](const auto &entry) { return entry.second.priority; });
+    if (!m_options.features.admission || queue == nullptr || m_jobs.contains(spec.id)
+        || !JobAdmission::mayReject(spec, *queue, highest->second.priority)) {
+        return {.submittedAt = now};
+    }
+    std::vector<const Job *> jobs;
+    std::ranges::transform(m_active, std::back_inserter(jobs), [&](const std::string &id) { return find(id); });
+    return m_admission.decide(Job(spec, *queue, now), jobs, highest->second.priority, orderRule(), now);
+}
+
 Scheduler::Submission Scheduler::submit(JobSpec spec, TimePoint now, std::optional<Queue> lastKnownQueue)
 {
     if (m_jobs.contains(spec.id)) {
@@ -417,7 +436,11 @@
         task->checkpoint = ended.checkpoint;
     }
     if (ended.end == RunEnd::Done && !job.isOver()) {
+        const double remaining = job.remainingWork();
         job.recordSuccess(ended.run.task);
+        if (m_options.features.admission) {
+            m_admission.onTaskDone(job, job.step(ended.run.task), remaining, now - attempt->startedAt, now);
+        }
         host.host.recordSuccess();
     } else if (ended.end == RunEnd::Failed) {
         countFailure(job, *task, host, ended.run, now);
@@ -895,7 +918,7 @@
     if (hosts.empty()) {
         return;
     }
-    JobOrder(m_options.features.orderByValue ? JobOrder::Rule::Value : JobOrder::Rule::LeastSlack, now).sort(open);
+    JobOrder(orderRule(), now).sort(open);
     Placement placement({}, *m_view, m_fillerAdmission, hosts);
     Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
     const bool mostlyFree = isMostlyFree(hosts);
@@ -1300,6 +1323,7 @@
     }
     m_active.erase(std::string(id));
     m_storedFinalStates.erase(std::string(id));
+    m_admission.forget(id);
     m_jobs.erase(found);
     return true;
 }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "carobflow/scheduler/host.h"
 #include "carobflow/scheduler/job.h"
+#include "carobflow/scheduler/jobadmission.h"
 #include "carobflow/scheduler/leasetimes.h"
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/orders.h"
@@ -99,6 +100,15 @@
     /// Replaces the operators' configuration.
     void setOperatorView(std::shared_ptr<const OperatorView> view);
 
+    /// Decides whether a job that is not known is accepted; see JobAdmission.
+    JobAdmission::Decision admit(const JobSpec &spec, TimePoint now);
+
+    /// Counts of the decisions since the last call, for the log.
+    JobAdmission::Summary takeAdmissionSummary()
+    {
+        return m_admission.takeSummary();
+    }
+
     /// Accepts a job. It must not be acknowledged to the client before commitJob() for the job. `lastKnownQueue` is
     /// used when the operators have removed the job's queue since the job was accepted elsewhere.
     Submission submit(JobSpec spec, TimePoint now, std::optional<Queue> lastKnownQueue = std::nullopt);
@@ -266,6 +276,7 @@
     void superviseAttempts(Job &job, TimePoint now);
     void supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now);
     void stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now);
+    [[nodiscard]] JobOrder::Rule orderRule() const;
     [[nodiscard]] bool canStillStart(const Job &job, const TaskId &id, const Attempt &attempt) const;
     [[nodiscard]] std::vector<Host *> usableHosts(TimePoint now) const;
     /// True for an unfinished job that has had no attempt for longer than the starvation time.
@@ -293,6 +304,7 @@
     /// Starts that the current plan has placed; those of a gang that was given up count as well.
     std::size_t m_placedStarts = 0;
     Relocation m_relocation{Relocation::Options{}};
+    JobAdmission m_admission{JobAdmission::Options{}};
     /// Runs that may move, from the last check of all attempts.
     std::vector<Relocation::Candidate> m_slowRuns;
     WaitingTasks m_waiting;
--- a/packages/scheduler/tests/loadsimulator.cpp
+++ b/packages/scheduler/tests/loadsimulator.cpp
@@ -92,17 +92,35 @@
         step.tailTarget = Milliseconds(150);
     }
     JobSpec job{.id = kind + std::to_string(m_submitted++), .queue = kind, .payload = "payload", .steps = {step}};
+    JobRecord record{.kind = kind, .submittedAt = m_now};
     if (kind != "service") {
         job.steps.push_back(step);
         job.steps.back().after = {0};
         const std::uint32_t mean = kind == "quick" ? m_options.quickWidth : m_options.batchWidth;
-        const bool isLarge = width * 10 > mean * 13;
-        m_unfinished[job.id] = {.kind = kind, .submittedAt = m_now, .isLarge = isLarge};
+        record.isLarge = width * 10 > mean * 13;
         ++m_outcomes[kind].submitted;
-        m_outcomes[kind].large += isLarge ? 1 : 0;
+        m_outcomes[kind].large += record.isLarge ? 1 : 0;
         m_outcomes[kind].work += width;
     }
-    m_scheduler->submit(std::move(job), m_now);
+    offer(std::move(job), record);
+}
+
+void LoadSimulator::offer(JobSpec spec, const JobRecord &record)
+{
+    const JobAdmission::Decision decision = m_scheduler->admit(spec, m_now);
+    if (!decision.accepted) {
+        ++m_outcomes[record.kind].rejections;
+        const TimePoint at = m_now + decision.retryAfter;
+        if (at < record.submittedAt + decision.objective * 3) {
+            m_returning.push_back({.spec = std::move(spec), .record = record, .at = at});
+        }
+        return;
+    }
+    if (record.kind != "service") {
+        m_unfinished[spec.id] = record;
+        ++m_outcomes[record.kind].accepted;
+    }
+    m_scheduler->submit(std::move(spec), decision.submittedAt);
 }
 
 void LoadSimulator::submitArrivals()
@@ -114,6 +132,13 @@
     const auto width = [&](std::uint32_t mean) {
         return std::uniform_int_distribution<std::uint32_t>(mean / 2, mean + mean / 2)(m_random);
     };
+    const auto isBack = [&](const Returning &returning) { return returning.at <= m_now; };
+    std::vector<Returning> back;
+    std::ranges::copy_if(m_returning, std::back_inserter(back), isBack);
+    std::erase_if(m_returning, isBack);
+    for (Returning &returning : back) {
+        offer(std::move(returning.spec), returning.record);
+    }
     while (m_nextQuick <= m_now) {
         submit("quick", width(m_options.quickWidth));
         m_nextQuick += pause(m_options.quickPerSecond);
--- a/packages/scheduler/tests/loadsimulator.h
+++ b/packages/scheduler/tests/loadsimulator.h
@@ -52,6 +52,9 @@
         std::size_t submitted = 0;
         /// Completed within the latency objective.
         std::size_t inTime = 0;
+        /// Submissions that were rejected, and jobs that were accepted at their first or a later submission.
+        std::size_t rejections = 0;
+        std::size_t accepted = 0;
         /// Completed later, but within three times the latency objective.
         std::size_t late = 0;
         std::vector<Duration> firstStart;
@@ -96,6 +99,20 @@
         bool fails = false;
     };
 
+    struct JobRecord {
+        std::string kind;
+        TimePoint submittedAt;
+        bool isLarge = false;
+        bool started = false;
+    };
+
+    /// A rejected job that its client submits again.
+    struct Returning {
+        JobSpec spec;
+        JobRecord record;
+        TimePoint at;
+    };
+
     struct LateStart {
         StartOrder order;
         TimePoint at;
@@ -118,14 +135,10 @@
         bool reportDue = false;
     };
 
-    struct JobRecord {
-        std::string kind;
-        TimePoint submittedAt;
-        bool isLarge = false;
-        bool started = false;
-    };
-
     void submit(const std::string &kind, std::uint32_t width);
+    /// Submits a job for the first time or again. Clients honour the time to return and come back while the result can
+    /// still be useful to them.
+    void offer(JobSpec spec, const JobRecord &record);
     void submitArrivals();
     void advanceHosts();
     void report(HostModel &host);
@@ -146,6 +159,7 @@
     std::map<std::string, std::size_t> m_hostIndex;
     std::unique_ptr<Scheduler> m_scheduler;
     std::map<std::string, JobRecord> m_unfinished;
+    std::vector<Returning> m_returning;
     std::map<std::string, Outcome> m_outcomes;
     TimePoint m_nextQuick;
     TimePoint m_nextBatch;
