Bound the time to return and reserve only for jobs that can be in time

A rate near 0 gave times to return of years, which the reply cut off to fractions of a second. Rejected jobs that return too late to be in time kept a reservation that counted against newer jobs. The limits of admission become options, so that tests can shorten its window.

--- a/packages/scheduler/src/carobflow/scheduler/jobadmission.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/jobadmission.cpp
@@ -133,14 +133,19 @@
 {
     ++m_summary.rejected;
     decision.accepted = false;
-    const Duration needed = std::max<Duration>(Seconds(1), timeFor(backlog.onceLate, backlog.rate));
+    const Duration needed = std::clamp<Duration>(
+        timeFor(backlog.onceLate, backlog.rate), Seconds(1), m_options.longestReturn);
     // Each return is assigned the time that its work takes beside that of newer jobs, so that clients return neither
     // all at once nor faster than they can be served.
     const double returnRate = backlog.rate * (1 - m_options.newcomerShare);
     m_nextReturn = std::min(std::max(m_nextReturn, now) + timeFor(job.totalWork(), returnRate), now + needed);
     decision.retryAfter = std::min(wholeSeconds(m_nextReturn - now), Milliseconds(std::chrono::floor<Seconds>(needed)));
+    // A client that returns too late to be in time is rejected again, and needs no reservation.
+    const bool canBeInTime = now + decision.retryAfter + job.likelyPath() <= decision.submittedAt + decision.objective;
     remember(job.spec().id,
-             {.submittedAt = decision.submittedAt, .retryAt = now + decision.retryAfter, .work = job.totalWork()});
+             {.submittedAt = decision.submittedAt,
+              .retryAt = now + decision.retryAfter,
+              .work = canBeInTime ? job.totalWork() : 0});
     return decision;
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/jobadmission.h
+++ b/packages/scheduler/src/carobflow/scheduler/jobadmission.h
@@ -24,6 +24,7 @@
 {
 public:
     struct Options {
+        CompletionEstimator::Options estimator = {};
         /// A job is rejected when it would end after this multiple of its objective.
         int expiredAfterObjectives = 3;
         /// The prediction assumes that work finishes this much faster than measured, because a wrong rejection costs
@@ -39,6 +40,8 @@
         Seconds congestedFor{8};
         /// Between submissions that are further apart, the queue may have been empty.
         Seconds longestGap{5};
+        /// Upper bound of a time to return. A rate near 0 would give times that a reply cannot carry.
+        Seconds longestReturn{3600};
         /// Clients round the time to return.
         Milliseconds earlyTolerance{100};
         /// How long after its time a client's reservation is kept.
@@ -76,6 +79,7 @@
 
     explicit JobAdmission(Options options)
         : m_options(options)
+        , m_estimator(options.estimator)
     {
     }
 
@@ -128,7 +132,7 @@
     void eraseReturn(Returns::iterator entry);
 
     Options m_options;
-    CompletionEstimator m_estimator{CompletionEstimator::Options{}};
+    CompletionEstimator m_estimator;
     Returns m_returns;
     /// The same by the time of return.
     std::set<std::pair<TimePoint, std::string>> m_returnOrder;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -141,6 +141,7 @@
 Scheduler::Scheduler(Options options)
     : m_options(std::move(options))
     , m_view(std::make_shared<const OperatorView>())
+    , m_admission(m_options.admission)
 {
 }
 
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -82,6 +82,7 @@
         /// Time without a report after which a host gets no starts; three report intervals.
         Milliseconds reportTimeout{1200};
         SchedulingFeatures features = {};
+        JobAdmission::Options admission = {};
         /// Called for the log whenever a run ends, is abandoned or fails its job.
         std::function<void(const RunId &run, std::string_view host, std::string_view event)> onDecision;
         /// Called for the log and the counters.
@@ -304,7 +305,7 @@
     /// Starts that the current plan has placed; those of a gang that was given up count as well.
     std::size_t m_placedStarts = 0;
     Relocation m_relocation{Relocation::Options{}};
-    JobAdmission m_admission{JobAdmission::Options{}};
+    JobAdmission m_admission;
     /// Runs that may move, from the last check of all attempts.
     std::vector<Relocation::Candidate> m_slowRuns;
     WaitingTasks m_waiting;
