Let the leader reject jobs that could only end when worthless

LeaderTerm::submit asks the scheduler for unknown jobs, and answers OVERLOADED with retry_after_ms. A rejection is only given when no earlier attempt can have stored the job: the entry says in may_be_stored that a reply was lost, and the leader reads the rows of the job and of the inbox first.

--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -132,6 +132,7 @@
             connected = co_await m_caller.waitConnected(leader, ConnectTimeout);
         }
         if (connected) {
+            request.set_may_be_stored(mayBeStored);
             const auto reply = co_await m_caller.submit(leader, request, callTimeout(deadline));
             if (reply) {
                 m_directory.learn(reply->leader());
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -85,6 +85,7 @@
     , m_scheduler({.epoch = m_ledger->epoch(),
                    .leaseTimes = m_options.leaseTimes,
                    .features = m_options.features,
+                   .admission = m_options.admission,
                    .onDecision =
                        [](const Scheduling::RunId &run, std::string_view host, std::string_view event) {
                            logInfo("run-ended")
@@ -365,6 +366,7 @@
         m_changed = false;
         m_scheduler.plan(now, unixMilliseconds());
         logWaitingTasks(now);
+        logAdmission(now);
         const bool resigning = m_resigning;
         if (!co_await commitChanges()) {
             co_return;
@@ -609,6 +611,53 @@
     }
 }
 
+asio::awaitable<bool> LeaderTerm::isCertainlyUnknown(std::string id)
+{
+    // Another entry may have put the job into the inbox after the client gave up waiting there.
+    const std::string inboxKey = StoreLayout::keyOf(StoreLayout::InboxPrefix, id);
+    const std::string jobKey = StoreLayout::keyOf(StoreLayout::JobPrefix, id);
+    const std::vector<std::string> keys{inboxKey, jobKey};
+    const auto rows = co_await m_table.read(keys);
+    co_return isOk(rows) && valueOf(rows).empty() && m_scheduler.find(id) == nullptr && !m_over && !m_resigning;
+}
+
+void LeaderTerm::rejectOverloaded(const std::string &id,
+                                  const Scheduling::JobAdmission::Decision &decision,
+                                  wire::SubmitReply &reply) const
+{
+    logInfo("job-refused")
+        .with("job", id)
+        .with("reason", "overload")
+        .with("predicted_ms", std::chrono::duration_cast<Milliseconds>(decision.predicted).count())
+        .with("objective_ms", std::chrono::duration_cast<Milliseconds>(decision.objective).count())
+        .with("retry_after_ms", decision.retryAfter.count());
+    if (m_options.countEvent) {
+        m_options.countEvent("job-rejected-overload");
+    }
+    reply.set_outcome(wire::SubmitReply::OVERLOADED);
+    reply.set_retry_after_ms(static_cast<std::uint32_t>(decision.retryAfter.count()));
+}
+
+void LeaderTerm::logAdmission(TimePoint now)
+{
+    if (!m_options.features.admission || now - m_admissionLoggedAt < WaitLogInterval) {
+        return;
+    }
+    m_admissionLoggedAt = now;
+    const Scheduling::JobAdmission::Summary summary = m_scheduler.takeAdmissionSummary();
+    if (summary.rejected + summary.returned + summary.compared == 0) {
+        return;
+    }
+    logInfo("admission")
+        .with("accepted", summary.accepted)
+        .with("rejected", summary.rejected)
+        .with("returned", summary.returned)
+        .with("remembered", summary.remembered)
+        .with("compared", summary.compared)
+        .with("mean_error_ms", summary.meanError.count())
+        .with("mean_absolute_error_ms", summary.meanAbsoluteError.count());
+}
+
 asio::awaitable<wire::SubmitReply> LeaderTerm::submit(wire::SubmitRequest request)
 {
     const auto self = shared_from_this();
@@ -644,9 +693,25 @@
         reply.set_outcome(wire::SubmitReply::STORE_AWAY);
         co_return reply;
     }
-    const auto outcome = m_scheduler.submit(std::move(spec), suspendAwareNow());
+    const TimePoint now = suspendAwareNow();
+    Scheduling::JobAdmission::Decision decision{.submittedAt = now};
+    if (!request.may_be_stored()) {
+        decision = m_scheduler.admit(spec, now);
+    }
+    if (!decision.accepted) {
+        const bool neverRuns = co_await isCertainlyUnknown(id);
+        if (neverRuns) {
+            rejectOverloaded(id, decision, reply);
+            co_return reply;
+        }
+    }
+    if (m_over || m_resigning) {
+        co_return reply;
+    }
+    const auto outcome = m_scheduler.submit(std::move(spec), decision.submittedAt);
     if (outcome == Scheduling::Scheduler::Submission::Accepted) {
-        m_unstoredAcceptTimes[id] = unixMilliseconds();
+        m_unstoredAcceptTimes[id] = unixMilliseconds()
+            - std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - decision.submittedAt).count();
         logInfo("job-taken")
             .with("job", id)
             .with("queue", request.job().queue())
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -41,6 +41,7 @@
         std::string address;
         Scheduling::LeaseTimes leaseTimes;
         Scheduling::SchedulingFeatures features = {};
+        Scheduling::JobAdmission::Options admission = {};
         /// Counts an event of a task or an upstream for the metrics; may be empty.
         std::function<void(std::string_view event)> countEvent = {};
         /// How long a finished job can be queried.
@@ -143,6 +144,15 @@
     void sweep(TimePoint now);
     /// Writes one line a second while tasks wait for resources or for the leases of silent hosts.
     void logWaitingTasks(TimePoint now);
+    /// True when no earlier attempt has stored the job, so that it never runs if it is rejected now. A store that does
+    /// not answer makes it uncertain.
+    boost::asio::awaitable<bool> isCertainlyUnknown(std::string id);
+    /// Logs and counts the rejection of a job that could not end while it is useful, and fills in the reply.
+    void rejectOverloaded(const std::string &id,
+                          const Scheduling::JobAdmission::Decision &decision,
+                          carobflow::control::SubmitReply &reply) const;
+    /// Writes one line a second while jobs are rejected or predictions can be compared with ends.
+    void logAdmission(TimePoint now);
     void checkContact(TimePoint now);
     void wakeWaiters();
     /// How long leases may last from an answered report on; 0 while the upstream is silent, while the store has not
@@ -184,6 +194,7 @@
     std::optional<TimePoint> m_writingSince;
     TimePoint m_sweptAt;
     TimePoint m_waitLoggedAt;
+    TimePoint m_admissionLoggedAt;
     TimePoint m_hostsCheckedAt;
     /// When at least half of the hosts were last in contact.
     TimePoint m_contactAt;
--- a/packages/control/tests/jobrouter_test.cpp
+++ b/packages/control/tests/jobrouter_test.cpp
@@ -7,6 +7,7 @@
 #include "carobflow/core/clock.h"
 #include "carobflow/daemon/internal/grpclistener.h"
 
+#include <atomic>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,7 +25,8 @@
 namespace
 {
 
-/// A leader that gives one reply to every call for a count.
+/// A leader that gives one reply to every call for a count, and rejects jobs, if it answers submissions, unless the
+/// caller says that they may be stored. The reply to the first submission may be lost.
 class CountingLeader final : public wire::LeaderService::CallbackService
 {
 public:
@@ -38,7 +40,25 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor *
+    Submit(grpc::CallbackServerContext *context, const wire::SubmitRequest *request, wire::SubmitReply *reply) override
+    {
+        if (!answersSubmissions) {
+            return wire::LeaderService::CallbackService::Submit(context, request, reply);
+        }
+        const std::size_t call = submissions++;
+        const bool isLost = losesFirstReply && call == 0;
+        reply->set_outcome(request->may_be_stored() ? wire::SubmitReply::STORED : wire::SubmitReply::OVERLOADED);
+        reply->set_retry_after_ms(7000);
+        auto *reactor = context->DefaultReactor();
+        reactor->Finish(isLost ? grpc::Status(grpc::StatusCode::UNAVAILABLE, "lost") : grpc::Status::OK);
+        return reactor;
+    }
+
     wire::CountPendingReply count;
+    bool answersSubmissions = false;
+    bool losesFirstReply = false;
+    std::atomic<std::size_t> submissions{0};
 };
 
 class RouterFixture
@@ -86,7 +106,7 @@
         write("operators/config", "1");
     }
 
-    /// Submits a job while the leader does not answer; true when it is accepted.
+    /// Submits a job; true when it is accepted. The leader does not answer unless it is told to.
     bool submit(const std::string &id)
     {
         Scheduling::JobSpec spec{.id = id, .queue = "quick"};
@@ -98,6 +118,9 @@
             [&]() -> asio::awaitable<void> {
                 const SubmitOutcome outcome = co_await router.submit(spec, suspendAwareNow() + Seconds(3));
                 accepted = std::holds_alternative<JobStored>(outcome);
+                if (const auto *rejected = std::get_if<JobRejected>(&outcome)) {
+                    retryAfter = rejected->retryAfter;
+                }
                 done = true;
             },
             asio::detached);
@@ -124,6 +147,8 @@
         return count;
     }
 
+    /// Time after which the client of the last rejected job may return.
+    Milliseconds retryAfter{0};
     /// The last count was refused because the queue does not exist any more.
     bool isRemoved = false;
     std::shared_ptr<const Scheduling::OperatorView> view;
@@ -163,6 +188,26 @@
     CHECK(row.queue_settings().max_attempts() == 4);
 }
 
+TEST_CASE("An entry passes on a rejection only when no earlier attempt may have stored the job",
+          "[jobrouter][admission]")
+{
+    // Guards against a job that runs although its client was told that it was rejected.
+    RouterFixture fixture;
+    fixture.leader.answersSubmissions = true;
+    SECTION("A rejection of the first attempt is passed on")
+    {
+        CHECK_FALSE(fixture.submit("rejected"));
+        CHECK(fixture.retryAfter == Seconds(7));
+        CHECK(fixture.leader.submissions == 1);
+    }
+    SECTION("After a lost reply the leader is told that the job may be stored")
+    {
+        fixture.leader.losesFirstReply = true;
+        CHECK(fixture.submit("lost-reply"));
+        CHECK(fixture.leader.submissions == 2);
+    }
+}
+
 TEST_CASE("A count of pending jobs contains those that the leader has not read from the inbox", "[jobrouter]")
 {
     // Guards against MIXED: an overloaded leader reads the inbox up to 21 s late, and its count lacks the jobs there.
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -270,6 +270,7 @@
         auto view = std::make_shared<Scheduling::OperatorView>();
         view->configurationVersion = 2;
         view->queues["quick"] = {.name = "quick", .service = "desk"};
+        view->queues["batch"] = {.name = "batch", .service = "desk", .priority = 2, .stretch = 2};
         return view;
     }
 
@@ -789,4 +790,109 @@
     }
 }
 
+TEST_CASE("A leader rejects only jobs that certainly never run", "[leaderterm][admission]")
+{
+    // Guards against a client that is told to submit a job again which an earlier attempt has stored.
+    TermFixture fixture;
+    std::vector<std::string> events;
+    const auto countEvent = [&](std::string_view event) { events.emplace_back(event); };
+    fixture.options.features = {.admission = true};
+    fixture.options.admission = {.estimator = {.window = Seconds(1), .minimumEnds = 1}, .congestedFor = Seconds(0)};
+    fixture.options.countEvent = countEvent;
+    fixture.replaceLeader();
+    fixture.waitUntilLoaded();
+    const auto submitTo = [&](const std::shared_ptr<LeaderTerm> &term, const std::string &id, bool mayBeStored) {
+        std::optional<wire::SubmitReply> reply;
+        asio::co_spawn(
+            fixture.io,
+            [&]() -> asio::awaitable<void> {
+                wire::SubmitRequest request;
+                Scheduling::JobSpec spec{.id = id, .queue = "batch"};
+                const bool isSmall = id.starts_with("small");
+                spec.steps = {{.count = 1,
+                               .request = {.cpuMillis = isSmall ? 100 : 4000},
+                               .estimate = isSmall ? Milliseconds(1) : Milliseconds(100'000)}};
+                *request.mutable_job() = toMessage(spec);
+                request.set_may_be_stored(mayBeStored);
+                reply = co_await term->submit(std::move(request));
+            },
+            asio::detached);
+        fixture.runUntil([&] { return reply.has_value(); });
+        return *reply;
+    };
+    const auto submit = [&](const std::string &id, bool mayBeStored = false) {
+        return submitTo(fixture.term, id, mayBeStored).outcome();
+    };
+    const auto jobKey = [](const std::string &id) { return StoreLayout::keyOf(StoreLayout::JobPrefix, id); };
+
+    // Two small jobs end at the two ends of the window, which shows a low rate. One large job occupies the only host,
+    // and four wait.
+    std::uint64_t ends = 0;
+    const auto end = [&](const std::string &id) {
+        fixture.runUntil([&] { return !fixture.started(id).empty(); });
+        Scheduling::HostReport report = fixture.reportOf("host-0");
+        report.ended.push_back({.number = ++ends, .run = fixture.started(id).front(), .end = Scheduling::RunEnd::Done});
+        fixture.send(report);
+        fixture.runUntil([&] { return fixture.query(id) == Scheduling::JobPhase::Completed; });
+    };
+    REQUIRE(submit("small-1") == wire::SubmitReply::STORED);
+    REQUIRE(submit("small-2") == wire::SubmitReply::STORED);
+    end("small-1");
+    const TimePoint endedAt = suspendAwareNow();
+    for (const char *id : {"running", "waiting-1", "waiting-2", "waiting-3", "waiting-4"}) {
+        REQUIRE(submit(id) == wire::SubmitReply::STORED);
+    }
+    fixture.runUntil([&] { return suspendAwareNow() - endedAt > Milliseconds(1000); });
+    end("small-2");
+
+    SECTION("One that it does not know")
+    {
+        const wire::SubmitReply reply = submitTo(fixture.term, "new", false);
+        REQUIRE(reply.outcome() == wire::SubmitReply::OVERLOADED);
+        CHECK(reply.retry_after_ms() >= 1000);
+        CHECK(reply.retry_after_ms() % 1000 == 0);
+        CHECK(fixture.table.versionOf(jobKey("new")) == 0);
+        CHECK(events == std::vector<std::string>{"job-rejected-overload"});
+
+        SECTION("A copy of the request that arrives late is rejected as well")
+        {
+            CHECK(submit("new") == wire::SubmitReply::OVERLOADED);
+        }
+        SECTION("The next leader has no evidence and accepts it")
+        {
+            fixture.replaceLeader();
+            fixture.waitUntilLoaded();
+            CHECK(submit("new") == wire::SubmitReply::STORED);
+        }
+    }
+    SECTION("Not one that the caller says may be stored")
+    {
+        CHECK(submit("lost-reply", true) == wire::SubmitReply::STORED);
+        CHECK(fixture.table.versionOf(jobKey("lost-reply")) > 0);
+    }
+    SECTION("Not one that it knows")
+    {
+        CHECK(submit("waiting-1") == wire::SubmitReply::STORED);
+    }
+    SECTION("Not one that it has not read from the inbox yet")
+    {
+        fixture.table.hidesChanges = true;
+        fixture.addToInbox("in-inbox", TermFixture::jobMessage("in-inbox").SerializeAsString());
+        CHECK(submit("in-inbox") == wire::SubmitReply::STORED);
+    }
+    SECTION("Not while the store does not show whether it is stored")
+    {
+        fixture.table.refusesReads = true;
+        CHECK(submit("unread") == wire::SubmitReply::STORED);
+    }
+    SECTION("Not one that the next leader has stored while this one has not noticed the change")
+    {
+        const std::shared_ptr<LeaderTerm> former = fixture.term;
+        fixture.replaceLeader();
+        fixture.waitUntilLoaded();
+        REQUIRE(submit("stored-by-next") == wire::SubmitReply::STORED);
+        CHECK(submitTo(former, "stored-by-next", false).outcome() != wire::SubmitReply::OVERLOADED);
+    }
+}
+
 } // namespace Carobflow
--- a/packages/control/tests/tablefake.cpp
+++ b/packages/control/tests/tablefake.cpp
@@ -62,6 +62,9 @@
 
 asio::awaitable<Result<std::vector<Row>>> TableFake::read(std::span<const std::string> keys)
 {
+    if (refusesReads) {
+        co_return Error{ErrorKind::Unavailable, "the table is unavailable"};
+    }
     observeClock();
     std::vector<Row> rows;
     for (const std::string &key : keys) {
--- a/packages/control/tests/tablefake.h
+++ b/packages/control/tests/tablefake.h
@@ -54,6 +54,8 @@
         m_historyFrom = m_version;
     }
 
+    /// Answers no reads of single rows.
+    bool refusesReads = false;
     /// Answers no calls for snapshots.
     bool refusesSnapshots = false;
     /// Answers no calls for changes.
