--- a/packages/scheduler/src/carobflow/scheduler/jobadmission.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/jobadmission.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// About three years, so that a queue without progress does not overflow a duration.
+constexpr double LongestMs = 1e11;
+
 Milliseconds wholeSeconds(Duration time)
 {
     return std::max(Seconds(1), std::chrono::ceil<Seconds>(time));
@@ -16,8 +19,6 @@
 
 Duration timeFor(double work, double rate)
 {
-    // A bound of about three years, so that a queue without progress does not overflow a duration.
-    constexpr double LongestMs = 1e11;
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double, std::milli>(std::min(LongestMs, work / rate)));
 }
