--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -143,6 +143,7 @@
 Scheduler::Scheduler(Options options)
     : m_options(std::move(options))
     , m_view(std::make_shared<const OperatorView>())
+    , m_admission(m_options.admission)
 {
 }
 
@@ -223,6 +224,25 @@
     }
 }
 
+JobOrder::Rule Scheduler::orderRule() const
+{
+    return m_options.features.orderByValue ? JobOrder::Rule::Value : JobOrder::Rule::LeastSlack;
+}
+
+JobAdmission::Decision Scheduler::admit(const JobSpec &spec, TimePoint now)
+{
+    const Queue *queue = m_view->findQueue(spec.queue);
+    const auto highest = std::ranges::min_element(
+        m_view->queues, {}, [](const auto &entry) { return entry.second.priority; });
+    if (!m_options.features.admission || queue == nullptr || m_jobs.contains(spec.id)
+        || !JobAdmission::mayReject(spec, *queue, highest->second.priority)) {
+        return {.submittedAt = now};
+    }
+    std::vector<const Job *> jobs;
+    std::ranges::transform(m_active, std::back_inserter(jobs), [&](const std::string &id) { return find(id); });
+    return m_admission.decide(Job(spec, *queue, now), jobs, highest->second.priority, orderRule(), now);
+}
+
 Scheduler::Submission Scheduler::submit(JobSpec spec, TimePoint now, std::optional<Queue> lastKnownQueue)
 {
     if (m_jobs.contains(spec.id)) {
@@ -425,7 +445,11 @@
             task->finishedBy = ended.run.run;
             task->took = attempt->restored ? Duration(0) : now - attempt->startedAt;
         }
+        const double remaining = job.remainingWork();
         job.recordSuccess(ended.run.task);
+        if (m_options.features.admission) {
+            m_admission.onTaskDone(job, job.step(ended.run.task), remaining, now - attempt->startedAt, now);
+        }
         host.host.recordSuccess();
         noteRunTime(job, ended.run.task, *task, *attempt, now);
     } else if (ended.end == RunEnd::Failed && !(task->done && job.step(ended.run.task).speculative)) {
@@ -968,7 +992,7 @@
     if (hosts.empty()) {
         return;
     }
-    JobOrder(m_options.features.orderByValue ? JobOrder::Rule::Value : JobOrder::Rule::LeastSlack, now).sort(open);
+    JobOrder(orderRule(), now).sort(open);
     const bool groupsServices = m_options.features.groupServices;
     const HostSpeed *speed = m_options.features.hostSpeed ? &m_hostSpeed : nullptr;
     Placement placement({.groupsServices = groupsServices, .hostSpeed = speed}, *m_view, m_fillerAdmission, hosts);
@@ -1444,6 +1468,7 @@
     }
     m_active.erase(std::string(id));
     m_storedFinalStates.erase(std::string(id));
+    m_admission.forget(id);
     m_jobs.erase(found);
     return true;
 }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -4,6 +4,7 @@
 #include "carobflow/scheduler/host.h"
 #include "carobflow/scheduler/hostspeed.h"
 #include "carobflow/scheduler/job.h"
+#include "carobflow/scheduler/jobadmission.h"
 #include "carobflow/scheduler/leasetimes.h"
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/orders.h"
@@ -94,6 +95,7 @@
         /// Time without a report after which a host gets no starts; three report intervals.
         Milliseconds reportTimeout{1200};
         SchedulingFeatures features = {};
+        JobAdmission::Options admission = {};
         /// Called for the log whenever a run ends, is abandoned or fails its job.
         std::function<void(const RunId &run, std::string_view host, std::string_view event)> onDecision;
         /// Called for the log and the counters.
@@ -114,6 +116,15 @@
     /// Replaces the operators' configuration.
     void setOperatorView(std::shared_ptr<const OperatorView> view);
 
+    /// Decides whether a job that is not known is accepted; see JobAdmission.
+    JobAdmission::Decision admit(const JobSpec &spec, TimePoint now);
+
+    /// Counts of the decisions since the last call, for the log.
+    JobAdmission::Summary takeAdmissionSummary()
+    {
+        return m_admission.takeSummary();
+    }
+
     /// Accepts a job. It must not be acknowledged to the client before commitJob() for the job. `lastKnownQueue` is
     /// used when the operators have removed the job's queue since the job was accepted elsewhere.
     Submission submit(JobSpec spec, TimePoint now, std::optional<Queue> lastKnownQueue = std::nullopt);
@@ -301,6 +312,7 @@
     void superviseAttempts(Job &job, TimePoint now);
     void supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now);
     void stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now);
+    [[nodiscard]] JobOrder::Rule orderRule() const;
     [[nodiscard]] bool canStillStart(const Job &job, const TaskId &id, const Attempt &attempt) const;
     [[nodiscard]] std::vector<Host *> usableHosts(TimePoint now) const;
     /// True for an unfinished job that has had no attempt for longer than the starvation time.
@@ -335,6 +347,7 @@
     /// Starts that the current plan has placed; those of a gang that was given up count as well.
     std::size_t m_placedStarts = 0;
     Relocation m_relocation{Relocation::Options{}};
+    JobAdmission m_admission;
     /// Runs that may move, from the last check of all attempts.
     std::vector<Relocation::Candidate> m_slowRuns;
     CopyPlanner m_copyPlanner{CopyPlanner::Options{}};
