--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -42,6 +42,10 @@
     bool survivedStart = false;
     /// The task was suspected when it was placed; see Task::suspected.
     bool suspected = false;
+    /// Another attempt of the task ran when this one was placed, and how much earlier this one was expected to end; see
+    /// CopyPlanner.
+    bool isCopy = false;
+    Duration expectedGain{};
     /// The start order has to be sent again, because it was not delivered or not answered.
     bool resend = false;
     /// The agent has not replied to the last order in time, so it is not known whether it has executed any.
@@ -56,6 +60,8 @@
     std::uint32_t share = 100;
     /// Time at which the reported percentage last changed.
     TimePoint progressedAt;
+    /// Time since which pacing has limited the run to a low share; see Relocation.
+    std::optional<TimePoint> slowSince;
 };
 
 /// A task and the state of its runs.
@@ -80,6 +86,19 @@
     /// The upstream of the last run crashed before it had survived the start. Starts of other jobs keep away from the
     /// next one, so that a further crash has one possible cause.
     bool suspected = false;
+    /// How often a run was stopped to continue on another host, and the hosts that it has left.
+    std::uint32_t moves = 0;
+    std::vector<std::string> movedFrom;
+    /// Number of copies that this leader has started.
+    std::uint32_t copies = 0;
+    /// The run that finished the task, and its run time, as far as this leader knows them; else 0.
+    std::uint32_t finishedBy = 0;
+    Duration took{};
+    /// How long the task took on a host when it ran from its beginning to its end at full speed; otherwise 0.
+    Duration fullSpeedTime{};
+    std::string fullSpeedHost;
+    /// When a run was last stopped for other work. Only this leader knows it.
+    std::optional<TimePoint> preemptedAt;
     /// Earliest time of the next start, after a rejected one or a short run.
     TimePoint notBefore;
 };
@@ -153,6 +172,12 @@
     /// True when every task of the steps that this one depends on has succeeded and the occurrence is due.
     [[nodiscard]] bool isStepReady(std::uint32_t occurrence, std::uint32_t step, std::int64_t unixMs) const;
 
+    /// True when no task of the step has to run any more.
+    [[nodiscard]] bool isStepFinished(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return m_unfinished[occurrence * m_spec.steps.size() + step] == 0;
+    }
+
     /// Calls `visit(const TaskId &, Task &)` for each task. The identifier is valid during the call.
     template<typename Visitor>
     void forEachTask(Visitor &&visit)
@@ -170,6 +195,12 @@
         }
     }
 
+    /// False when as many runs of the task have failed as its queue allows.
+    [[nodiscard]] bool allowsRun(const StepSpec &step, const Task &task) const
+    {
+        return step.longRunning || task.failures < m_queue.maxAttempts;
+    }
+
     /// The state that clients see.
     [[nodiscard]] JobPhase phase() const;
 
@@ -221,7 +252,10 @@
     void recordSuccess(const TaskId &id);
 
     /// Estimated length of the critical path through those steps of the first occurrence that have unfinished tasks.
-    [[nodiscard]] Milliseconds remainingCriticalPath() const;
+    [[nodiscard]] Milliseconds remainingCriticalPath() const
+    {
+        return m_remainingCriticalPath;
+    }
 
     /// Estimated length of the critical path through all steps.
     [[nodiscard]] Milliseconds totalCriticalPath() const
@@ -229,6 +263,47 @@
         return m_totalCriticalPath;
     }
 
+    /// Likely length of the critical path, with the slowest task of each step, and of its part that is not finished.
+    [[nodiscard]] Milliseconds likelyPath() const
+    {
+        return m_likelyPath;
+    }
+
+    [[nodiscard]] Milliseconds remainingLikelyPath() const
+    {
+        return m_remainingLikelyPath;
+    }
+
+    /// Estimated work of all tasks that end, and of those among them that are not finished, in core-milliseconds.
+    [[nodiscard]] double totalWork() const
+    {
+        return m_totalWork;
+    }
+
+    [[nodiscard]] double remainingWork() const
+    {
+        return m_remainingWork;
+    }
+
+    [[nodiscard]] std::size_t taskCount() const
+    {
+        return m_tasks.size();
+    }
+
+    [[nodiscard]] std::size_t attemptCount() const
+    {
+        return m_attempts;
+    }
+
+    /// True for a job with tasks that run until it is cancelled.
+    [[nodiscard]] bool isService() const
+    {
+        return m_isService;
+    }
+
+    /// Latency objective of a job of this queue with this critical path.
+    [[nodiscard]] Duration objectiveFor(Milliseconds criticalPath) const;
+
     /// Time until which the job has to complete to meet its latency objective.
     [[nodiscard]] TimePoint objectiveEnd() const;
 
@@ -239,7 +314,10 @@
 
 private:
     [[nodiscard]] std::size_t firstIndex(std::uint32_t occurrence, std::uint32_t step) const;
-    [[nodiscard]] Milliseconds criticalPath(bool unfinishedOnly) const;
+    using StepLength = Milliseconds (*)(const StepSpec &step);
+    [[nodiscard]] Milliseconds criticalPath(bool unfinishedOnly, StepLength lengthOf) const;
+    /// Updates what is known of the remaining work after a task has finished.
+    void noteFinished(std::uint32_t occurrence, std::uint32_t step);
 
     JobSpec m_spec;
     Queue m_queue;
@@ -250,7 +328,15 @@
     std::size_t m_remaining = 0;
     /// Number of attempts of all tasks.
     std::size_t m_attempts = 0;
+    /// Unfinished tasks of each step in all occurrences; by occurrence, then step.
+    std::vector<std::size_t> m_unfinished;
     Milliseconds m_totalCriticalPath{0};
+    Milliseconds m_remainingCriticalPath{0};
+    Milliseconds m_likelyPath{0};
+    Milliseconds m_remainingLikelyPath{0};
+    double m_totalWork = 0;
+    double m_remainingWork = 0;
+    bool m_isService = false;
     bool m_cancelled = false;
     bool m_failed = false;
     bool m_started = false;
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "carobflow/core/invariant.h"
 #include "carobflow/scheduler/joborder.h"
+#include "carobflow/scheduler/preemptionsurvey.h"
 
 #include <algorithm>
 #include <iterator>
@@ -24,6 +25,7 @@
 constexpr Milliseconds StallTime{2000};
 /// Fillers that are paced to a lower percentage may make no visible progress for seconds.
 constexpr std::uint32_t PacedShareThreshold = 60;
+constexpr std::uint32_t FullShare = 100;
 /// Interval of the checks of all attempts. Under load, calls of plan() are less than 10 ms apart, which is more often
 /// than the time limits of runs require.
 constexpr Milliseconds SuperviseInterval{40};
@@ -141,6 +143,7 @@
 Scheduler::Scheduler(Options options)
     : m_options(std::move(options))
     , m_view(std::make_shared<const OperatorView>())
+    , m_admission(m_options.admission)
 {
 }
 
@@ -221,6 +224,25 @@
     }
 }
 
+JobOrder::Rule Scheduler::orderRule() const
+{
+    return m_options.features.orderByValue ? JobOrder::Rule::Value : JobOrder::Rule::LeastSlack;
+}
+
+JobAdmission::Decision Scheduler::admit(const JobSpec &spec, TimePoint now)
+{
+    const Queue *queue = m_view->findQueue(spec.queue);
+    const auto highest = std::ranges::min_element(
+        m_view->queues, {}, [](const auto &entry) { return entry.second.priority; });
+    if (!m_options.features.admission || queue == nullptr || m_jobs.contains(spec.id)
+        || !JobAdmission::mayReject(spec, *queue, highest->second.priority)) {
+        return {.submittedAt = now};
+    }
+    std::vector<const Job *> jobs;
+    std::ranges::transform(m_active, std::back_inserter(jobs), [&](const std::string &id) { return find(id); });
+    return m_admission.decide(Job(spec, *queue, now), jobs, highest->second.priority, orderRule(), now);
+}
+
 Scheduler::Submission Scheduler::submit(JobSpec spec, TimePoint now, std::optional<Queue> lastKnownQueue)
 {
     if (m_jobs.contains(spec.id)) {
@@ -331,6 +353,7 @@
         state.recentBeforeSilence.clear();
     }
     if (replaced) {
+        m_hostSpeed.forget(report.host);
         releaseReplaced(state, before);
     }
     if (report.silence > UpstreamSilenceLimit && report.leaseLeft.count() <= 0 && now > state.formerLeasesExpireBy) {
@@ -402,11 +425,12 @@
         // does not: a previous leader may have counted it, and the task may have been started again since.
         if (ended.end == RunEnd::Done && !task->succeeded && !job.isOver()) {
             report(ended.run, host.host.name(), "done-after-all");
+            task->finishedBy = ended.run.run;
             job.recordSuccess(ended.run.task);
             markDirty(job);
         }
         if (isDirty(job.spec().id)) {
-            host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
+            addPendingEnd(host, ended.number, job.spec().id);
         }
         return;
     }
@@ -417,16 +441,74 @@
         task->checkpoint = ended.checkpoint;
     }
     if (ended.end == RunEnd::Done && !job.isOver()) {
+        if (!task->done) {
+            task->finishedBy = ended.run.run;
+            task->took = attempt->restored ? Duration(0) : now - attempt->startedAt;
+        }
+        const double remaining = job.remainingWork();
         job.recordSuccess(ended.run.task);
+        if (m_options.features.admission) {
+            m_admission.onTaskDone(job, job.step(ended.run.task), remaining, now - attempt->startedAt, now);
+        }
         host.host.recordSuccess();
-    } else if (ended.end == RunEnd::Failed) {
+        noteRunTime(job, ended.run.task, *task, *attempt, now);
+    } else if (ended.end == RunEnd::Failed && !(task->done && job.step(ended.run.task).speculative)) {
         countFailure(job, *task, host, ended.run, now);
     }
     if (job.step(ended.run.task).longRunning && (ended.end == RunEnd::Done || ended.end == RunEnd::Failed)) {
         delayRestart(*task, *attempt, now);
     }
     dropAttempt(job, ended.run.task, ended.run.run, host.host.name());
-    host.pendingEnds.emplace(ended.number, HostState::PendingEnd{.job = job.spec().id});
+    addPendingEnd(host, ended.number, job.spec().id);
+}
+
+void Scheduler::addPendingEnd(HostState &host, std::uint64_t number, const std::string &job)
+{
+    host.pendingEnds.emplace(number, HostState::PendingEnd{.job = job});
+    m_endHosts[job].insert(host.host.name());
+}
+
+void Scheduler::acknowledgeEnds(std::string_view job)
+{
+    const auto hosts = m_endHosts.find(job);
+    if (hosts == m_endHosts.end()) {
+        return;
+    }
+    std::erase_if(hosts->second, [&](const std::string &name) {
+        ++m_endChecks;
+        const auto host = m_hosts.find(name);
+        if (host == m_hosts.end()) {
+            return true;
+        }
+        // Ends that were reported during the write wait for the next one.
+        bool hasLater = false;
+        std::erase_if(host->second->pendingEnds, [&](const auto &entry) {
+            ++m_endChecks;
+            const bool isOfJob = entry.second.job == job;
+            hasLater = hasLater || (isOfJob && !entry.second.committing);
+            return isOfJob && entry.second.committing;
+        });
+        return !hasLater;
+    });
+    if (hosts->second.empty()) {
+        m_endHosts.erase(hosts);
+    }
+}
+
+void Scheduler::noteRunTime(const Job &job, const TaskId &id, Task &task, const Attempt &attempt, TimePoint now)
+{
+    const StepSpec &step = job.step(id);
+    if (!m_options.features.hostSpeed || step.longRunning || step.gang) {
+        return;
+    }
+    // A later run may have continued from a checkpoint. A paced run is slow because of the services beside it.
+    if (attempt.run == 1 && attempt.share >= FullShare && !attempt.restored) {
+        task.fullSpeedTime = now - attempt.startedAt;
+        task.fullSpeedHost = attempt.host;
+    }
+    if (job.isStepFinished(id.occurrence, id.step)) {
+        m_hostSpeed.onStepEnd(job.stepTasks(id.occurrence, id.step), now);
+    }
 }
 
 void Scheduler::delayRestart(Task &task, const Attempt &attempt, TimePoint now) const
@@ -464,7 +546,8 @@
             member.failedRun = std::max(member.failedRun, task.failedRun);
         }
     }
-    if (!step.longRunning && task.failures >= job.queue().maxAttempts && !task.done) {
+    // While another attempt of a speculative task is left, it may still succeed; see dropAttempt().
+    if (!job.allowsRun(step, task) && !task.done && task.attempts.size() == 1) {
         job.fail();
         report(run, host.host.name(), "job-failed");
     }
@@ -581,6 +664,10 @@
             attempt->phase = AttemptPhase::Running;
             attempt->progressedAt = now;
         }
+        if (attempt->restored && found->second->step(running.run.task).speculative) {
+            // Started under a previous leader; a prediction from its progress needs the time since then.
+            attempt->startedAt = std::min(attempt->startedAt, now - running.listedFor);
+        }
         if (running.listedFor >= SurvivalTime) {
             markSurvived(host, *found->second, *task, *attempt);
         }
@@ -591,6 +678,11 @@
         attempt->noReply = false;
         attempt->resend = false;
         attempt->share = running.share;
+        if (running.share >= m_relocation.options().slowShare) {
+            attempt->slowSince.reset();
+        } else if (!attempt->slowSince) {
+            attempt->slowSince = now;
+        }
         if (attempt->percent != running.percent) {
             attempt->percent = running.percent;
             attempt->progressedAt = now;
@@ -696,10 +788,19 @@
         if (!attempt->survivedStart) {
             state.host.removeRecentStart(job.spec().id, attempt->suspected);
         }
+        if (attempt->isCopy) {
+            const std::string_view result = task.finishedBy == run ? "won" : task.done ? "lost" : "no-result";
+            reportCopy(*attempt, id, result);
+        }
         job.removeAttempt(task, attempt);
         state.host.release(job.step(id));
         state.attempts.erase({.task = id, .run = run});
         markDirty(job);
+        const StepSpec &step = job.step(id);
+        if (step.speculative && task.attempts.empty() && isStillNeeded(job, task) && !job.allowsRun(step, task)) {
+            job.fail();
+            report({.task = id, .run = run}, host, "job-failed");
+        }
     }
 }
 
@@ -863,12 +964,14 @@
 void Scheduler::plan(TimePoint now, std::int64_t unixMs)
 {
     m_waiting = {};
+    m_unplaced.clear();
     m_placedStarts = 0;
     releaseLostHosts(now);
     const bool supervisesAll = now - m_supervisedAt >= SuperviseInterval;
     if (supervisesAll) {
         m_supervisedAt = now;
     }
+    m_slowRuns.clear();
     std::vector<Job *> open;
     for (auto next = m_active.begin(); next != m_active.end();) {
         Job &job = *m_jobs.at(*next);
@@ -889,17 +992,27 @@
     if (hosts.empty()) {
         return;
     }
-    JobOrder(now).sort(open);
-    Placement placement({}, *m_view, m_fillerAdmission, hosts);
-    Placement interferingPlacement({.allowsInterference = true}, *m_view, m_fillerAdmission, hosts);
+    JobOrder(orderRule(), now).sort(open);
+    const bool groupsServices = m_options.features.groupServices;
+    const HostSpeed *speed = m_options.features.hostSpeed ? &m_hostSpeed : nullptr;
+    Placement placement({.groupsServices = groupsServices, .hostSpeed = speed}, *m_view, m_fillerAdmission, hosts);
+    Placement interferingPlacement({.allowsInterference = true, .groupsServices = groupsServices, .hostSpeed = speed},
+                                   *m_view,
+                                   m_fillerAdmission,
+                                   hosts);
     const bool mostlyFree = isMostlyFree(hosts);
-    for (Job *job : open) {
-        if (m_placedStarts >= MaxPlacedStarts) {
-            break;
-        }
+    std::size_t firstWaitingRank = open.size();
+    for (std::size_t rank = 0; rank < open.size() && m_placedStarts < MaxPlacedStarts; ++rank) {
+        Job *job = open[rank];
         const bool starving = isStarving(*job, now) && mostlyFree;
         planJob(*job, starving ? interferingPlacement : placement, now, unixMs);
+        if (m_waiting.unplaced > 0 && firstWaitingRank == open.size()) {
+            firstWaitingRank = rank;
+        }
     }
+    moveSlowRuns(open, firstWaitingRank, placement, now);
+    preempt(open, hosts, placement, now);
+    startCopies(open, hosts, placement, now);
     m_waiting.comparisons = placement.comparisons() + interferingPlacement.comparisons();
 }
 
@@ -962,6 +1075,9 @@
     if (++m_waiting.unplaced == 1) {
         m_waiting.firstUnplaced = id.toString();
     }
+    if (m_options.features.preemption) {
+        m_unplaced.push_back(id);
+    }
 }
 
 void Scheduler::placeGang(Job &job, const TaskId &first, Placement &placement, TimePoint now)
@@ -1016,12 +1132,83 @@
                     .upstream = host.upstream()->identity,
                     .phase = AttemptPhase::Planned,
                     .suspected = task.suspected,
+                    .isCopy = !task.attempts.empty(),
                     .since = now,
                     .startedAt = now,
                     .progressedAt = now});
     markDirty(job);
 }
 
+void Scheduler::moveSlowRuns(std::span<Job *const> order,
+                             std::size_t firstWaitingRank,
+                             Placement &placement,
+                             TimePoint now)
+{
+    const auto hasPlace = [&](const RunId &run) {
+        // The next free place goes to a task of the first job of the order that waits.
+        const Job *job = find(run.task.job);
+        const auto rank = static_cast<std::size_t>(std::ranges::find(order, job) - order.begin());
+        return (rank <= firstWaitingRank && firstWaitingRank < order.size())
+            || placement.choose(*job, run.task, now) != nullptr;
+    };
+    for (const RunId &run : m_relocation.select(std::exchange(m_slowRuns, {}), hasPlace, now)) {
+        Task &task = *m_jobs.find(run.task.job)->second->findTask(run.task);
+        Attempt &attempt = task.attempts.front();
+        ++task.moves;
+        task.movedFrom.push_back(attempt.host);
+        stop(run.task, attempt, "moved", now);
+    }
+}
+
+void Scheduler::startCopies(std::span<Job *const> order,
+                            std::span<Host *const> hosts,
+                            Placement &placement,
+                            TimePoint now)
+{
+    // A plan that has reached its limit does not show whether further tasks would wait for room.
+    if (!m_options.features.copies || m_waiting.unplaced > 0 || m_placedStarts >= MaxPlacedStarts) {
+        return;
+    }
+    for (const CopyPlanner::Copy &copy : m_copyPlanner.plan(order, hosts, now)) {
+        Job &job = *m_jobs.find(copy.task.job)->second;
+        Task &task = *job.findTask(copy.task);
+        Host *host = placement.choose(job, copy.task, now);
+        if (host == nullptr || host->isSuspect(now)) {
+            continue;
+        }
+        place(job, copy.task, *host, task.lastRun + 1, now);
+        ++task.copies;
+        task.attempts.back().expectedGain = copy.gain;
+        reportCopy(task.attempts.back(), copy.task, "started");
+    }
+}
+
+void Scheduler::reportCopy(const Attempt &copy, const TaskId &id, std::string_view event) const
+{
+    if (m_options.onCopy) {
+        m_options.onCopy({.run = {.task = id, .run = copy.run},
+                          .host = copy.host,
+                          .event = event,
+                          .expectedGain = std::chrono::duration_cast<Milliseconds>(copy.expectedGain)});
+    }
+}
+
+void Scheduler::preempt(std::span<Job *const> order,
+                        std::span<Host *const> hosts,
+                        const Placement &placement,
+                        TimePoint now)
+{
+    if (m_unplaced.empty() || !m_preemption.isDue(now)) {
+        return;
+    }
+    const PreemptionSurvey survey(order, m_unplaced, hosts, placement, now);
+    for (const RunId &run : m_preemption.plan(survey.waiting(), survey.running(), survey.rooms(), now)) {
+        Task &task = *m_jobs.find(run.task.job)->second->findTask(run.task);
+        task.preemptedAt = now;
+        stop(run.task, task.attempts.front(), "preempted", now);
+    }
+}
+
 void Scheduler::superviseAttempts(Job &job, TimePoint now)
 {
     std::vector<RunId> unsent;
@@ -1105,6 +1292,9 @@
     if (attempt.share < PacedShareThreshold) {
         // Paced by the agent of its host, so the lack of progress is no fault of the upstream.
         attempt.progressedAt = now;
+        if (const auto gain = m_relocation.gain(step, task, attempt, now); gain && m_options.features.relocation) {
+            m_slowRuns.push_back({.run = {.task = id, .run = attempt.run}, .gain = *gain});
+        }
         return;
     }
     if (now - attempt.progressedAt > stallLimit) {
@@ -1127,7 +1317,7 @@
 {
     const Task &task = *job.findTask(id);
     const auto host = m_hosts.find(attempt.host);
-    if (!isStillNeeded(job, task) || host == m_hosts.end()) {
+    if (!isStillNeeded(job, task) || host == m_hosts.end() || (attempt.isCopy && !job.allowsRun(job.step(id), task))) {
         return false;
     }
     const UpstreamDescription *upstream = host->second->host.upstream();
@@ -1155,9 +1345,17 @@
                 }
             }
         });
-        for (const auto &[name, host] : m_hosts) {
-            for (auto &[number, end] : host->pendingEnds) {
-                end.committing = end.committing || end.job == id;
+        if (const auto hosts = m_endHosts.find(id); hosts != m_endHosts.end()) {
+            for (const std::string &name : hosts->second) {
+                ++m_endChecks;
+                const auto host = m_hosts.find(name);
+                if (host == m_hosts.end()) {
+                    continue;
+                }
+                for (auto &[number, end] : host->second->pendingEnds) {
+                    ++m_endChecks;
+                    end.committing = end.committing || end.job == id;
+                }
             }
         }
         m_committing.insert_or_assign(id, found->second->isOver());
@@ -1170,10 +1368,7 @@
 {
     const auto written = m_committing.extract(std::string(id));
     const bool isFinal = !written.empty() && written.mapped();
-    for (const auto &[name, host] : m_hosts) {
-        std::erase_if(host->pendingEnds,
-                      [&](const auto &entry) { return entry.second.committing && entry.second.job == id; });
-    }
+    acknowledgeEnds(id);
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end()) {
         return;
@@ -1273,6 +1468,7 @@
     }
     m_active.erase(std::string(id));
     m_storedFinalStates.erase(std::string(id));
+    m_admission.forget(id);
     m_jobs.erase(found);
     return true;
 }
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -1,11 +1,16 @@
 #pragma once
 
+#include "carobflow/scheduler/copyplanner.h"
 #include "carobflow/scheduler/host.h"
+#include "carobflow/scheduler/hostspeed.h"
 #include "carobflow/scheduler/job.h"
+#include "carobflow/scheduler/jobadmission.h"
 #include "carobflow/scheduler/leasetimes.h"
 #include "carobflow/scheduler/operatorview.h"
 #include "carobflow/scheduler/orders.h"
 #include "carobflow/scheduler/placement.h"
+#include "carobflow/scheduler/preemptionplanner.h"
+#include "carobflow/scheduler/relocation.h"
 #include "carobflow/scheduler/schedulingfeatures.h"
 
 #include <cstddef>
@@ -46,6 +51,16 @@
     std::string_view job;
 };
 
+/// A copy of a task has been started or has ended.
+struct CopyChange {
+    RunId run;
+    std::string_view host;
+    /// "started"; or at the end of the copy "won", "lost" to another attempt, or "no-result" when the task is not done.
+    std::string_view event;
+    /// How much earlier than the first attempt the copy was expected to end; 0 when a previous leader decided it.
+    Milliseconds expectedGain{0};
+};
+
 /// Tasks that are ready and have no run, and the hosts for whose leases others wait.
 struct WaitingTasks {
     /// Steps and gangs for which the last plan found no host, and the first task among them in the order of the plan.
@@ -80,12 +95,15 @@
         /// Time without a report after which a host gets no starts; three report intervals.
         Milliseconds reportTimeout{1200};
         SchedulingFeatures features = {};
+        JobAdmission::Options admission = {};
         /// Called for the log whenever a run ends, is abandoned or fails its job.
         std::function<void(const RunId &run, std::string_view host, std::string_view event)> onDecision;
         /// Called for the log and the counters.
         std::function<void(const UpstreamCrash &crash)> onUpstreamCrash;
         /// Called for the log when a host on which runs are placed stops reporting, reports again, or is given up.
         std::function<void(const HostContactChange &change)> onHostContact;
+        /// Called for the log and the counters when a copy of a task is started, and when it ends.
+        std::function<void(const CopyChange &change)> onCopy;
     };
 
     enum class Submission { Accepted, Known };
@@ -98,6 +116,15 @@
     /// Replaces the operators' configuration.
     void setOperatorView(std::shared_ptr<const OperatorView> view);
 
+    /// Decides whether a job that is not known is accepted; see JobAdmission.
+    JobAdmission::Decision admit(const JobSpec &spec, TimePoint now);
+
+    /// Counts of the decisions since the last call, for the log.
+    JobAdmission::Summary takeAdmissionSummary()
+    {
+        return m_admission.takeSummary();
+    }
+
     /// Accepts a job. It must not be acknowledged to the client before commitJob() for the job. `lastKnownQueue` is
     /// used when the operators have removed the job's queue since the job was accepted elsewhere.
     Submission submit(JobSpec spec, TimePoint now, std::optional<Queue> lastKnownQueue = std::nullopt);
@@ -197,6 +224,12 @@
 
     [[nodiscard]] std::vector<const Host *> hosts() const;
 
+    /// Number of steps of which the tasks have been compared to find slow ones.
+    [[nodiscard]] std::size_t examinedSteps() const
+    {
+        return m_copyPlanner.examinedSteps();
+    }
+
     /// Counts hosts; those whose last report is younger than `timeout` are reporting.
     [[nodiscard]] ContactCount contact(TimePoint now, Duration timeout) const;
 
@@ -213,6 +246,13 @@
         return m_waiting;
     }
 
+    /// Number of ends that takeDirtyJobs() and commitJob() have examined so far, and of hosts that they have searched
+    /// for such ends.
+    [[nodiscard]] std::size_t endChecks() const
+    {
+        return m_endChecks;
+    }
+
     /// Headroom that services of one image lose per core of fillers of another.
     [[nodiscard]] double effect(std::string_view serviceImage, std::string_view fillerImage) const
     {
@@ -233,6 +273,8 @@
     /// Settles the attempts of which the upstream's lists had to show whether they run.
     void settleUnlisted(HostState &host, const HostReport &report, TimePoint now);
     void observeColocation(const HostReport &report, TimePoint now);
+    /// Notes how long a finished task took, for the speed of its host.
+    void noteRunTime(const Job &job, const TaskId &id, Task &task, const Attempt &attempt, TimePoint now);
     void countFailure(Job &job, Task &task, HostState &host, const RunId &run, TimePoint now);
     /// Runs whose start the upstream may have performed and has not survived yet.
     [[nodiscard]] std::vector<RunId> recentStarts(const HostState &host) const;
@@ -260,15 +302,27 @@
     void noteUnplaced(const TaskId &id);
     void placeGang(Job &job, const TaskId &first, Placement &placement, TimePoint now);
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
+    /// Stops runs that services hold back, so that their tasks continue on other hosts.
+    void moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, Placement &placement, TimePoint now);
+    /// Starts copies of slow tasks of speculative steps.
+    void startCopies(std::span<Job *const> order, std::span<Host *const> hosts, Placement &placement, TimePoint now);
+    void reportCopy(const Attempt &copy, const TaskId &id, std::string_view event) const;
+    /// Stops runs of batch work for tasks that found no host and lose more by waiting.
+    void preempt(std::span<Job *const> order, std::span<Host *const> hosts, const Placement &placement, TimePoint now);
     void superviseAttempts(Job &job, TimePoint now);
     void supervise(Job &job, const TaskId &id, Task &task, Attempt &attempt, TimePoint now);
     void stop(const TaskId &id, Attempt &attempt, std::string_view reason, TimePoint now);
+    [[nodiscard]] JobOrder::Rule orderRule() const;
     [[nodiscard]] bool canStillStart(const Job &job, const TaskId &id, const Attempt &attempt) const;
     [[nodiscard]] std::vector<Host *> usableHosts(TimePoint now) const;
     /// True for an unfinished job that has had no attempt for longer than the starvation time.
     bool isStarving(const Job &job, TimePoint now);
     [[nodiscard]] bool isUsable(const HostState &host, TimePoint now) const;
     void markDirty(const Job &job);
+    /// Notes an end that is acknowledged with the next write of the job.
+    void addPendingEnd(HostState &host, std::uint64_t number, const std::string &job);
+    /// Acknowledges the ends that the write of the job contained.
+    void acknowledgeEnds(std::string_view job);
     void report(const RunId &run, std::string_view host, std::string_view event) const;
 
     Options m_options;
@@ -278,6 +332,9 @@
     /// Jobs that are not over or still have attempts.
     std::set<std::string, std::less<>> m_active;
     std::map<std::string, std::unique_ptr<HostState>, std::less<>> m_hosts;
+    /// The hosts that have ends which a write of the job acknowledges, by job. May name hosts without such ends.
+    std::map<std::string, std::set<std::string, std::less<>>, std::less<>> m_endHosts;
+    std::size_t m_endChecks = 0;
     std::set<std::string, std::less<>> m_dirty;
     /// The jobs of m_dirty in the order of their first change.
     std::deque<std::string> m_dirtyOrder;
@@ -289,6 +346,15 @@
     std::map<std::string, TimePoint, std::less<>> m_idleSince;
     /// Starts that the current plan has placed; those of a gang that was given up count as well.
     std::size_t m_placedStarts = 0;
+    Relocation m_relocation{Relocation::Options{}};
+    JobAdmission m_admission;
+    /// Runs that may move, from the last check of all attempts.
+    std::vector<Relocation::Candidate> m_slowRuns;
+    CopyPlanner m_copyPlanner{CopyPlanner::Options{}};
+    HostSpeed m_hostSpeed{HostSpeed::Options{}};
+    PreemptionPlanner m_preemption{PreemptionPlanner::Options{}};
+    /// One task of each step that the last plan found no host for, in the order of the plan.
+    std::vector<TaskId> m_unplaced;
     WaitingTasks m_waiting;
     std::vector<std::string> m_silentHosts;
     std::vector<std::string> m_restartedHosts;
