--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,61 +1,54 @@
-"""LOST: a job is accepted for a queue that the leader has never seen, and is never run."""
+"""TWICE: after a check-in of another writer, a task that is running is started on a second worker."""
 
 import asyncio
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common-2"))
-from bed import TROUBLE, Skip, Worker, configuration, run_case  # noqa: E402
+from bed import HOST, TROUBLE, Skip, Worker, free_port, http, run_case  # noqa: E402
 
-JOB = "00000000000000b7"
-FINISH_S = 14.0
-IDLE_S = 3.0
+JOB = "00000000000000a6"
+WORK_MS = 8000
 
 
 async def case(bed):
-    workers = [Worker(bed.record, f"i-{n}", labels=["a", f"r1-{n}"]) for n in range(1, 4)]
+    workers = [Worker(bed.record, f"i-{n}", labels=["a", f"r1-{n}"]) for n in (1, 2, 3)]
     await bed.start(workers)
-    leader = bed.leader()
-    bed.record.note(f"{leader.name} leads")
-    silent = asyncio.Event()
-
-    async def on_call(door, request, writer):
-        is_feed = request.path == "/carobflow/rows-feed" and request.query.get("table") == "op"
-        if door != leader.name or not is_feed or silent.is_set():
-            return False, None
-        silent.set()
-        if not TROUBLE:
-            return False, None
-        bed.store.silenced.add(writer)
-        bed.record.note(f"one of the open connections of {door} to the store goes silent; the others and new ones work")
-        return True, None
-
-    bed.store.on_call = on_call
-    await asyncio.wait_for(silent.wait(), 10)
-    await asyncio.sleep(0.1)
-    await bed.store.operator("config", configuration(2, ["desk", "rush"]))
-    await asyncio.sleep(0.5)
-    status, _ = await bed.client(bed.entries[0], "POST", JOB,
-                                 [{"count": 1, "cpu": 500, "memory-limit-mb": 256, "estimated-ms": 500}],
-                                 "500", route="rush")
+    step = {"count": 1, "cpu": 500, "memory-limit-mb": 256, "estimated-ms": WORK_MS}
+    status, _ = await bed.client(bed.entries[0], "POST", JOB, [step], str(WORK_MS))
     if status != 200:
         raise Skip("the job was not accepted")
-    accepted = bed.record.now()
-    await bed.store.operator("config", configuration(3, ["desk"]))
-    while not bed.starts(JOB) and bed.record.now() < accepted + FINISH_S + IDLE_S:
-        await asyncio.sleep(0.1)
-    # The queue is gone, so the state is asked for under the one that is left; ids are the clients' own.
+    task = f"{JOB}.0.0.0"
+    worker = await bed.wait_for(lambda: next((worker for worker in workers if task in worker.running), None), 10,
+                                "the task runs")
+    await asyncio.sleep(1)
+    if TROUBLE:
+        # Well-formed, but of a service that the configuration doesn't name.
+        check_in = {"service": "print-server", "address": f"{HOST}:{free_port()}", "zone": "z1", "version": "v7",
+                    "slots": 4, "state": "ready", "cold-remaining-ms": 0,
+                    "capacity": {"cpu": 8000, "memory-limit-mb": 16000, "gpus": 0}, "labels": ["x", "r9-9"],
+                    "clock-ms": 100, "sequence": 1, "born": int(time.time() * 1000)}
+        bed.record.note(f"another writer sends a check-in to the agent of {worker.id}: {check_in}")
+        status, _ = await http(worker.agent_port, "POST", "/carobflow/workers/p-77/heartbeat", check_in)
+        bed.record.note(f"the other writer has {status}")
+    overlap = None
+    until = bed.record.now() + 25
+    while bed.record.now() < until and overlap is None:
+        running = [(other.id, other.running[task]["run"]) for other in workers if task in other.running]
+        if len(running) > 1:
+            overlap = bed.record.now(), running
+        if not running and any(end[3] == "done" for other in workers for end in other.ends if end[1] == task):
+            break
+        await asyncio.sleep(0.01)
+    if overlap is None:
+        return None
+    await asyncio.sleep(10)
     await bed.client(bed.entries[1], "GET", JOB)
-    others = await bed.client(bed.entries[0], "POST", "00000000000000c7",
-                              [{"count": 1, "cpu": 500, "memory-limit-mb": 256, "estimated-ms": 500}], "500")
-    if others[0] != 200:
-        raise Skip("the second job was not accepted")
-    await bed.wait_for(lambda: bed.starts("00000000000000c7"), 5, "the second job runs")
-    if not bed.starts(JOB):
-        return (f"the job {JOB} was accepted at {accepted:.3f} s and has not been started at {bed.record.now():.3f} s, "
-                "with all workers idle, while a later job has run")
-    return None
+    bed.record.note(f"{worker.id} has sent {worker.sequence} check-ins; it is ready, and runs {sorted(worker.running)}")
+    return (f"at {overlap[0]:.3f} s {task} runs at the same time on {overlap[1][0][0]} (run {overlap[1][0][1]}) and on "
+            f"{overlap[1][1][0]} (run {overlap[1][1][1]}), and all workers are up")
 
 
 run_case(HERE, case)
