review: case 10, a job whose cancelling was acknowledged with 410 is taken from a frozen entry and run

The entry takes a POST of a client that has gone, and the DELETE at another entry left nothing behind (UNASKED).

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,46 +1,41 @@
-"""LOST: a job is given up for crashes of workers that never started its task."""
+"""UNASKED: a job whose cancelling was acknowledged with 410 is taken by an entry that was frozen, and is run."""
 
 import asyncio
 import os
+import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common-2"))
-from bed import TROUBLE, Skip, Worker, run_case  # noqa: E402
+from bed import CANCEL_S, TROUBLE, Skip, Worker, run_case  # noqa: E402
 
-JOB = "00000000000000a8"
-DARK_S = 4.0  # The site file of the repair co-op: srv_crash, for_s = 4.5, how = "dark gone".
+JOB = "00000000000000d9"
+FROZEN_S = 3.5  # The site file: node_freeze, for_s = 4.0.
+PATIENCE_MS = 1500
+FIRST_MS = 3000
 
 
 async def case(bed):
-    workers = [Worker(bed.record, f"i-{n}", labels=["a" if n < 6 else "b", f"r1-{n}"]) for n in range(1, 8)]
+    workers = [Worker(bed.record, f"i-{n}", labels=["a", f"r1-{n}"]) for n in (1, 2, 3)]
     await bed.start(workers)
-    first, second = workers[5:]
+    frozen, other = bed.entries
     if TROUBLE:
-        await first.lose_power()
-        await asyncio.sleep(0.2)
-    status, _ = await bed.client(bed.entries[0], "POST", JOB,
-                                 [{"count": 1, "cpu": 500, "memory-limit-mb": 256, "estimated-ms": 1000,
-                                   "constraints": "b"}], "1000")
-    if status != 200:
-        raise Skip("the job was not accepted")
-    if TROUBLE:
-        await asyncio.sleep(DARK_S - 0.5)
-        await second.lose_power()
-        await asyncio.sleep(0.3)
-        await first.return_as("i-8")
-        await asyncio.sleep(DARK_S - 0.3)
-        await second.return_as("i-9")
-    state = None
-    until = bed.record.now() + 12
-    while state not in ("completed", "failed") and bed.record.now() < until:
-        await asyncio.sleep(0.5)
-        state = ((await bed.client(bed.entries[1], "GET", JOB))[1] or {}).get("state")
-    if state == "failed":
-        ends = [end for worker in workers for end in worker.ends if end[1].startswith(JOB)]
-        if not bed.starts(JOB):
-            return f"the job {JOB} is shown as failed; its task was never started on any worker"
-        raise Skip(f"the job failed after starts {bed.starts(JOB)} and ends {ends}")
+        frozen.signal(signal.SIGSTOP)
+        asyncio.get_running_loop().call_later(FROZEN_S, lambda: frozen.signal(signal.SIGCONT))
+    steps = [{"count": 1, "cpu": 500, "memory-limit-mb": 256, "estimated-ms": FIRST_MS},
+             {"count": 1, "cpu": 500, "memory-limit-mb": 256, "estimated-ms": FIRST_MS, "after": [0]}]
+    await bed.client(frozen, "POST", JOB, steps, str(FIRST_MS), wait_ms=PATIENCE_MS)
+    bed.record.note(f"the client gives up on {JOB}, and cancels it")
+    status, _ = await bed.client(other, "DELETE", JOB)
+    if status not in (200, 410):
+        raise Skip("the cancelling was not acknowledged")
+    acknowledged = bed.record.now()
+    await asyncio.sleep(10)
+    await bed.client(other, "GET", JOB)
+    late = [start for start in bed.starts(JOB) if start[0] > acknowledged + CANCEL_S]
+    if late:
+        return (f"the cancelling of {JOB} was acknowledged at {acknowledged:.3f} s with {status}, and {late[0][1]} was "
+                f"started at {late[0][0]:.3f} s on worker {late[0][3]}")
     return None
 
 
