Use an announced identity only when the upstream has answered under it

The leader gave up its runs and started their tasks elsewhere while they went on, and the upstream was not used again until its agent restarted.

Cause: the agent took any announcement with a later start time for the next incarnation of its upstream. What an input may change was decided before it was known whose input it is.

Change: an announcement of another identity waits, bounded in number and age, until the upstream has answered a call for its lists under that id and with that start time. That answer also proves that the process before it is gone, which is what the leader relies on when it releases its runs at once. Under the known identity, another service has to be configured; the service of the known upstream is not asked for, so that a late configuration costs no leases. Start times order only what the upstream itself has listed within five seconds. Refusals are counted by the field at fault and logged once a second.

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -27,6 +27,11 @@
 /// The same while fillers run beside services, whose tail latency can exceed its target within a second.
 constexpr Milliseconds PacedRenewWait{100};
 constexpr Milliseconds RenewRetryDelay{100};
+/// Time after which a pending announcement is looked for without a notice.
+constexpr Seconds ConfirmIdleInterval{10};
+/// Time after an answer of the upstream for which it proves that announcements of earlier incarnations are late. Later
+/// the upstream is asked again, since an incarnation whose clock was set back has an earlier start time.
+constexpr Milliseconds ListedProofTime{5000};
 /// Delay between calls while ended runs are not acknowledged, since the upstream then answers at once. Newly ended runs
 /// are seen this much later.
 constexpr Milliseconds PendingEndsRenewInterval{25};
@@ -60,16 +65,19 @@
                      UpstreamLink &link,
                      LeaderDirectory &directory,
                      OperatorSync &operators,
-                     ControlCaller &caller)
+                     ControlCaller &caller,
+                     AnnouncementReport &announcements)
     : m_strand(asio::make_strand(executor))
     , m_options(std::move(options))
     , m_link(link)
     , m_directory(directory)
     , m_operators(operators)
     , m_caller(caller)
+    , m_announcements(announcements)
     , m_incarnation(randomNumber())
     , m_reportNow(m_strand)
     , m_renewNow(m_strand)
+    , m_confirmNow(m_strand)
     , m_leases(m_options.leaseTimes, suspendAwareNow())
     , m_leaderAnsweredAt(suspendAwareNow())
 {
@@ -79,6 +87,7 @@
 {
     spawnLoop(m_strand, renewLoop());
     spawnLoop(m_strand, reportLoop());
+    spawnLoop(m_strand, confirmLoop());
 }
 
 Duration HostAgent::leaderSilence() const
@@ -86,12 +95,14 @@
     return suspendAwareNow() - m_leaderAnsweredAt;
 }
 
-void HostAgent::resetUpstream(const Scheduling::UpstreamDescription &upstream)
+void HostAgent::resetUpstream(const Scheduling::UpstreamAnnouncement &announcement)
 {
+    const Scheduling::UpstreamDescription &upstream = announcement.upstream;
     logInfo("upstream-known")
         .with("upstream", upstream.identity.id)
         .with("incarnation", upstream.identity.incarnation)
         .with("service", upstream.service)
+        .with("service_configured", isNamedService(upstream.service))
         .with("before", m_upstream ? m_upstream->identity.id : "none");
     if (m_upstream && m_upstream->identity.id == upstream.identity.id) {
         m_leases.onRestarted(suspendAwareNow());
@@ -110,34 +121,112 @@
     m_moreEnds = false;
     m_unreadable.clear();
     m_descriptions.clear();
+    use(announcement, true);
     m_renewNow.notify();
 }
 
-void HostAgent::onAnnouncement(const Scheduling::UpstreamDescription &upstream, std::uint64_t sequence)
+void HostAgent::use(const Scheduling::UpstreamAnnouncement &announcement, bool isNew)
 {
-    const bool isNew = !m_upstream || upstream.identity.incarnation > m_upstream->identity.incarnation;
-    const bool isOutdated = m_upstream && upstream.identity.id == m_upstream->identity.id
-        && upstream.identity.incarnation < m_listedIncarnation;
-    if (isOutdated) {
-        logDebug("announcement-outdated").with("upstream", upstream.identity.id).with("listed", m_listedIncarnation);
-        return;
-    }
-    if (isNew) {
-        resetUpstream(upstream);
-    } else if (upstream.identity != m_upstream->identity || sequence <= m_sequence) {
-        logDebug("announcement-ignored").with("upstream", upstream.identity.id).with("sequence", sequence);
-        return;
-    }
-    const bool drainingNow = upstream.draining && (isNew || !m_upstream->draining);
-    m_sequence = sequence;
-    m_upstream = upstream;
+    const bool drainingNow = announcement.upstream.draining && (isNew || !m_upstream->draining);
+    m_sequence = announcement.sequence;
+    m_upstream = announcement.upstream;
     if (drainingNow) {
-        logInfo("upstream-draining").with("upstream", upstream.identity.id);
+        logInfo("upstream-draining").with("upstream", m_upstream->identity.id);
         m_reportDue = true;
         m_reportNow.notify();
     }
 }
 
+bool HostAgent::isNamedService(std::string_view service) const
+{
+    const auto view = m_operators.current();
+    return view && view->namesService(service);
+}
+
+bool HostAgent::isOutdated(const Scheduling::UpstreamIdentity &identity) const
+{
+    return m_upstream && identity.id == m_upstream->identity.id && identity.incarnation < m_listedIncarnation
+        && suspendAwareNow() - m_listedAt <= ListedProofTime;
+}
+
+AnnouncementOutcome HostAgent::onAnnouncement(Scheduling::UpstreamAnnouncement announcement)
+{
+    const Scheduling::UpstreamIdentity &identity = announcement.upstream.identity;
+    if (isOutdated(identity)) {
+        logDebug("announcement-outdated").with("upstream", identity.id).with("listed", m_listedIncarnation);
+        return AnnouncementOutcome::Late;
+    }
+    if (m_upstream && m_upstream->identity == identity && !isSuperseded()) {
+        return update(announcement);
+    }
+    m_pending.add(std::move(announcement), suspendAwareNow());
+    m_confirmNow.notify();
+    return AnnouncementOutcome::Pending;
+}
+
+AnnouncementOutcome HostAgent::update(const Scheduling::UpstreamAnnouncement &announcement)
+{
+    const Scheduling::UpstreamDescription &upstream = announcement.upstream;
+    // An upstream keeps its service for life. The service may be missing in the configuration for a while, so that of a
+    // known upstream is not asked for.
+    const bool isOtherService = upstream.service != m_upstream->service;
+    if (isOtherService && !isNamedService(upstream.service)) {
+        m_announcements.recordRefusal(upstream.identity.id, "service");
+        return AnnouncementOutcome::Refused;
+    }
+    // A service that is not configured cannot have been announced by the upstream that announces a configured one.
+    const bool isCorrection = isOtherService && !isNamedService(m_upstream->service);
+    if (announcement.sequence <= m_sequence && !isCorrection) {
+        logDebug("announcement-late").with("upstream", upstream.identity.id).with("sequence", announcement.sequence);
+        return AnnouncementOutcome::Late;
+    }
+    use(announcement, false);
+    return AnnouncementOutcome::Taken;
+}
+
+asio::awaitable<void> HostAgent::confirmLoop()
+{
+    for (;;) {
+        const auto next = m_pending.next(suspendAwareNow());
+        if (!next) {
+            co_await m_confirmNow.waitUntil(std::chrono::steady_clock::now() + ConfirmIdleInterval);
+            continue;
+        }
+        const bool answered = co_await confirm(next->upstream.identity);
+        if (!answered) {
+            co_await m_confirmNow.waitUntil(std::chrono::steady_clock::now() + RenewRetryDelay);
+        }
+    }
+}
+
+asio::awaitable<bool> HostAgent::confirm(Scheduling::UpstreamIdentity identity)
+{
+    const Epoch epoch = m_epoch;
+    const TimePoint sentAt = suspendAwareNow();
+    // No lease and no number of stored ends: the receiver may be another process than the announced one.
+    LeaseRequest request{.upstream = identity, .fencingToken = epoch};
+    const LeaseOutcome outcome = co_await m_link.renew(std::move(request));
+    if (std::holds_alternative<UpstreamSilent>(outcome)) {
+        co_return false;
+    }
+    const auto announcement = m_pending.take(identity);
+    if (!announcement) {
+        co_return true;
+    }
+    const auto *lists = std::get_if<UpstreamLists>(&outcome);
+    if (lists == nullptr || lists->incarnation != identity.incarnation) {
+        const bool isNamed = isNamedService(announcement->upstream.service);
+        m_announcements.recordRefusal(identity.id, !isNamed ? "service" : lists == nullptr ? "id" : "incarnation");
+        co_return true;
+    }
+    const TimePoint receivedAt = suspendAwareNow();
+    resetUpstream(*announcement);
+    m_listedAt = receivedAt;
+    m_leases.onAnswered(sentAt, receivedAt);
+    apply(*lists, epoch, receivedAt);
+    co_return true;
+}
+
 void HostAgent::onLeave(std::string_view upstreamId)
 {
     if (m_upstream && m_upstream->identity.id == upstreamId && !m_upstream->draining) {
@@ -218,6 +307,7 @@
         noteIncarnation(lists->incarnation);
         co_return false;
     }
+    m_listedAt = endedAt;
     m_leases.onAnswered(sentAt, endedAt);
     apply(*lists, epoch, endedAt);
     co_return true;
@@ -234,6 +324,7 @@
         return;
     }
     m_listedIncarnation = incarnation;
+    m_listedAt = suspendAwareNow();
     logWarning("upstream-restarted")
         .with("upstream", m_upstream->identity.id)
         .with("incarnation", m_upstream->identity.incarnation)
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobflow/control/announcementreport.h"
 #include "carobflow/control/controlcaller.h"
 #include "carobflow/control/leaderdirectory.h"
 #include "carobflow/control/operatorsync.h"
@@ -8,11 +9,13 @@
 #include "carobflow/scheduler/host.h"
 #include "carobflow/scheduler/leaseaccount.h"
 #include "carobflow/scheduler/pacer.h"
+#include "carobflow/scheduler/pendingannouncements.h"
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -21,9 +24,24 @@
 namespace Carobflow
 {
 
+enum class AnnouncementOutcome {
+    /// It is in use now.
+    Taken,
+    /// It is used as soon as the upstream has answered under the announced identity.
+    Pending,
+    /// A newer one is in use.
+    Late,
+    /// It names no usable upstream.
+    Refused,
+};
+
 /// The agent of an upstream, and the only process that calls it. Renews the upstream's leases as the leader allows,
 /// executes the leader's orders, reports running and ended runs, and paces fillers.
 ///
+/// Any program can send an announcement. One of another identity than the known one therefore changes nothing until the
+/// upstream itself, at its address on this host, has answered a call under that identity. That answer also proves that
+/// the process before it is gone, since only one process listens there.
+///
 /// All members but the constructor run on the agent's strand.
 class HostAgent
 {
@@ -41,7 +59,8 @@
               UpstreamLink &link,
               LeaderDirectory &directory,
               OperatorSync &operators,
-              ControlCaller &caller);
+              ControlCaller &caller,
+              AnnouncementReport &announcements);
 
     [[nodiscard]] const boost::asio::any_io_executor &strand() const
     {
@@ -50,9 +69,8 @@
 
     void start();
 
-    /// Handles an announcement of the upstream. `sequence` orders the announcements of one incarnation; late ones are
-    /// ignored.
-    void onAnnouncement(const Scheduling::UpstreamDescription &upstream, std::uint64_t sequence);
+    /// Handles an announcement that may be the upstream's.
+    AnnouncementOutcome onAnnouncement(Scheduling::UpstreamAnnouncement announcement);
 
     /// Handles the upstream's notice that it is about to shut down.
     void onLeave(std::string_view upstreamId);
@@ -66,6 +84,15 @@
 private:
     boost::asio::awaitable<void> renewLoop();
     boost::asio::awaitable<void> reportLoop();
+    /// Asks the upstream whether pending announcements are its own.
+    boost::asio::awaitable<void> confirmLoop();
+    /// Returns false when the upstream does not answer.
+    boost::asio::awaitable<bool> confirm(Scheduling::UpstreamIdentity identity);
+    /// Handles an announcement of the known identity.
+    AnnouncementOutcome update(const Scheduling::UpstreamAnnouncement &announcement);
+    /// True when the upstream itself has lately listed a later incarnation of the same id.
+    [[nodiscard]] bool isOutdated(const Scheduling::UpstreamIdentity &identity) const;
+    [[nodiscard]] bool isNamedService(std::string_view service) const;
     /// Long-poll time of a call for the upstream's lists.
     [[nodiscard]] Milliseconds listWait() const;
     boost::asio::awaitable<bool> renewOnce(Milliseconds wait);
@@ -87,7 +114,9 @@
     void updatePacing(TimePoint now);
     void applyReply(const carobflow::control::ReportReply &reply, TimePoint sentAt);
     void adoptEpoch(Epoch epoch);
-    void resetUpstream(const Scheduling::UpstreamDescription &upstream);
+    void resetUpstream(const Scheduling::UpstreamAnnouncement &announcement);
+    /// Uses an announcement of the known identity.
+    void use(const Scheduling::UpstreamAnnouncement &announcement, bool isNew);
     /// The time on the upstream's clock at which a lease of this duration ends.
     [[nodiscard]] std::int64_t leaseUntil(TimePoint now, Milliseconds lease) const;
     /// Time for which the agent waits after an answered report although there is something to report.
@@ -111,14 +140,19 @@
     LeaderDirectory &m_directory;
     OperatorSync &m_operators;
     ControlCaller &m_caller;
+    AnnouncementReport &m_announcements;
     std::uint64_t m_incarnation;
     Notifier m_reportNow;
     Notifier m_renewNow;
+    Notifier m_confirmNow;
 
+    Scheduling::PendingAnnouncements m_pending{Scheduling::PendingAnnouncements::Options{}};
     std::optional<Scheduling::UpstreamDescription> m_upstream;
     std::uint64_t m_sequence = 0;
     /// The latest incarnation in the lists of an upstream with the id of the announced one.
     std::int64_t m_listedIncarnation = 0;
+    /// When it was last listed.
+    TimePoint m_listedAt;
     Epoch m_epoch = 0;
     Epoch m_fencedEpoch = 0;
     Scheduling::LeaseAccount m_leases;
--- a/packages/control/tests/hostagent_test.cpp
+++ b/packages/control/tests/hostagent_test.cpp
@@ -4,8 +4,13 @@
 
 #include "carobflow/control/conversion.h"
 
+#include <limits>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,13 +26,22 @@
 namespace
 {
 
-/// An upstream that answers every call. It lists ended and unreadable entries at once, and waits for them otherwise.
+/// An upstream that answers every call for its id. It lists ended and unreadable entries at once, and waits for them
+/// otherwise.
 class ListingUpstream final : public UpstreamLink
 {
 public:
     asio::awaitable<LeaseOutcome> renew(LeaseRequest request) override
     {
         ++calls;
+        asked.push_back(request.upstream);
+        leases += request.leaseUntilMs ? 1 : 0;
+        if (silent) {
+            co_return UpstreamSilent{"no answer"};
+        }
+        if (request.upstream.id != id) {
+            co_return OtherIncarnation{};
+        }
         acknowledged = request.acknowledgedEnd;
         if (lists.ended.empty() && lists.unreadable.empty() && request.wait > Milliseconds(0)) {
             co_await sleepFor(request.wait);
@@ -57,7 +71,12 @@
         co_return false;
     }
 
+    std::string id = "up";
     UpstreamLists lists;
+    bool silent = false;
+    /// The identities that calls named.
+    std::vector<Scheduling::UpstreamIdentity> asked;
+    std::size_t leases = 0;
     std::size_t calls = 0;
     std::size_t stops = 0;
     std::uint64_t acknowledged = 0;
@@ -72,7 +91,36 @@
         upstream.lists = {.incarnation = 1, .clockMs = 1000};
         asio::co_spawn(io, configure(), asio::detached);
         directory.learn(LeaderEpoch, {});
-        agent.onAnnouncement({.identity = {.id = "up", .incarnation = 1}}, 1);
+        announce({.id = "up", .incarnation = 1}, 1);
+    }
+
+    AnnouncementOutcome
+    announce(Scheduling::UpstreamIdentity identity, std::uint64_t sequence, std::string service = "desk")
+    {
+        return agent.onAnnouncement(
+            {.upstream = {.identity = std::move(identity), .service = std::move(service)}, .sequence = sequence});
+    }
+
+    void run(Milliseconds time)
+    {
+        io.run_for(time);
+    }
+
+    /// The service that the operators' configuration names from now on.
+    void configureService(const std::string &service)
+    {
+        run(Milliseconds(50));
+        asio::co_spawn(
+            io,
+            [this, service]() -> asio::awaitable<void> {
+                const auto rows = co_await table.snapshot("operators/");
+                const std::uint64_t version = valueOf(rows).rows.front().version;
+                const Transaction change{.conditions = {{.key = "operators/config", .version = version}},
+                                         .mutations = {{.key = "operators/config", .value = service}}};
+                co_await table.transact(change);
+            },
+            asio::detached);
+        run(Milliseconds(200));
     }
 
     /// Executes a start order and a stop order of the leader for two runs on an incarnation of the upstream.
@@ -109,7 +157,7 @@
 
     asio::awaitable<void> configure()
     {
-        const Transaction configuration{.conditions = {}, .mutations = {{.key = "operators/config", .value = "1"}}};
+        const Transaction configuration{.conditions = {}, .mutations = {{.key = "operators/config", .value = "desk"}}};
         co_await table.transact(configuration);
         co_await operators.watchStore();
     }
@@ -121,13 +169,19 @@
     LeaderDirectory directory;
     ChannelPool channels;
     ControlCaller caller{channels};
-    OperatorSync operators{
-        {.decode = [](const auto & /*rows*/) { return std::make_shared<const Scheduling::OperatorView>(); }},
-        table,
-        directory,
-        caller};
+    OperatorSync operators{{.decode =
+                                [](const std::map<std::string, Row> &rows) {
+                                    auto view = std::make_shared<Scheduling::OperatorView>();
+                                    view->services.insert(rows.at("operators/config").value);
+                                    return view;
+                                }},
+                           table,
+                           directory,
+                           caller};
     ListingUpstream upstream;
-    HostAgent agent{io.get_executor(), {.name = "host"}, upstream, directory, operators, caller};
+    std::vector<std::string> refusedFields;
+    AnnouncementReport announcements{[this](std::string_view field) { refusedFields.emplace_back(field); }};
+    HostAgent agent{io.get_executor(), {.name = "host"}, upstream, directory, operators, caller, announcements};
     Scheduling::RunId startedRun{.task = {.job = "started"}, .run = 1};
     Scheduling::RunId stoppedRun{.task = {.job = "stopped"}, .run = 1};
 };
@@ -157,8 +211,8 @@
 
         SECTION("Whatever the previous incarnations still announce")
         {
-            fixture.agent.onAnnouncement({.identity = {.id = "up", .incarnation = 1}}, 2);
-            fixture.agent.onAnnouncement({.identity = {.id = "up", .incarnation = 4}}, 1);
+            fixture.announce({.id = "up", .incarnation = 1}, 2);
+            fixture.announce({.id = "up", .incarnation = 4}, 1);
             CHECK(fixture.start(1) == Scheduling::StartOutcome::NotAccepted);
             CHECK(fixture.start(4) == Scheduling::StartOutcome::NotAccepted);
             fixture.io.run_for(Milliseconds(300));
@@ -166,7 +220,7 @@
         }
         SECTION("Until it announces itself")
         {
-            fixture.agent.onAnnouncement({.identity = {.id = "up", .incarnation = 5}}, 1);
+            fixture.announce({.id = "up", .incarnation = 5}, 1);
             fixture.io.run_for(Milliseconds(150));
             CHECK(upstream.calls > calls);
             CHECK(fixture.start(5) == Scheduling::StartOutcome::LeaseOver);
@@ -263,4 +317,135 @@
     }
 }
 
+TEST_CASE("An announcement of another program does not displace the upstream", "[hostagent][foreign]")
+{
+    // Guards against TWICE: an agent that takes any later announcement for a new incarnation abandons the runs of its
+    // upstream, which go on while their tasks start elsewhere.
+    constexpr std::int64_t highest = std::numeric_limits<std::int64_t>::max();
+    AgentFixture fixture;
+    ListingUpstream &upstream = fixture.upstream;
+    const Scheduling::UpstreamIdentity own{.id = "up", .incarnation = 1};
+    const auto announceForeign = [&] {
+        fixture.announce({.id = "p-77", .incarnation = 9}, 1, "print-server");
+        fixture.announce({.id = "p-78", .incarnation = highest}, 1);
+        fixture.announce({.id = "up", .incarnation = 7}, 1);
+        fixture.announce({.id = "up", .incarnation = highest}, 1, "print-server");
+    };
+    const auto isUsed = [&] {
+        // No leader allows leases in this test, so an accepted order fails for want of one.
+        return fixture.start(1) == Scheduling::StartOutcome::LeaseOver;
+    };
+
+    const auto when = GENERATE(as<std::string_view>(),
+                               "once the upstream is known",
+                               "before the first one of the upstream",
+                               "together with many others",
+                               "while the upstream is silent");
+    CAPTURE(when);
+    if (when == "before the first one of the upstream") {
+        announceForeign();
+    }
+    fixture.agent.start();
+    fixture.run(Milliseconds(300));
+    CHECK(isUsed());
+    if (when == "once the upstream is known") {
+        announceForeign();
+        CHECK(isUsed());
+        fixture.run(Milliseconds(300));
+        CHECK(fixture.refusedFields == std::vector<std::string>{"service", "id", "incarnation", "service"});
+    } else if (when == "together with many others") {
+        for (int round = 0; round < 20; ++round) {
+            for (int number = 0; number < 20; ++number) {
+                fixture.announce({.id = "p-" + std::to_string(number), .incarnation = 9 + round}, 1);
+            }
+            fixture.run(Milliseconds(5));
+        }
+    } else if (when == "while the upstream is silent") {
+        upstream.silent = true;
+        announceForeign();
+        fixture.run(Milliseconds(300));
+        upstream.silent = false;
+        fixture.run(Milliseconds(300));
+    }
+    CHECK(isUsed());
+    CHECK(fixture.announce(own, 3) == AnnouncementOutcome::Taken);
+    CHECK(fixture.announce(own, 3) == AnnouncementOutcome::Late);
+
+    SECTION("And the calls that ask about it renew no lease and discard no end")
+    {
+        CHECK(upstream.leases == 0);
+        CHECK(upstream.acknowledged == 0);
+    }
+    SECTION("And its next incarnation is used as soon as it has announced itself")
+    {
+        const bool hasOtherId = GENERATE(false, true);
+        CAPTURE(hasOtherId);
+        upstream.id = hasOtherId ? "up-2" : "up";
+        upstream.lists = {.incarnation = 5, .clockMs = 3};
+        fixture.run(Milliseconds(600));
+        fixture.announce({.id = upstream.id, .incarnation = 5}, 1);
+        fixture.run(Milliseconds(300));
+        CHECK(fixture.announce({.id = upstream.id, .incarnation = 5}, 2) == AnnouncementOutcome::Taken);
+        CHECK(fixture.start(1) == Scheduling::StartOutcome::NotAccepted);
+    }
+    SECTION("And an incarnation whose start time is earlier is used when it answers")
+    {
+        // Guards against a host that is lost until its agent restarts because the time of day was set back.
+        upstream.id = "up-0";
+        upstream.lists = {.incarnation = 0, .clockMs = 3};
+        fixture.announce({.id = "up-0", .incarnation = 0}, 1);
+        fixture.run(Milliseconds(600));
+        CHECK(fixture.announce({.id = "up-0", .incarnation = 0}, 2) == AnnouncementOutcome::Taken);
+    }
+}
+
+TEST_CASE("An upstream stays in use whatever happens to the configuration of its service", "[hostagent][foreign]")
+{
+    // Guards against runs whose leases expire, and hosts that are lost, because of a configuration that comes late or
+    // that leaves the service out for a while.
+    AgentFixture fixture;
+    const Scheduling::UpstreamIdentity own{.id = "up", .incarnation = 1};
+    const bool isKnownBefore = GENERATE(true, false);
+    CAPTURE(isKnownBefore);
+    if (isKnownBefore) {
+        fixture.agent.start();
+        fixture.run(Milliseconds(300));
+        fixture.configureService("other");
+    } else {
+        fixture.configureService("other");
+        fixture.agent.start();
+        fixture.run(Milliseconds(300));
+    }
+    const std::size_t calls = fixture.upstream.calls;
+    CHECK(fixture.announce(own, 2) == AnnouncementOutcome::Taken);
+    fixture.run(Milliseconds(900));
+    CHECK(fixture.upstream.calls > calls);
+    CHECK(fixture.start(1) == Scheduling::StartOutcome::LeaseOver);
+
+    SECTION("And when the service is configured again")
+    {
+        fixture.configureService("desk");
+        CHECK(fixture.announce(own, 3) == AnnouncementOutcome::Taken);
+        SECTION("An announcement of another service under its identity is refused")
+        {
+            CHECK(fixture.announce(own, 900, "print-server") == AnnouncementOutcome::Refused);
+            CHECK(fixture.refusedFields == std::vector<std::string>{"service"});
+            CHECK(fixture.announce(own, 4) == AnnouncementOutcome::Taken);
+        }
+    }
+}
+
+TEST_CASE("An announcement of a configured service corrects one of another service", "[hostagent][foreign]")
+{
+    // Guards against an upstream whose own announcements are late for ever after one that another program sent first.
+    AgentFixture fixture;
+    const Scheduling::UpstreamIdentity own{.id = "up", .incarnation = 1};
+    fixture.announce(own, 900, "print-server");
+    fixture.agent.start();
+    fixture.run(Milliseconds(300));
+    CHECK(fixture.announce(own, 2) == AnnouncementOutcome::Taken);
+    CHECK(fixture.announce(own, 901, "print-server") == AnnouncementOutcome::Refused);
+    CHECK(fixture.announce(own, 3) == AnnouncementOutcome::Taken);
+}
+
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/internal/limitreport.cpp
+++ b/packages/daemon/src/carobflow/daemon/internal/limitreport.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-constexpr Milliseconds LogInterval{1000};
-
 /// In the order of ClientLimit; the names of the settings that bound them.
 constexpr std::array<std::string_view, static_cast<std::size_t>(ClientLimit::Count)> Names{
     "connections", "header_bytes", "max_body_bytes", "reading_bytes", "header_ms", "request_ms", "write_ms"};
@@ -30,14 +28,9 @@
         m_observer(Names.at(index));
     }
     const std::lock_guard lock(m_mutex);
-    Kind &kind = m_kinds.at(index);
-    ++kind.unlogged;
-    const TimePoint now = std::chrono::steady_clock::now();
-    if (kind.loggedAt != TimePoint{} && now - kind.loggedAt < LogInterval) {
-        return;
+    if (const auto times = m_throttles.at(index).record(std::chrono::steady_clock::now())) {
+        logWarning("client-limit").with("limit", Names.at(index)).with("server", m_server).with("times", *times);
     }
-    logWarning("client-limit").with("limit", Names.at(index)).with("server", m_server).with("times", kind.unlogged);
-    kind = {.loggedAt = now, .unlogged = 0};
 }
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/internal/limitreport.h
+++ b/packages/daemon/src/carobflow/daemon/internal/limitreport.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "carobflow/core/types.h"
+#include "carobflow/daemon/internal/logthrottle.h"
 
 #include <array>
-#include <cstdint>
+#include <cstddef>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -36,15 +36,10 @@
     void record(ClientLimit limit);
 
 private:
-    struct Kind {
-        TimePoint loggedAt{};
-        std::uint64_t unlogged = 0;
-    };
-
     std::string m_server;
     Observer m_observer;
     std::mutex m_mutex;
-    std::array<Kind, static_cast<std::size_t>(ClientLimit::Count)> m_kinds;
+    std::array<LogThrottle, static_cast<std::size_t>(ClientLimit::Count)> m_throttles;
 };
 
 } // namespace Carobflow
--- a/packages/daemon/src/carobflow/daemon/metrics.cpp
+++ b/packages/daemon/src/carobflow/daemon/metrics.cpp
@@ -39,6 +39,9 @@
     , m_taskEvents(counter(*m_registry, "carobflow_task_events_total", "Starts, stops and ends of tasks."))
     , m_clientLimits(
           counter(*m_registry, "carobflow_client_limits_total", "Limits that connections of clients reached."))
+    , m_refusedAnnouncements(counter(*m_registry,
+                                     "carobflow_refused_announcements_total",
+                                     "Announcements that name no usable upstream, by the field at fault."))
     , m_sheetVersion(gauge(*m_registry, "carobflow_sheet_version", "Version of the sheet that is in force here."))
     , m_sheetAge(gauge(*m_registry,
                        "carobflow_sheet_confirmed_age_seconds",
@@ -101,6 +104,11 @@
     m_clientLimits.Add({{"limit", std::string(limit)}}).Increment();
 }
 
+void Metrics::countRefusedAnnouncement(std::string_view field)
+{
+    m_refusedAnnouncements.Add({{"field", std::string(field)}}).Increment();
+}
+
 void Metrics::setSheetVersion(double version)
 {
     m_sheetVersion.Add({}).Set(version);
--- a/packages/daemon/src/carobflow/daemon/metrics.h
+++ b/packages/daemon/src/carobflow/daemon/metrics.h
@@ -31,6 +31,8 @@
     void countTaskEvent(std::string_view event);
     /// Counts a limit of [limits] that a connection reached.
     void countClientLimit(std::string_view limit);
+    /// Counts an announcement that names no usable upstream, by the field at fault.
+    void countRefusedAnnouncement(std::string_view field);
     void setSheetVersion(double version);
     void setSheetAgeSeconds(double seconds);
     void setLeading(double shard, bool leading);
@@ -49,6 +51,7 @@
     prometheus::Family<prometheus::Counter> &m_storeOperations;
     prometheus::Family<prometheus::Counter> &m_taskEvents;
     prometheus::Family<prometheus::Counter> &m_clientLimits;
+    prometheus::Family<prometheus::Counter> &m_refusedAnnouncements;
     prometheus::Family<prometheus::Gauge> &m_sheetVersion;
     prometheus::Family<prometheus::Gauge> &m_sheetAge;
     prometheus::Family<prometheus::Gauge> &m_leading;
--- a/packages/scheduler/src/carobflow/scheduler/operatorview.h
+++ b/packages/scheduler/src/carobflow/scheduler/operatorview.h
@@ -25,6 +25,8 @@
     std::uint64_t rowVersion = 0;
     std::map<std::string, Queue, std::less<>> queues;
     std::vector<Route> routes;
+    /// Services that the configuration names.
+    std::set<std::string, std::less<>> services;
     /// Data centres that operators have taken out of service.
     std::set<std::string, std::less<>> evacuated;
 
@@ -34,6 +36,11 @@
         return found == queues.end() ? nullptr : &found->second;
     }
 
+    [[nodiscard]] bool namesService(std::string_view name) const
+    {
+        return services.contains(name);
+    }
+
     [[nodiscard]] bool isEvacuated(std::string_view dataCentre) const
     {
         return evacuated.contains(dataCentre);
--- a/tests/hosted/hostedsystem.cpp
+++ b/tests/hosted/hostedsystem.cpp
@@ -27,19 +27,21 @@
 constexpr Milliseconds CallTimeout{4000};
 constexpr Milliseconds PollPause{20};
 
-std::string configuration()
+std::string configuration(std::int64_t version, bool withQueue)
 {
-    return json::serialize(json::object{{"version", 1},
-                                        {"routes",
-                                         json::array{json::object{{"name", "r-desk"},
-                                                                  {"host", "desk.example"},
-                                                                  {"path-prefix", "/desk/"},
-                                                                  {"target-latency-ms", 250},
-                                                                  {"priority", 0},
-                                                                  {"service", "desk"},
-                                                                  {"max-attempts", 3},
-                                                                  {"stretch", 1.5}}}},
-                                        {"services", json::array{json::object{{"name", "desk"}}}}});
+    json::object content{{"version", version}, {"routes", json::array()}, {"services", json::array()}};
+    if (withQueue) {
+        content["routes"].as_array().push_back(json::object{{"name", "r-desk"},
+                                                            {"host", "desk.example"},
+                                                            {"path-prefix", "/desk/"},
+                                                            {"target-latency-ms", 250},
+                                                            {"priority", 0},
+                                                            {"service", "desk"},
+                                                            {"max-attempts", 3},
+                                                            {"stretch", 1.5}});
+        content["services"].as_array().push_back(json::object{{"name", "desk"}});
+    }
+    return json::serialize(content);
 }
 
 HttpRequest requestFor(std::string method, const std::string &id)
@@ -69,7 +71,7 @@
     }
     m_directory = pattern;
     m_store = std::make_unique<StandIn::StoreStandIn>(m_io);
-    m_store->putOperatorRow("config", configuration());
+    m_store->putOperatorRow("config", configuration(m_configurationVersion, true));
     const auto ports = [this] {
         return Ports{.http = m_ports.reserve(),
                      .ready = m_ports.reserve(),
@@ -219,6 +221,31 @@
     return statusOf(m_caller.call(entryEndpoint(entry), requestFor("DELETE", id)));
 }
 
+unsigned HostedSystem::checkIn(std::size_t agent, const std::string &id, const json::object &report)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/carobflow/workers/" + id + "/heartbeat";
+    request.body = json::serialize(report);
+    request.timeout = CallTimeout;
+    return statusOf(m_caller.call({.host = "127.0.0.1", .port = m_agentPorts[agent].http}, request));
+}
+
+void HostedSystem::configure(bool withQueue)
+{
+    ++m_configurationVersion;
+    onStandIns([&] { m_store->putOperatorRow("config", configuration(m_configurationVersion, withQueue)); });
+}
+
+std::string HostedSystem::agentMetrics(std::size_t index)
+{
+    HttpRequest request;
+    request.target = "/metrics";
+    const HttpOutcome outcome = m_caller.call({.host = "127.0.0.1", .port = m_agentPorts[index].metrics}, request);
+    const auto *answer = std::get_if<HttpAnswer>(&outcome);
+    return answer == nullptr ? std::string() : answer->body;
+}
+
 bool HostedSystem::waitForState(const std::string &id, const std::string &wanted, Milliseconds limit)
 {
     const auto until = std::chrono::steady_clock::now() + limit;
--- a/tests/hosted/hostedsystem.h
+++ b/tests/hosted/hostedsystem.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
 
 namespace Carobflow::Bench
 {
@@ -58,6 +59,15 @@
     std::string state(const std::string &id, std::size_t entry = 0);
     unsigned cancel(const std::string &id, std::size_t entry = 0);
 
+    /// Sends a check-in to an agent as any program can; returns the HTTP status of the answer.
+    unsigned checkIn(std::size_t agent, const std::string &id, const boost::json::object &report);
+
+    /// Writes the next configuration, with or without the queue and its service.
+    void configure(bool withQueue);
+
+    /// The text of an agent's metrics.
+    std::string agentMetrics(std::size_t index);
+
     /// Waits until a job is reported in this state; false when the limit passes first.
     bool waitForState(const std::string &id, const std::string &state, Milliseconds limit);
 
@@ -118,6 +128,7 @@
     Options m_options;
     /// Number of processes started so far; makes the names of their log files unique.
     std::size_t m_starts = 0;
+    std::int64_t m_configurationVersion = 1;
     PortReservation m_ports;
     std::string m_directory;
     boost::asio::io_context m_io;
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -3,11 +3,14 @@
 #include <csignal>
 #include <set>
 
+#include <boost/json/object.hpp>
 #include <catch2/catch.hpp>
 
 namespace Carobflow::Bench
 {
 
+namespace json = boost::json;
+
 namespace
 {
 
@@ -200,6 +203,98 @@
     CHECK(system.runs().size() == 6 + lost);
 }
 
+TEST_CASE("Check-ins of other programs leave workers and their runs alone", "[hosted][foreign]")
+{
+    // Guards against TWICE: an agent took the sender of a check-in for its worker, and the leader started the tasks of
+    // the real one elsewhere.
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 6, Milliseconds(7000)) == 200);
+    system.waitForRunning(6);
+    constexpr std::int64_t highestNumber = 9'007'199'254'740'991;
+    const auto sendForeign = [&](std::size_t index) {
+        json::object own;
+        system.onStandIns([&] { own = system.worker(index).report(); });
+        const std::string id = "i-" + std::to_string(index);
+        const std::int64_t born = own.at("born").as_int64();
+        const auto with = [&](const json::object &changes) {
+            json::object report = own;
+            for (const auto &[name, value] : changes) {
+                report[name] = value;
+            }
+            return report;
+        };
+        const json::object later{{"born", born + 1000}, {"sequence", 1}};
+        CHECK(system.checkIn(index, "p-77", with(later)) == 200);
+        CHECK(system.checkIn(index, "p-78", with({{"service", "print-server"}, {"born", born + 1000}})) == 200);
+        CHECK(system.checkIn(index, "p-79", with({{"born", 4'102'444'800'000}})) == 200);
+        CHECK(system.checkIn(index, id, with(later)) == 200);
+        CHECK(system.checkIn(index, id, with({{"born", 4'102'444'800'000}, {"state", "draining"}})) == 200);
+        const unsigned unnamed = system.checkIn(
+            index, id, with({{"service", "print-server"}, {"sequence", highestNumber}}));
+        const unsigned unknownState = system.checkIn(
+            index, id, with({{"state", "sleeping"}, {"sequence", highestNumber}}));
+        json::object incomplete = with({{"state", "draining"}, {"sequence", highestNumber}});
+        incomplete.erase("slots");
+        const unsigned missing = system.checkIn(index, id, incomplete);
+        CHECK(unknownState == 400);
+        CHECK(missing == 400);
+        return unnamed;
+    };
+    for (std::size_t index = 0; index < 3; ++index) {
+        CHECK(sendForeign(index) == 400);
+    }
+    // An agent that has just started knows no worker yet.
+    system.agent(1).signal(SIGKILL);
+    system.startAgent(1);
+    const auto until = std::chrono::steady_clock::now() + Milliseconds(1500);
+    while (std::chrono::steady_clock::now() < until) {
+        json::object report;
+        system.onStandIns([&] { report = system.worker(1).report(); });
+        report["born"] = report["born"].as_int64() + 1000;
+        static_cast<void>(system.checkIn(1, "p-77", report));
+    }
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(15000)));
+    CHECK(system.runs().size() == 6);
+    CHECK(system.violations().empty());
+    CHECK(system.agentMetrics(0).find("carobflow_refused_announcements_total{field=\"service\"}") != std::string::npos);
+
+    SECTION("And every worker is still used")
+    {
+        REQUIRE(system.submit(jobId(2), 24, Milliseconds(2000)) == 200);
+        system.waitForRunning(24);
+        CHECK(system.waitForState(jobId(2), "completed", Milliseconds(15000)));
+        CHECK(system.violations().empty());
+    }
+}
+
+TEST_CASE("A worker keeps its runs while its service is not configured", "[hosted][foreign]")
+{
+    // Guards against leases that expire because an agent knows no service of its worker's name.
+    HostedSystem system({});
+    system.waitUntilReady();
+    REQUIRE(system.submit(jobId(1), 6, Milliseconds(10000)) == 200);
+    system.waitForRunning(6);
+    system.configure(false);
+    std::this_thread::sleep_for(Milliseconds(1500));
+    SECTION("Its agent runs on")
+    {
+    }
+    SECTION("Its agent restarts meanwhile")
+    {
+        for (std::size_t index = 0; index < 3; ++index) {
+            system.agent(index).signal(SIGKILL);
+            system.startAgent(index);
+            std::this_thread::sleep_for(Milliseconds(300));
+        }
+    }
+    std::this_thread::sleep_for(Milliseconds(6500));
+    system.configure(true);
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(15000)));
+    CHECK(system.runs().size() == 6);
+    CHECK(system.violations().empty());
+}
+
 TEST_CASE("A cancelled job stops and stays cancelled", "[hosted]")
 {
     HostedSystem system({});
--- a/tests/standins/serverstandin.cpp
+++ b/tests/standins/serverstandin.cpp
@@ -56,7 +56,7 @@
     m_nextEnd = 1;
     m_fence = 0;
     m_leaseUntil = 0;
-    m_sequence = 0;
+    m_sequence = 1;
     m_clockStart = clockMilliseconds();
     m_born = std::max(m_born + 1, clockMilliseconds());
 }
@@ -72,6 +72,22 @@
     return std::min(numberOr(body, "deadline-ms", 0) + m_clockStart, now + m_options.maxHold.count());
 }
 
+json::object ServerStandIn::report() const
+{
+    return {{"service", m_options.service},
+            {"address", "127.0.0.1:" + std::to_string(m_port)},
+            {"zone", m_options.zone},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", draining ? "draining" : "ready"},
+            {"cold-remaining-ms", 0},
+            {"capacity", json::object{{"cpu", m_options.cpuMillis}, {"memory-limit-mb", 32000}, {"gpus", 0}}},
+            {"labels", json::array{"a", "rack-" + m_options.zone}},
+            {"clock-ms", clock()},
+            {"sequence", m_sequence},
+            {"born", m_born}};
+}
+
 asio::awaitable<void> ServerStandIn::checkInLoop()
 {
     HttpClient client(m_io.get_executor());
@@ -79,22 +95,11 @@
         // Leases expire even when no call arrives.
         advance();
         if (!silent) {
-            const json::object body{
-                {"service", m_options.service},
-                {"address", "127.0.0.1:" + std::to_string(m_port)},
-                {"zone", m_options.zone},
-                {"version", "v1"},
-                {"slots", 8},
-                {"state", draining ? "draining" : "ready"},
-                {"capacity", json::object{{"cpu", m_options.cpuMillis}, {"memory-limit-mb", 32000}}},
-                {"labels", json::array{"a", "rack-" + m_options.zone}},
-                {"clock-ms", clock()},
-                {"sequence", ++m_sequence},
-                {"born", m_born}};
             HttpRequest request;
             request.method = "POST";
             request.target = "/carobflow/workers/" + m_options.id + "/heartbeat";
-            request.body = json::serialize(body);
+            request.body = json::serialize(report());
+            ++m_sequence;
             HttpEndpoint endpoint;
             endpoint.host = "127.0.0.1";
             endpoint.port = m_options.agentPort;
--- a/tests/standins/serverstandin.h
+++ b/tests/standins/serverstandin.h
@@ -54,6 +54,9 @@
     /// The worker crashes and starts again as another process with the same id.
     void restart();
 
+    /// What the worker's next check-in says.
+    [[nodiscard]] boost::json::object report() const;
+
     [[nodiscard]] std::size_t runningCount() const
     {
         return m_running.size();
@@ -110,7 +113,8 @@
     /// Time on the clock of the test at which the worker's own clock showed 0.
     std::int64_t m_clockStart;
     std::int64_t m_born;
-    std::uint64_t m_sequence = 0;
+    /// Of the next check-in.
+    std::uint64_t m_sequence = 1;
     HttpServer m_server;
     std::uint16_t m_port;
 };
