Do not report a host as draining on a notice that any program can send

A notice that the upstream leaves names only its id, and the agent reported the host as draining, so that the leader stopped the long-running tasks there. An upstream announces that it drains before it leaves. A notice without such an announcement now keeps starts away until the next announcement, at most one announcement interval, and stops nothing. An upstream that does leave then is noticed by its silence.

The test "A notice of leaving does not stop runs" fails on the code before: the agent reports the host as draining.

--- a/packages/control/src/carobflow/control/hostagent.cpp
+++ b/packages/control/src/carobflow/control/hostagent.cpp
@@ -130,6 +130,7 @@
     const bool drainingNow = announcement.upstream.draining && (isNew || !m_upstream->draining);
     m_sequence = announcement.sequence;
     m_upstream = announcement.upstream;
+    m_leaving = false;
     if (drainingNow) {
         logInfo("upstream-draining").with("upstream", m_upstream->identity.id);
         m_reportDue = true;
@@ -229,11 +230,9 @@
 
 void HostAgent::onLeave(std::string_view upstreamId)
 {
-    if (m_upstream && m_upstream->identity.id == upstreamId && !m_upstream->draining) {
+    if (m_upstream && m_upstream->identity.id == upstreamId && !m_upstream->draining && !m_leaving) {
         logInfo("upstream-leaves").with("upstream", upstreamId);
-        m_upstream->draining = true;
-        m_reportDue = true;
-        m_reportNow.notify();
+        m_leaving = true;
     }
 }
 
@@ -462,7 +461,7 @@
         || std::ranges::find(m_ended, run, &Scheduling::EndedRun::run) != m_ended.end();
 }
 
-Scheduling::HostReport HostAgent::makeReport() const
+Scheduling::HostReport HostAgent::report() const
 {
     const TimePoint now = suspendAwareNow();
     Scheduling::HostReport report{.host = m_options.name,
@@ -521,7 +520,7 @@
     if (leader.address.empty()) {
         co_return false;
     }
-    wire::ReportRequest request = toMessage(makeReport());
+    wire::ReportRequest request = toMessage(report());
     for (const Scheduling::RunningRun &running : m_running) {
         if (!m_descriptions.contains(running.run.task)) {
             request.add_undescribed(running.run.task.toString());
@@ -599,7 +598,8 @@
 {
     const auto view = m_operators.current();
     return m_upstream && m_upstream->identity == order.upstream && !isSuperseded() && !m_upstream->draining
-        && m_epoch == epoch && m_fencedEpoch == epoch && view && !view->isEvacuated(m_upstream->dataCentre);
+        && !m_leaving && m_epoch == epoch && m_fencedEpoch == epoch && view
+        && !view->isEvacuated(m_upstream->dataCentre);
 }
 
 asio::awaitable<StartOutcome> HostAgent::startRun(Scheduling::StartOrder order, Epoch epoch)
--- a/packages/control/src/carobflow/control/hostagent.h
+++ b/packages/control/src/carobflow/control/hostagent.h
@@ -72,12 +72,17 @@
     /// Handles an announcement that may be the upstream's.
     AnnouncementOutcome onAnnouncement(Scheduling::UpstreamAnnouncement announcement);
 
-    /// Handles the upstream's notice that it is about to shut down.
+    /// Handles a notice that the upstream is about to shut down. Any program can send one, and an upstream announces
+    /// before that it drains. So a notice without such an announcement only keeps starts away until the next one;
+    /// reported as draining, it would make the leader stop runs.
     void onLeave(std::string_view upstreamId);
 
     /// Executes a leader's orders.
     boost::asio::awaitable<carobflow::control::ExecuteReply> execute(carobflow::control::ExecuteRequest request);
 
+    /// What the agent reports to the leader now.
+    [[nodiscard]] Scheduling::HostReport report() const;
+
     /// Time since a leader last answered a report.
     [[nodiscard]] Duration leaderSilence() const;
 
@@ -125,7 +130,6 @@
     /// incarnation but its existence, so it gets no calls until it announces itself.
     [[nodiscard]] bool isSuperseded() const;
     [[nodiscard]] bool mayStart(const Scheduling::StartOrder &order, Epoch epoch) const;
-    [[nodiscard]] Scheduling::HostReport makeReport() const;
     [[nodiscard]] bool isListed(const Scheduling::RunId &run) const;
 
     struct Description {
@@ -149,6 +153,8 @@
     Scheduling::PendingAnnouncements m_pending{Scheduling::PendingAnnouncements::Options{}};
     std::optional<Scheduling::UpstreamDescription> m_upstream;
     std::uint64_t m_sequence = 0;
+    /// A notice that the upstream leaves has come after its last announcement.
+    bool m_leaving = false;
     /// The latest incarnation in the lists of an upstream with the id of the announced one.
     std::int64_t m_listedIncarnation = 0;
     /// When it was last listed.
--- a/packages/control/tests/hostagent_test.cpp
+++ b/packages/control/tests/hostagent_test.cpp
@@ -448,4 +448,36 @@
     CHECK(fixture.announce(own, 3) == AnnouncementOutcome::Taken);
 }
 
+TEST_CASE("A notice of leaving does not stop runs", "[hostagent][foreign]")
+{
+    // Guards against long-running tasks that are stopped on a sound upstream because another program says that it
+    // leaves: the leader stops them where an upstream drains.
+    AgentFixture fixture;
+    const Scheduling::UpstreamIdentity own{.id = "up", .incarnation = 1};
+    fixture.agent.start();
+    fixture.run(Milliseconds(300));
+
+    SECTION("One of another id changes nothing")
+    {
+        fixture.agent.onLeave("p-77");
+        CHECK(fixture.start(1) == Scheduling::StartOutcome::LeaseOver);
+    }
+    SECTION("One of its own id keeps starts away until it announces itself again")
+    {
+        fixture.agent.onLeave("up");
+        CHECK(fixture.start(1) == Scheduling::StartOutcome::NotAccepted);
+        CHECK_FALSE(fixture.agent.report().upstream->draining);
+        CHECK(fixture.announce(own, 2) == AnnouncementOutcome::Taken);
+        CHECK(fixture.start(1) == Scheduling::StartOutcome::LeaseOver);
+    }
+    SECTION("An upstream that has announced that it drains stays so")
+    {
+        fixture.agent.onAnnouncement(
+            {.upstream = {.identity = own, .service = "desk", .draining = true}, .sequence = 2});
+        fixture.agent.onLeave("up");
+        CHECK(fixture.agent.report().upstream->draining);
+        CHECK(fixture.start(1) == Scheduling::StartOutcome::NotAccepted);
+    }
+}
+
 } // namespace Carobflow
