Remember the cancellation of a job that is not known

Cause: the answer to a cancellation was given from what was known at that moment and left nothing behind, while a submission that had been sent before could still arrive by any way.

Change: the leader stores a tombstone for the job and its queue before the client gets 410. A submission that it covers, by a call or from the inbox, is taken as cancelled and is shown so. A successor loads the tombstones before the inbox. An entry that reaches no leader puts the cancellation into the inbox, whose rows are now handled in the order of their writes; the leader stores the tombstone in the write that removes the row. Tombstones are kept for two to four minutes, and are bounded in number at the leader (4,000) and in what an entry puts into the inbox (200 in two minutes); beyond that the client gets 503 and a time to come back instead of an answer that is not kept. An entry that stood still for over a minute rejects what it reads then, since it may be older than the tombstones.

--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -37,6 +37,11 @@
 /// A leader that keeps up has read the inbox within 2 s. With the age of a count and the time-out of a call, a count is
 /// less than 5 s old, the most that clients accept.
 constexpr Milliseconds MaxInboxAge{2500};
+/// Cancellations of unknown jobs that an entry puts into the inbox in one interval. A leader keeps each for minutes,
+/// beyond the limit that it keeps to itself.
+constexpr std::size_t MaxInboxTombstones = 200;
+constexpr Seconds InboxTombstoneInterval{120};
+constexpr Milliseconds StallTickInterval{1000};
 
 Milliseconds remaining(TimePoint deadline)
 {
@@ -84,14 +89,27 @@
 
 } // namespace
 
-JobRouter::JobRouter(WatchableTable &table, LeaderDirectory &directory, OperatorSync &operators, ControlCaller &caller)
+JobRouter::JobRouter(WatchableTable &table,
+                     LeaderDirectory &directory,
+                     OperatorSync &operators,
+                     ControlCaller &caller,
+                     StallWatch::Options stalls)
     : m_table(table)
     , m_directory(directory)
     , m_operators(operators)
     , m_caller(caller)
+    , m_stalls(stalls, suspendAwareNow())
 {
 }
 
+asio::awaitable<void> JobRouter::watchStalls()
+{
+    for (;;) {
+        m_stalls.tick(suspendAwareNow());
+        co_await sleepFor(StallTickInterval);
+    }
+}
+
 std::uint64_t JobRouter::configurationVersion() const
 {
     const auto view = m_operators.current();
@@ -122,6 +140,10 @@
     *request.mutable_job() = toMessage(job);
     request.set_configuration_version(configurationVersion());
     const TimePoint began = suspendAwareNow();
+    if (m_stalls.isSuspect(began)) {
+        logWarning("job-refused").with("job", job.id).with("reason", "stood-still");
+        co_return JobRejected{.reason = JobRejected::Reason::Stalled};
+    }
     bool mayBeStored = false;
     bool storeUnavailable = false;
     StoreCallThrottle storeThrottle;
@@ -140,7 +162,8 @@
                     co_return JobStored{};
                 }
                 if (reply->outcome() == wire::SubmitReply::OVERLOADED && !mayBeStored) {
-                    co_return JobRejected{.retryAfter = Milliseconds(reply->retry_after_ms()), .overloaded = true};
+                    co_return JobRejected{.retryAfter = Milliseconds(reply->retry_after_ms()),
+                                          .reason = JobRejected::Reason::Overloaded};
                 }
                 if (reply->outcome() == wire::SubmitReply::QUEUE_REMOVED && !mayBeStored) {
                     co_return QueueRemoved{};
@@ -186,10 +209,63 @@
     co_return JobRejected{};
 }
 
-asio::awaitable<CancelOutcome> JobRouter::cancel(std::string id, TimePoint deadline)
+asio::awaitable<JobRouter::InboxOutcome> JobRouter::writeCancellation(std::string id, std::string queue)
+{
+    wire::InboxCancellation cancellation;
+    cancellation.set_queue(queue);
+    const std::string key = StoreLayout::cancellationKey(id);
+    const std::string value = cancellation.SerializeAsString();
+    Transaction transaction;
+    transaction.conditions.push_back({.key = key, .version = 0});
+    transaction.mutations.push_back({.key = key, .value = value});
+    const TransactOutcome outcome = co_await m_table.transact(transaction);
+    bool written = std::holds_alternative<Committed>(outcome);
+    if (std::holds_alternative<Conflict>(outcome)) {
+        const std::vector<std::string> keys{key};
+        const auto rows = co_await m_table.read(keys);
+        written = isOk(rows) && !valueOf(rows).empty() && valueOf(rows).front().value == value;
+    }
+    logInfo("inbox-written").with("job", id).with("cancel", written);
+    co_return written ? InboxOutcome::Written : InboxOutcome::Unknown;
+}
+
+bool JobRouter::admitTombstone(const std::string &id)
+{
+    const TimePoint now = suspendAwareNow();
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_inboxTombstones, [&](const auto &entry) { return now - entry.second > InboxTombstoneInterval; });
+    if (!m_inboxTombstones.contains(id) && m_inboxTombstones.size() >= MaxInboxTombstones) {
+        return false;
+    }
+    m_inboxTombstones.try_emplace(id, now);
+    return true;
+}
+
+asio::awaitable<std::optional<CancelOutcome>> JobRouter::cancelInInbox(std::string id, std::string queue)
+{
+    const QueryOutcome known = co_await readPhase(id);
+    const bool isUnknown = std::holds_alternative<JobUnknown>(known);
+    if (std::holds_alternative<JobOutcomeUnknown>(known)) {
+        co_return std::nullopt;
+    }
+    if (isUnknown && !admitTombstone(id)) {
+        logWarning("cancellation-refused")
+            .with("job", id)
+            .with("remedy", "none while leaders change; else find the client that cancels jobs which do not exist");
+        co_return CancelOutcome(CancelRefused{});
+    }
+    const InboxOutcome written = co_await writeCancellation(id, std::move(queue));
+    if (written != InboxOutcome::Written) {
+        co_return std::nullopt;
+    }
+    co_return isUnknown ? CancelOutcome(JobUnknown{}) : CancelOutcome(JobCancelled{});
+}
+
+asio::awaitable<CancelOutcome> JobRouter::cancel(std::string id, std::string queue, TimePoint deadline)
 {
     wire::CancelRequest request;
     request.set_id(id);
+    request.set_queue(queue);
     const TimePoint began = suspendAwareNow();
     StoreCallThrottle storeThrottle;
     while (remaining(deadline) > RetryInterval) {
@@ -201,26 +277,24 @@
                 if (reply->outcome() == wire::CancelReply::CANCELLED) {
                     co_return JobCancelled{};
                 }
+                if (reply->outcome() == wire::CancelReply::TOO_MANY) {
+                    co_return CancelRefused{};
+                }
             }
-            if (reply && reply->outcome() == wire::CancelReply::UNKNOWN_JOB) {
-                // The job may be in the inbox, where an entry put it while the leader could not be reached.
+            if (reply && reply->outcome() == wire::CancelReply::UNKNOWN_JOB && reply->remembered()) {
+                // An entry may have put the job into the inbox while the leader could not be reached. The leader takes
+                // it from there as cancelled.
                 const QueryOutcome known = co_await readPhase(id);
                 if (std::holds_alternative<JobUnknown>(known)) {
                     co_return JobUnknown{};
                 }
+                co_return JobCancelled{};
             }
         }
         if (suspendAwareNow() - began > StoreFallbackDelay && storeThrottle.tryAcquire()) {
-            const QueryOutcome known = co_await readPhase(id);
-            if (std::holds_alternative<JobUnknown>(known)) {
-                co_return JobUnknown{};
-            }
-            if (std::holds_alternative<Scheduling::JobPhase>(known)) {
-                const InboxOutcome written = co_await writeInbox(StoreLayout::cancellationKey(id), "cancel");
-                logInfo("inbox-written").with("job", id).with("cancel", written == InboxOutcome::Written);
-                if (written == InboxOutcome::Written) {
-                    co_return JobCancelled{};
-                }
+            const auto outcome = co_await cancelInInbox(id, queue);
+            if (outcome) {
+                co_return *outcome;
             }
         }
         co_await sleepFor(RetryInterval);
--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -137,6 +137,7 @@
                            noteCopy(
                                change, countEvent ? countEvent : [](std::string_view /*event*/) {});
                        }})
+    , m_tombstones(m_options.tombstones, m_table.clock())
     , m_wake(m_strand)
     , m_startedAt(suspendAwareNow())
     , m_renewedAt(m_startedAt)
@@ -233,6 +234,10 @@
     if (complete) {
         complete = co_await loadRows(StoreLayout::HostPrefix, hosts);
     }
+    std::vector<Row> tombstones;
+    if (complete) {
+        complete = co_await loadRows(StoreLayout::TombstonePrefix, tombstones);
+    }
     // Jobs in the inbox are accepted. A leader that has not loaded them would return wrong counts of pending jobs.
     std::vector<Row> inbox;
     const TimePoint inboxReadAt = suspendAwareNow();
@@ -252,6 +257,7 @@
     m_scheduler.setOperatorView(m_view);
     restoreHosts(hosts, now);
     restoreJobs(jobs, progress, now);
+    m_tombstones.restore(tombstones, now);
     processInboxRows(inbox);
     noteInboxRead(inboxReadAt);
     logInfo("state-loaded")
@@ -259,6 +265,7 @@
         .with("jobs", jobs.size())
         .with("inbox", inbox.size())
         .with("hosts", hosts.size())
+        .with("tombstones", m_tombstones.size())
         .with("configuration", m_view->configurationVersion)
         .with("took_ms", std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - m_startedAt).count());
     m_contactAt = now;
@@ -583,6 +590,9 @@
     addLeadership(batch, now);
     const std::vector<std::string> hosts = addHosts(batch);
     const std::vector<std::string> ids = addJobs(batch);
+    if (!m_tombstones.addTo(batch)) {
+        m_changed = true;
+    }
     addDeletions(batch);
     if (batch.isEmpty()) {
         co_return true;
@@ -595,6 +605,7 @@
         logInfo("deposed").with("epoch", m_ledger->epoch()).with("reason", errorOf(committed).message);
         co_return false;
     }
+    m_tombstones.onCommitted();
     adoptView();
     for (const std::string &host : hosts) {
         m_contacts[host].stored = true;
@@ -733,7 +744,7 @@
     if (m_over || m_resigning) {
         co_return reply;
     }
-    const auto outcome = m_scheduler.submit(std::move(spec), decision.submittedAt);
+    const auto outcome = takeJob(std::move(spec), decision.submittedAt);
     if (outcome == Scheduling::Scheduler::Submission::Accepted) {
         m_unstoredAcceptTimes[id] = unixMilliseconds()
             - std::chrono::duration_cast<Milliseconds>(suspendAwareNow() - decision.submittedAt).count();
@@ -765,6 +776,62 @@
     co_return reply;
 }
 
+Scheduling::Scheduler::Submission
+LeaderTerm::takeJob(Scheduling::JobSpec spec, TimePoint submittedAt, std::optional<Scheduling::Queue> lastKnownQueue)
+{
+    const std::string id = spec.id;
+    const bool isCancelled = m_tombstones.covers(id, spec.queue);
+    const auto outcome = m_scheduler.submit(std::move(spec), submittedAt, std::move(lastKnownQueue));
+    if (isCancelled && outcome == Scheduling::Scheduler::Submission::Accepted) {
+        m_scheduler.cancel(id);
+        logInfo("job-cancelled").with("job", id).with("before_submission", true);
+        if (m_options.countEvent) {
+            m_options.countEvent("job-cancelled-before-submission");
+        }
+    }
+    return outcome;
+}
+
+asio::awaitable<void> LeaderTerm::rememberCancellation(const wire::CancelRequest &request, wire::CancelReply &reply)
+{
+    const std::string &id = request.id();
+    if (request.queue().empty() || m_heldJobs.contains(id)) {
+        reply.set_outcome(wire::CancelReply::UNKNOWN_JOB);
+        co_return;
+    }
+    const TimePoint now = suspendAwareNow();
+    const auto outcome = m_tombstones.add(id, request.queue(), now);
+    if (outcome == Scheduling::Tombstones::Outcome::Full) {
+        if (const auto times = m_refusedCancellations.record(now)) {
+            logWarning("cancellation-refused")
+                .with("job", id)
+                .with("times", *times)
+                .with("tombstones", m_tombstones.size())
+                .with("remedy", "find the client that cancels jobs which do not exist");
+        }
+        if (m_options.countEvent) {
+            m_options.countEvent("cancellation-refused");
+        }
+        reply.set_outcome(wire::CancelReply::TOO_MANY);
+        co_return;
+    }
+    if (outcome == Scheduling::Tombstones::Outcome::Added) {
+        logInfo("tombstone-added").with("job", id).with("queue", request.queue());
+    }
+    m_changed = true;
+    m_wake.notify();
+    while (!m_over && !m_tombstones.isStored(id)) {
+        auto timer = std::make_shared<asio::steady_timer>(m_strand, Seconds(10));
+        m_waiters.push_back(timer);
+        boost::system::error_code cancelled;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+    if (!m_over) {
+        reply.set_outcome(wire::CancelReply::UNKNOWN_JOB);
+        reply.set_remembered(true);
+    }
+}
+
 asio::awaitable<wire::CancelReply> LeaderTerm::cancel(wire::CancelRequest request)
 {
     const auto self = shared_from_this();
@@ -776,7 +843,7 @@
     }
     const Scheduling::Job *job = m_scheduler.find(request.id());
     if (job == nullptr) {
-        reply.set_outcome(wire::CancelReply::UNKNOWN_JOB);
+        co_await rememberCancellation(request, reply);
         co_return reply;
     }
     if (!job->isOver()) {
@@ -1056,6 +1123,7 @@
         return;
     }
     m_sweptAt = now;
+    m_tombstones.expire(now);
     for (const std::string &host : m_scheduler.forgetLostHosts(now)) {
         logInfo("host-forgotten").with("host", host);
         m_contacts.erase(host);
@@ -1094,18 +1162,32 @@
     }
 }
 
+bool LeaderTerm::processInboxCancellation(const Row &row, const std::string &job)
+{
+    if (m_scheduler.cancel(job)) {
+        return true;
+    }
+    // Rows of earlier builds name no queue. Their clients were answered only when the job was known.
+    wire::InboxCancellation cancellation;
+    if (!cancellation.ParseFromString(row.value) || cancellation.queue().empty()) {
+        return false;
+    }
+    m_tombstones.addFromInbox(job, cancellation.queue(), row.key, suspendAwareNow());
+    return true;
+}
+
 void LeaderTerm::processInboxRow(const Row &row)
 {
     const std::string name = StoredRows::nameOf(row, StoreLayout::InboxPrefix);
     const auto dot = name.find('.');
     const std::string id = name.substr(0, dot);
     if (dot != std::string::npos) {
-        if (!m_scheduler.cancel(id)) {
+        if (!processInboxCancellation(row, id)) {
             m_deletions.push_back(row.key);
             return;
         }
     } else if (auto job = StoredRows::readJob(row, StoreLayout::InboxPrefix); job && !m_heldJobs.contains(id)) {
-        if (m_scheduler.submit(std::move(job->spec), suspendAwareNow(), std::move(job->queue))
+        if (takeJob(std::move(job->spec), suspendAwareNow(), std::move(job->queue))
             == Scheduling::Scheduler::Submission::Accepted) {
             m_unstoredAcceptTimes[id] = job->acceptedUnixMs;
         }
@@ -1114,22 +1196,30 @@
         return;
     }
     logInfo("inbox-taken").with("row", row.key);
+    m_changed = true;
+    m_wake.notify();
+    if (m_scheduler.find(id) == nullptr) {
+        // The row is removed with the write of the tombstone.
+        return;
+    }
     // The row is removed with the next write of the job, or on its own when the job is stored already.
     if (m_scheduler.isDirty(id)) {
         m_inboxKeys[id].insert(row.key);
     } else {
         m_deletions.push_back(row.key);
     }
-    m_changed = true;
-    m_wake.notify();
 }
 
 void LeaderTerm::processInboxRows(std::span<const Row> rows)
 {
-    // Rows of the same version are ordered by key, so a submission precedes a cancellation of the same job.
-    for (const Row &row : rows) {
-        if (m_processedInboxKeys.insert(row.key).second) {
-            processInboxRow(row);
+    // A snapshot is ordered by key. A cancellation before a submission is that of a job which was not known then; rows
+    // of one version are ordered by key, so that a submission precedes a cancellation of the same job.
+    std::vector<const Row *> ordered;
+    std::ranges::transform(rows, std::back_inserter(ordered), [](const Row &row) { return &row; });
+    std::ranges::stable_sort(ordered, {}, &Row::version);
+    for (const Row *row : ordered) {
+        if (m_processedInboxKeys.insert(row->key).second) {
+            processInboxRow(*row);
         }
     }
 }
--- a/packages/control/src/carobflow/control/leaderterm.h
+++ b/packages/control/src/carobflow/control/leaderterm.h
@@ -6,8 +6,10 @@
 #include "carobflow/control/operatorsync.h"
 #include "carobflow/control/progressrows.h"
 #include "carobflow/control/roundpace.h"
+#include "carobflow/control/storedtombstones.h"
 #include "carobflow/control/transactionbatch.h"
 #include "carobflow/daemon/internal/asyncwait.h"
+#include "carobflow/daemon/internal/logthrottle.h"
 #include "carobflow/scheduler/scheduler.h"
 
 #include <atomic>
@@ -47,6 +49,7 @@
         std::function<void(std::string_view event)> countEvent = {};
         /// How long a finished job can be queried.
         Seconds retention{150};
+        Scheduling::Tombstones::Options tombstones = {};
     };
 
     LeaderTerm(const boost::asio::any_io_executor &executor,
@@ -115,6 +118,15 @@
     /// Notes that the inbox has been processed up to m_inboxVersion by a call that began at `readAt`.
     void noteInboxRead(TimePoint readAt);
     boost::asio::awaitable<void> waitForCommit(std::string job);
+    /// Takes a submitted job. One that was cancelled before it arrived is taken as cancelled, so that it is shown so.
+    Scheduling::Scheduler::Submission takeJob(Scheduling::JobSpec spec,
+                                              TimePoint submittedAt,
+                                              std::optional<Scheduling::Queue> lastKnownQueue = std::nullopt);
+    /// Remembers the cancellation of a job that is not known, and waits until it is stored.
+    boost::asio::awaitable<void> rememberCancellation(const carobflow::control::CancelRequest &request,
+                                                      carobflow::control::CancelReply &reply);
+    /// Returns false when the row has no further use.
+    bool processInboxCancellation(const Row &row, const std::string &job);
     void processReport(const Scheduling::HostReport &report, TimePoint now);
     /// Waits until the ended runs that a report lists are stored or a time limit has passed.
     boost::asio::awaitable<void> waitForEnds(const Scheduling::HostReport &report);
@@ -181,6 +193,7 @@
     OperatorSync &m_operators;
     ControlCaller &m_caller;
     Scheduling::Scheduler m_scheduler;
+    StoredTombstones m_tombstones;
     std::shared_ptr<const Scheduling::OperatorView> m_view;
     Notifier m_wake;
     RoundPace m_pace{RoundPace::Options{}};
@@ -197,6 +210,7 @@
     TimePoint m_sweptAt;
     TimePoint m_waitLoggedAt;
     TimePoint m_admissionLoggedAt;
+    LogThrottle m_refusedCancellations;
     TimePoint m_hostsCheckedAt;
     /// When at least half of the hosts were last in contact.
     TimePoint m_contactAt;
--- a/packages/control/src/carobflow/control/storelayout.h
+++ b/packages/control/src/carobflow/control/storelayout.h
@@ -20,6 +20,8 @@
 inline constexpr std::string_view HostPrefix = "hosts/";
 /// Submissions and cancellations that entries wrote while no leader could be reached.
 inline constexpr std::string_view InboxPrefix = "inbox/";
+/// Cancellations of jobs that were not known; written by the leader only.
+inline constexpr std::string_view TombstonePrefix = "tombstones/";
 /// Rows that operators write.
 inline constexpr std::string_view OperatorPrefix = "operators/";
 
--- a/packages/control/tests/jobrouter_test.cpp
+++ b/packages/control/tests/jobrouter_test.cpp
@@ -7,8 +7,12 @@
 #include "carobflow/core/clock.h"
 #include "carobflow/daemon/internal/grpclistener.h"
 
+#include <algorithm>
 #include <atomic>
+#include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -55,7 +59,21 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor *
+    Cancel(grpc::CallbackServerContext *context, const wire::CancelRequest *request, wire::CancelReply *reply) override
+    {
+        if (!answersCancellations) {
+            return wire::LeaderService::CallbackService::Cancel(context, request, reply);
+        }
+        *reply = cancellation;
+        auto *reactor = context->DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
     wire::CountPendingReply count;
+    bool answersCancellations = false;
+    wire::CancelReply cancellation;
     bool answersSubmissions = false;
     bool losesFirstReply = false;
     std::atomic<std::size_t> submissions{0};
@@ -64,9 +82,9 @@
 class RouterFixture
 {
 public:
-    RouterFixture()
+    explicit RouterFixture(StallWatch::Options stalls = {})
         : operators({.decode = [this](const auto & /*rows*/) { return view; }}, table, directory, caller)
-        , router(table, directory, operators, caller)
+        , router(table, directory, operators, caller, stalls)
     {
         const auto port = listener.reserve();
         REQUIRE(isOk(port));
@@ -120,6 +138,7 @@
                 accepted = std::holds_alternative<JobStored>(outcome);
                 if (const auto *rejected = std::get_if<JobRejected>(&outcome)) {
                     retryAfter = rejected->retryAfter;
+                    reason = rejected->reason;
                 }
                 done = true;
             },
@@ -128,6 +147,31 @@
         return accepted;
     }
 
+    /// Cancels jobs of the queue "quick" at the same time; returns the outcomes.
+    std::vector<CancelOutcome> cancel(const std::vector<std::string> &ids)
+    {
+        std::vector<CancelOutcome> outcomes;
+        bool done = false;
+        for (const std::string &id : ids) {
+            asio::co_spawn(
+                io,
+                [&, id]() -> asio::awaitable<void> {
+                    outcomes.push_back(co_await router.cancel(id, "quick", suspendAwareNow() + Seconds(1)));
+                    done = outcomes.size() == ids.size();
+                },
+                asio::detached);
+        }
+        run(done);
+        return outcomes;
+    }
+
+    [[nodiscard]] std::string queueOfCancellation(const std::string &id) const
+    {
+        wire::InboxCancellation row;
+        row.ParseFromString(table.valueOf(StoreLayout::cancellationKey(id)));
+        return row.queue();
+    }
+
     std::optional<std::uint32_t> countPending()
     {
         std::optional<std::uint32_t> count;
@@ -149,6 +193,8 @@
 
     /// Time after which the client of the last rejected job may return.
     Milliseconds retryAfter{0};
+    /// Why the last job was rejected.
+    JobRejected::Reason reason = JobRejected::Reason::Unreachable;
     /// The last count was refused because the queue does not exist any more.
     bool isRemoved = false;
     std::shared_ptr<const Scheduling::OperatorView> view;
@@ -257,4 +303,81 @@
     }
 }
 
+TEST_CASE("An entry says that there is no such job only when the cancellation is remembered", "[jobrouter][tombstones]")
+{
+    // Guards against UNASKED: a submission that was sent before arrives after the answer, and the job runs.
+    RouterFixture fixture;
+    fixture.configure();
+    wire::CancelReply &reply = fixture.leader.cancellation;
+    reply.set_outcome(wire::CancelReply::UNKNOWN_JOB);
+
+    SECTION("By the leader")
+    {
+        fixture.leader.answersCancellations = true;
+        reply.set_remembered(true);
+        CHECK(std::holds_alternative<JobUnknown>(fixture.cancel({"job"}).front()));
+        CHECK(fixture.table.countRows(StoreLayout::InboxPrefix) == 0);
+
+        SECTION("A job that waits in the inbox will be cancelled there")
+        {
+            fixture.addToInbox({.id = "waiting", .queue = "quick"});
+            CHECK(std::holds_alternative<JobCancelled>(fixture.cancel({"waiting"}).front()));
+        }
+        SECTION("So will one of which the store does not say whether it exists")
+        {
+            fixture.table.refusesReads = true;
+            CHECK(std::holds_alternative<JobCancelled>(fixture.cancel({"job"}).front()));
+        }
+        SECTION("Else the client is told to come back")
+        {
+            reply.set_outcome(wire::CancelReply::TOO_MANY);
+            CHECK(std::holds_alternative<CancelRefused>(fixture.cancel({"job"}).front()));
+        }
+    }
+    SECTION("In the inbox, where a leader of an earlier build does not remember it")
+    {
+        fixture.leader.answersCancellations = true;
+        CHECK(std::holds_alternative<JobUnknown>(fixture.cancel({"job"}).front()));
+        CHECK(fixture.queueOfCancellation("job") == "quick");
+    }
+    SECTION("In the inbox, where no leader answers")
+    {
+        CHECK(std::holds_alternative<JobUnknown>(fixture.cancel({"job"}).front()));
+        CHECK(fixture.queueOfCancellation("job") == "quick");
+        CHECK(std::holds_alternative<JobUnknown>(fixture.cancel({"job"}).front()));
+
+        SECTION("Not while the row names another queue")
+        {
+            wire::InboxCancellation other;
+            other.set_queue("batch");
+            fixture.write(StoreLayout::cancellationKey("contended"), other.SerializeAsString());
+            CHECK(std::holds_alternative<JobOutcomeUnknown>(fixture.cancel({"contended"}).front()));
+        }
+        SECTION("Not when this entry has put very many there")
+        {
+            // Guards against growth by a client that cancels jobs which never were.
+            std::vector<std::string> ids(220);
+            std::ranges::generate(ids, [number = 0]() mutable { return "none-" + std::to_string(number++); });
+            const auto outcomes = fixture.cancel(ids);
+            const auto refused = std::ranges::count_if(
+                outcomes, [](const auto &outcome) { return std::holds_alternative<CancelRefused>(outcome); });
+            CHECK(refused == 21);
+            CHECK(fixture.table.countRows(StoreLayout::InboxPrefix) == 200);
+        }
+    }
+}
+
+TEST_CASE("An entry that stood still for long rejects what may be too old", "[jobrouter][tombstones]")
+{
+    // Guards against UNASKED: a job is submitted whose cancellation is not remembered any more.
+    RouterFixture fixture({.limit = Milliseconds(50), .catchUp = Milliseconds(200)});
+    fixture.configure();
+    fixture.leader.answersSubmissions = true;
+    std::this_thread::sleep_for(Milliseconds(100));
+    CHECK_FALSE(fixture.submit("old"));
+    CHECK(fixture.reason == JobRejected::Reason::Stalled);
+    CHECK(fixture.leader.submissions == 0);
+    CHECK(fixture.table.countRows(StoreLayout::InboxPrefix) == 0);
+}
+
 } // namespace Carobflow
--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -121,21 +121,21 @@
             asio::detached);
     }
 
-    static wire::Job jobMessage(const std::string &id, std::uint32_t tasks = 1)
+    static wire::Job jobMessage(const std::string &id, std::uint32_t tasks = 1, const std::string &queue = "quick")
     {
-        Scheduling::JobSpec spec{.id = id, .queue = "quick", .payload = std::string(PayloadBytes, 'x')};
+        Scheduling::JobSpec spec{.id = id, .queue = queue, .payload = std::string(PayloadBytes, 'x')};
         spec.steps = {{.count = tasks, .request = {.cpuMillis = 100 / tasks, .memoryMiB = 10}}};
         return toMessage(spec);
     }
 
     /// Submits a job and counts it when the reply says that it is stored.
-    void submit(const std::string &id, std::uint32_t tasks = 1)
+    void submit(const std::string &id, std::uint32_t tasks = 1, const std::string &queue = "quick")
     {
         asio::co_spawn(
             io,
-            [this, id, tasks]() -> asio::awaitable<void> {
+            [this, id, tasks, queue]() -> asio::awaitable<void> {
                 wire::SubmitRequest request;
-                *request.mutable_job() = jobMessage(id, tasks);
+                *request.mutable_job() = jobMessage(id, tasks, queue);
                 const wire::SubmitReply reply = co_await term->submit(std::move(request));
                 stored += reply.outcome() == wire::SubmitReply::STORED ? 1 : 0;
             },
@@ -168,16 +168,35 @@
         return table.versionOf(StoreLayout::keyOf(StoreLayout::InboxPrefix, id));
     }
 
+    /// Puts the cancellation of an unknown job into the inbox, as an entry does that reaches no leader.
+    void cancelInInbox(const std::string &id, const std::string &queue = "quick")
+    {
+        wire::InboxCancellation cancellation;
+        cancellation.set_queue(queue);
+        addToInbox(id + ".cancel", cancellation.SerializeAsString());
+    }
+
+    /// Cancels a job, and waits for the reply.
+    wire::CancelReply cancelAndWait(const std::string &id, const std::string &queue = "quick")
+    {
+        const std::size_t before = cancelReplies;
+        cancel(id, queue);
+        runUntil([&] { return cancelReplies > before; });
+        return lastCancelReply;
+    }
+
     /// Cancels a job and counts it when the reply confirms the cancellation.
-    void cancel(const std::string &id)
+    void cancel(const std::string &id, const std::string &queue = {})
     {
         asio::co_spawn(
             io,
-            [this, id]() -> asio::awaitable<void> {
+            [this, id, queue]() -> asio::awaitable<void> {
                 wire::CancelRequest request;
                 request.set_id(id);
-                const wire::CancelReply reply = co_await term->cancel(std::move(request));
-                cancelled += reply.outcome() == wire::CancelReply::CANCELLED ? 1 : 0;
+                request.set_queue(queue);
+                lastCancelReply = co_await term->cancel(std::move(request));
+                ++cancelReplies;
+                cancelled += lastCancelReply.outcome() == wire::CancelReply::CANCELLED ? 1 : 0;
             },
             asio::detached);
     }
@@ -255,6 +274,8 @@
     std::shared_ptr<LeaderTerm> term;
     std::size_t stored = 0;
     std::size_t cancelled = 0;
+    std::size_t cancelReplies = 0;
+    wire::CancelReply lastCancelReply;
     /// Number of replies to reports, and of those among them that a leader sent.
     std::size_t replies = 0;
     std::size_t answered = 0;
@@ -895,4 +916,125 @@
     }
 }
 
+TEST_CASE("A job that was cancelled before it arrived does not run", "[leaderterm][tombstones]")
+{
+    // Guards against UNASKED: a client is told that no such job exists, and a submission that it sent before arrives
+    // later and runs.
+    const std::string id = "00000000000000d9";
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    const auto canceller = GENERATE(as<std::string_view>(), "the leader", "an entry that reaches no leader");
+    const bool leaderChanges = GENERATE(false, true);
+    const auto arrival = GENERATE(as<std::string_view>(), "in a call", "in the inbox", "in a call and in the inbox");
+    CAPTURE(canceller, leaderChanges, arrival);
+
+    if (canceller == "the leader") {
+        const wire::CancelReply reply = fixture.cancelAndWait(id);
+        CHECK(reply.outcome() == wire::CancelReply::UNKNOWN_JOB);
+        CHECK(reply.remembered());
+    } else {
+        fixture.cancelInInbox(id);
+        fixture.runUntil([&] { return fixture.versionInInbox(id + ".cancel") == 0; });
+    }
+    CHECK(fixture.table.countRows(StoreLayout::TombstonePrefix) == 1);
+    if (leaderChanges) {
+        fixture.replaceLeader();
+        fixture.waitUntilLoaded();
+    }
+    if (arrival != "in the inbox") {
+        fixture.submit(id);
+        fixture.runUntil([&] { return fixture.stored == 1; });
+    }
+    if (arrival != "in a call") {
+        fixture.addToInbox(id);
+        fixture.runUntil([&] { return fixture.versionInInbox(id) == 0; });
+    }
+    CHECK(fixture.query(id) == Scheduling::JobPhase::Cancelled);
+    CHECK(fixture.countPending().pending() == 0);
+    fixture.submit("other");
+    fixture.runUntil([&] {
+        fixture.report("host-0");
+        return !fixture.started("other").empty();
+    });
+    CHECK(fixture.started(id).empty());
+    CHECK(fixture.storedProgress(id).cancelled());
+}
+
+TEST_CASE("A cancellation and a submission that are read together count in the order of their writes",
+          "[leaderterm][tombstones][inbox]")
+{
+    TermFixture fixture;
+    fixture.waitUntilLoaded();
+    fixture.table.hidesChanges = true;
+
+    SECTION("A cancellation before a submission to another queue does not concern it")
+    {
+        // Guards against LOST: a job is shown as cancelled because another one with its id was.
+        fixture.cancelInInbox("job", "batch");
+        fixture.addToInbox("job");
+        fixture.replaceLeader();
+        fixture.waitUntilLoaded();
+        CHECK(fixture.query("job") != Scheduling::JobPhase::Cancelled);
+    }
+    SECTION("A cancellation before a submission to its queue does")
+    {
+        fixture.cancelInInbox("job");
+        fixture.addToInbox("job");
+        fixture.replaceLeader();
+        fixture.waitUntilLoaded();
+        fixture.runUntil([&] { return fixture.versionInInbox("job") == 0; });
+        CHECK(fixture.query("job") == Scheduling::JobPhase::Cancelled);
+    }
+    SECTION("And so does one after it")
+    {
+        fixture.addToInbox("job");
+        fixture.cancelInInbox("job");
+        fixture.replaceLeader();
+        fixture.waitUntilLoaded();
+        fixture.runUntil([&] { return fixture.versionInInbox("job.cancel") == 0; });
+        CHECK(fixture.query("job") == Scheduling::JobPhase::Cancelled);
+    }
+}
+
+TEST_CASE("A cancellation of an unknown job is confirmed only when it will be kept", "[leaderterm][tombstones]")
+{
+    TermFixture fixture;
+    fixture.options.tombstones = {.limit = 2, .retention = Milliseconds(1500)};
+    fixture.replaceLeader();
+    fixture.waitUntilLoaded();
+
+    SECTION("Not before it is stored")
+    {
+        // Guards against an answer that the next leader does not know of.
+        fixture.table.transactTime = Milliseconds(200);
+        fixture.cancel("job", "quick");
+        fixture.io.run_for(Milliseconds(100));
+        CHECK(fixture.cancelReplies == 0);
+        fixture.runUntil([&] { return fixture.cancelReplies == 1; });
+        CHECK(fixture.lastCancelReply.remembered());
+        CHECK(fixture.table.countRows(StoreLayout::TombstonePrefix) == 1);
+    }
+    SECTION("Not for an entry of an earlier build, which does not say the queue")
+    {
+        const wire::CancelReply reply = fixture.cancelAndWait("job", "");
+        CHECK(reply.outcome() == wire::CancelReply::UNKNOWN_JOB);
+        CHECK_FALSE(reply.remembered());
+    }
+    SECTION("Not when too many are remembered, until some have expired")
+    {
+        // Guards against growth by a client that cancels jobs which never were.
+        CHECK(fixture.cancelAndWait("a").remembered());
+        CHECK(fixture.cancelAndWait("b").remembered());
+        CHECK(fixture.cancelAndWait("c").outcome() == wire::CancelReply::TOO_MANY);
+        CHECK(fixture.cancelAndWait("a").remembered());
+        CHECK(fixture.table.countRows(StoreLayout::TombstonePrefix) == 2);
+        // Within the interval of the leader's sweep.
+        fixture.runUntil([&] {
+            fixture.report("host-0");
+            return fixture.table.countRows(StoreLayout::TombstonePrefix) == 0;
+        });
+        CHECK(fixture.cancelAndWait("c").remembered());
+    }
+}
+
 } // namespace Carobflow
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -1,7 +1,10 @@
 #include "hostedsystem.h"
 
 #include <csignal>
+#include <future>
 #include <set>
+#include <string_view>
+#include <thread>
 
 #include <boost/json/object.hpp>
 #include <catch2/catch.hpp>
@@ -315,6 +318,85 @@
     });
 }
 
+TEST_CASE("A job that was cancelled before its submission arrived does not run", "[hosted][tombstones]")
+{
+    // Guards against UNASKED: a client is told that no such job exists, and an entry or the store passes on its
+    // submission later.
+    HostedSystem system({.entries = 2});
+    system.waitUntilReady();
+    const auto arrival = GENERATE(as<std::string_view>(),
+                                  "held by an entry that stands still",
+                                  "held by an entry that stands still, while the leader is killed",
+                                  "held by an entry that stands still, while no agent runs",
+                                  "in a write that the store performs late",
+                                  "as the second request of the client");
+    CAPTURE(arrival);
+    const bool isHeld = arrival.starts_with("held");
+    const bool isLateWrite = arrival.starts_with("in a write");
+    const bool withoutAgents = arrival.ends_with("no agent runs") || isLateWrite;
+    const auto killAgents = [&] {
+        for (std::size_t index = 0; index < 3; ++index) {
+            system.agent(index).signal(SIGKILL);
+        }
+    };
+    const auto startAgents = [&] {
+        for (std::size_t index = 0; index < 3; ++index) {
+            system.startAgent(index);
+        }
+    };
+    std::future<unsigned> submission;
+    if (isHeld) {
+        system.entry(0).signal(SIGSTOP);
+    }
+    if (withoutAgents) {
+        killAgents();
+    }
+    if (isLateWrite) {
+        system.onStandIns([&] {
+            system.store().lateWrites = 20;
+            system.store().lateBy = Milliseconds(6000);
+        });
+    }
+    if (isHeld || isLateWrite) {
+        submission = std::async(std::launch::async, [&] { return system.submit(jobId(1), 2, Milliseconds(500), 0); });
+        std::this_thread::sleep_for(Milliseconds(1300));
+    }
+    if (isLateWrite) {
+        CHECK(submission.get() == 504);
+        system.onStandIns([&] { system.store().lateWrites = 0; });
+    }
+    CHECK(system.cancel(jobId(1), 1) == 410);
+    CHECK(system.state(jobId(1), 1) == "410");
+    if (arrival.ends_with("leader is killed")) {
+        const auto leader = system.leader();
+        REQUIRE(leader);
+        system.agent(*leader).signal(SIGKILL);
+        system.startAgent(*leader);
+    }
+    if (withoutAgents) {
+        startAgents();
+    }
+    std::this_thread::sleep_for(Milliseconds(1500));
+    if (isHeld) {
+        system.entry(0).signal(SIGCONT);
+        submission.wait();
+    }
+    if (isLateWrite) {
+        std::this_thread::sleep_for(Milliseconds(5000));
+    }
+    system.waitUntilReady();
+    // The client may also repeat its request, which is the same job.
+    CHECK(system.submit(jobId(1), 2, Milliseconds(500), 1) == 200);
+    CHECK(system.state(jobId(1), 1) == "cancelled");
+    CHECK(system.submit(jobId(2), 1, Milliseconds(100), 1) == 200);
+    CHECK(system.waitForState(jobId(2), "completed", Milliseconds(15000)));
+    std::this_thread::sleep_for(Milliseconds(1000));
+    // Only the task of the other job has run.
+    CHECK(system.runs().size() == 1);
+    CHECK(system.state(jobId(1), 0) == "cancelled");
+    CHECK(system.cancel(jobId(1), 0) == 200);
+}
+
 TEST_CASE("A repeated cancellation is confirmed only when the first one is in the store", "[hosted]")
 {
     HostedSystem system({});
