Answer 504 at an entry that stood still

The request that it reads may be the repetition of one that was stored, so a rejection, which says that the job never runs, could be false. The entry now says that it is not known whether the job was taken.

--- a/packages/control/src/carobflow/control/jobrouter.cpp
+++ b/packages/control/src/carobflow/control/jobrouter.cpp
@@ -141,8 +141,9 @@
     request.set_configuration_version(configurationVersion());
     const TimePoint began = suspendAwareNow();
     if (m_stalls.isSuspect(began)) {
-        logWarning("job-refused").with("job", job.id).with("reason", "stood-still");
-        co_return JobRejected{.reason = JobRejected::Reason::Stalled};
+        // An earlier request with this id may have been stored, so this is no rejection.
+        logWarning("job-refused").with("job", job.id).with("reason", "entry-stood-still");
+        co_return JobOutcomeUnknown{};
     }
     bool mayBeStored = false;
     bool storeUnavailable = false;
@@ -162,8 +163,7 @@
                     co_return JobStored{};
                 }
                 if (reply->outcome() == wire::SubmitReply::OVERLOADED && !mayBeStored) {
-                    co_return JobRejected{.retryAfter = Milliseconds(reply->retry_after_ms()),
-                                          .reason = JobRejected::Reason::Overloaded};
+                    co_return JobRejected{.retryAfter = Milliseconds(reply->retry_after_ms()), .overloaded = true};
                 }
                 if (reply->outcome() == wire::SubmitReply::QUEUE_REMOVED && !mayBeStored) {
                     co_return QueueRemoved{};
--- a/packages/control/src/carobflow/control/jobrouter.h
+++ b/packages/control/src/carobflow/control/jobrouter.h
@@ -23,18 +23,10 @@
 
 /// The job is not stored and will not run unless it is submitted again.
 struct JobRejected {
-    enum class Reason {
-        /// Neither a leader nor the store could be reached.
-        Unreachable,
-        /// Too much work is queued.
-        Overloaded,
-        /// This entry stood still, and the job may have been cancelled since it was sent.
-        Stalled,
-    };
-
     /// Delay after which the client may retry.
     Milliseconds retryAfter{1000};
-    Reason reason = Reason::Unreachable;
+    /// True when too much work is queued, false when neither a leader nor the store could be reached.
+    bool overloaded = false;
 };
 
 /// It is not known whether the request took effect.
