--- a/packages/scheduler/src/carobflow/scheduler/tombstones.h
+++ b/packages/scheduler/src/carobflow/scheduler/tombstones.h
@@ -22,7 +22,7 @@
 {
 public:
     struct Options {
-        /// Takes about 1 MB, and eight reads of a new leader.
+        /// Bounds the memory of a leader, and the rows that its successor loads before it answers.
         std::size_t limit = 4000;
         /// Each cancellation is remembered for at least half of this time. Covers the time for which an entry that
         /// stood still submits requests, and writes that the store performs seconds late.
--- a/tests/hosted/jobs_test.cpp
+++ b/tests/hosted/jobs_test.cpp
@@ -1,10 +1,12 @@
 #include "hostedsystem.h"
 
+#include <atomic>
 #include <csignal>
 #include <future>
 #include <set>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include <boost/json/object.hpp>
 #include <catch2/catch.hpp>
@@ -397,6 +399,53 @@
     CHECK(system.cancel(jobId(1), 0) == 200);
 }
 
+TEST_CASE("A client that cancels unknown jobs without end gets refusals, and others are served", "[hosted][tombstones]")
+{
+    // Guards against a leader that grows with what a client cancels, and against answers that are not kept.
+    HostedSystem system({});
+    system.waitUntilReady();
+    constexpr unsigned callers = 8;
+    constexpr unsigned each = 550;
+    std::atomic<unsigned> confirmed{0};
+    std::atomic<unsigned> refused{0};
+    std::vector<std::future<void>> running;
+    for (unsigned caller = 0; caller < callers; ++caller) {
+        running.push_back(std::async(std::launch::async, [&, caller] {
+            for (unsigned number = 0; number < each; ++number) {
+                const unsigned status = system.cancel(jobId(10000 + caller * each + number));
+                confirmed += status == 410 ? 1 : 0;
+                refused += status == 503 ? 1 : 0;
+            }
+        }));
+    }
+    for (const std::future<void> &caller : running) {
+        caller.wait();
+    }
+    // A call without an answer in time may be remembered as well.
+    const unsigned uncertain = callers * each - confirmed - refused;
+    CHECK(confirmed <= 4000);
+    CHECK(confirmed + uncertain >= 4000);
+    CHECK(refused > 0);
+    REQUIRE(system.submit(jobId(1), 1, Milliseconds(200)) == 200);
+    CHECK(system.waitForState(jobId(1), "completed", Milliseconds(5000)));
+    REQUIRE(system.submit(jobId(2), 1, Milliseconds(60000)) == 200);
+    CHECK(system.cancel(jobId(2)) == 200);
+
+    SECTION("Also after a change of leader")
+    {
+        const auto leader = system.leader();
+        REQUIRE(leader);
+        system.agent(*leader).signal(SIGKILL);
+        system.startAgent(*leader);
+        CHECK(system.submit(jobId(3), 1, Milliseconds(200)) == 200);
+        CHECK(system.waitForState(jobId(3), "completed", Milliseconds(10000)));
+        CHECK(system.submit(jobId(10000), 1, Milliseconds(200)) == 200);
+        CHECK(system.state(jobId(10000)) == "cancelled");
+        CHECK(system.cancel(jobId(9999)) == 503);
+        CHECK(system.runs().size() <= 3);
+    }
+}
+
 TEST_CASE("A repeated cancellation is confirmed only when the first one is in the store", "[hosted]")
 {
     HostedSystem system({});
