--- a/packages/control/tests/hostagent_test.cpp
+++ b/packages/control/tests/hostagent_test.cpp
@@ -399,6 +399,21 @@
     }
 }
 
+TEST_CASE("An upstream that many other announcements crowd out is used after its next one", "[hostagent][foreign]")
+{
+    // Guards against a host that is lost because another program invents more identities than an agent keeps.
+    AgentFixture fixture;
+    for (int number = 0; number < 20; ++number) {
+        fixture.announce({.id = "p-" + std::to_string(number), .incarnation = 9}, 1);
+    }
+    fixture.agent.start();
+    fixture.run(Milliseconds(300));
+    CHECK(fixture.announce({.id = "up", .incarnation = 1}, 2) == AnnouncementOutcome::Pending);
+    fixture.run(Milliseconds(300));
+    CHECK(fixture.start(1) == Scheduling::StartOutcome::LeaseOver);
+    CHECK(fixture.upstream.leases == 0);
+}
+
 TEST_CASE("An upstream stays in use whatever happens to the configuration of its service", "[hostagent][foreign]")
 {
     // Guards against runs whose leases expire, and hosts that are lost, because of a configuration that comes late or
