Log why tasks find no host, runs held back by pacing, and how batch jobs end

The log named the first task that waits, not the reasons, and neither the runs that pacing holds back nor whether a job ended in time. tasks-waiting now counts refusals by reason, runs below half of their speed, and their moves; job-completed has the time of a batch job beside its objective, and carobflow_task_events_total counts job-in-time, job-late and job-expired.

--- a/packages/control/src/carobflow/control/leaderterm.cpp
+++ b/packages/control/src/carobflow/control/leaderterm.cpp
@@ -136,6 +136,21 @@
                        [countEvent = m_options.countEvent](const Scheduling::CopyChange &change) {
                            noteCopy(
                                change, countEvent ? countEvent : [](std::string_view /*event*/) {});
+                       },
+                   .onCompletion =
+                       [countEvent = m_options.countEvent](const Scheduling::JobCompletion &completion) {
+                           const std::string_view outcome = Scheduling::nameOf(completion.timeliness);
+                           logInfo("job-completed")
+                               .with("job", completion.job->spec().id)
+                               .with("queue", completion.job->spec().queue)
+                               .with("outcome", outcome)
+                               .with("took_ms", completion.took.count())
+                               .with("objective_ms", completion.objective.count())
+                               .with("tasks", completion.job->taskCount())
+                               .with("runs", completion.runs);
+                           if (countEvent) {
+                               countEvent("job-" + std::string(outcome));
+                           }
                        }})
     , m_tombstones(m_options.tombstones, m_table.clock())
     , m_wake(m_strand)
@@ -436,13 +451,21 @@
         return;
     }
     m_waitLoggedAt = now;
+    const Scheduling::HeldBackRuns heldBack = m_scheduler.heldBackRuns(now);
+    const Scheduling::Relocation::Summary relocation = m_scheduler.takeRelocationSummary();
     logInfo("tasks-waiting")
         .with("epoch", m_ledger->epoch())
         .with("unplaced", waiting.unplaced)
         .with("first", waiting.firstUnplaced)
         .with("silent_hosts", waiting.silentHosts)
         .with("runs_there", waiting.runsOnSilentHosts)
-        .with("comparisons", waiting.comparisons);
+        .with("comparisons", waiting.comparisons)
+        .with("fillers_refused", waiting.fillerRefusals.describe())
+        .with("others_refused", waiting.otherRefusals.describe())
+        .with("held_back", heldBack.count)
+        .with("longest_ms", heldBack.longest.count())
+        .with("moved", relocation.moves)
+        .with("without_place", relocation.withoutPlace);
 }
 
 ProgressRows &LeaderTerm::progressRowsOf(const Scheduling::Job &job)
--- a/packages/scheduler/src/carobflow/scheduler/jobvalue.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/jobvalue.cpp
@@ -1,6 +1,7 @@
 #include "carobflow/scheduler/jobvalue.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace Carobflow::Scheduling
@@ -28,14 +29,26 @@
     return job.acceptedAt() + job.objectiveFor(job.likelyPath());
 }
 
-double JobValue::worthAt(const Job &job, TimePoint end) const
+std::string_view nameOf(Timeliness timeliness)
+{
+    constexpr std::array<std::string_view, 3> names{"in-time", "late", "expired"};
+    return names[static_cast<std::size_t>(timeliness)];
+}
+
+Timeliness JobValue::timelinessAt(const Job &job, TimePoint end) const
 {
     const Duration objective = objectiveEnd(job) - job.acceptedAt();
     const Duration took = end - job.acceptedAt();
     if (took <= objective) {
-        return 1;
+        return Timeliness::InTime;
     }
-    return took <= objective * m_options.expiredAfterObjectives ? m_options.lateWorth : m_options.expiredWorth;
+    return took <= objective * m_options.expiredAfterObjectives ? Timeliness::Late : Timeliness::Expired;
+}
+
+double JobValue::worthAt(const Job &job, TimePoint end) const
+{
+    const std::array worths{1.0, m_options.lateWorth, m_options.expiredWorth};
+    return worths[static_cast<std::size_t>(timelinessAt(job, end))];
 }
 
 double JobValue::rate(const Job &job, TimePoint now) const
--- a/packages/scheduler/src/carobflow/scheduler/jobvalue.h
+++ b/packages/scheduler/src/carobflow/scheduler/jobvalue.h
@@ -2,11 +2,24 @@
 
 #include "carobflow/scheduler/job.h"
 
-#include <span>
+#include <string_view>
 
 namespace Carobflow::Scheduling
 {
 
+/// What the result of a job is worth to its client at a time.
+enum class Timeliness {
+    /// Within the objective: its full worth.
+    InTime,
+    /// Later: a small part.
+    Late,
+    /// After several objectives: next to nothing.
+    Expired,
+};
+
+/// "in-time", "late" or "expired", for the log and the counters.
+std::string_view nameOf(Timeliness timeliness);
+
 /// Rates jobs by what their callers lose when the jobs wait.
 ///
 /// The value of a job's result is proportional to the work of the job: its caller waits for all of it. In time it is
@@ -40,6 +53,8 @@
     /// The fraction of its worth that the job's result has for its caller at a time.
     [[nodiscard]] double worthAt(const Job &job, TimePoint end) const;
 
+    [[nodiscard]] Timeliness timelinessAt(const Job &job, TimePoint end) const;
+
     /// Time until which the job's result has its full worth, from the likely length of its critical path.
     [[nodiscard]] static TimePoint objectiveEnd(const Job &job);
 
--- a/packages/scheduler/src/carobflow/scheduler/placement.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/placement.cpp
@@ -71,22 +71,23 @@
     return std::ranges::find(tasks[id.index].attempts, host.name(), &Attempt::host) == tasks[id.index].attempts.end();
 }
 
-bool Placement::isEligible(const Host &host, const Job &job, const TaskId &id) const
+std::optional<Refusal> Placement::refusalOf(const Host &host, const Job &job, const TaskId &id) const
 {
     const StepSpec &step = job.step(id);
     if (!host.fits(step)) {
-        return false;
+        return host.freeMemory() < step.request.memoryMiB ? Refusal::Memory : Refusal::Processor;
     }
     if (step.fillsLeftover && m_options.allowsInterference) {
         // The left-over processor time may be shared with other fillers, so only reservations are considered.
         if (!host.fits({.request = step.request})) {
-            return false;
+            return Refusal::Processor;
         }
-    } else if (step.fillsLeftover
-               && (host.leftoverCpu() < step.request.cpuMillis || host.freeMemory() < m_options.fillerMemoryReserve)) {
-        return false;
+    } else if (step.fillsLeftover && host.leftoverCpu() < step.request.cpuMillis) {
+        return Refusal::Leftover;
+    } else if (step.fillsLeftover && host.freeMemory() < m_options.fillerMemoryReserve) {
+        return Refusal::Memory;
     }
-    return isAllowed(host, job, id);
+    return isAllowed(host, job, id) ? std::nullopt : std::optional(Refusal::Excluded);
 }
 
 bool Placement::isSuitable(const Host &host, const Job &job, const TaskId &id, TimePoint now) const
@@ -163,16 +164,21 @@
     }
     const bool avoidsSuspect = avoidsSuspects(now);
     m_comparisons += m_hosts.size();
+    Refusals refusals;
     Host *best = nullptr;
     double bestScore = 0;
     for (Host *host : m_hosts) {
-        if ((avoidsSuspect && host->isSuspect(now)) || !isEligible(*host, job, id)) {
+        const std::optional<Refusal> refusal = avoidsSuspect && host->isSuspect(now) ? Refusal::Suspect
+                                                                                     : refusalOf(*host, job, id);
+        if (refusal) {
+            refusals.add(*refusal);
             continue;
         }
         const std::optional<double> fillerLoss = step.fillsLeftover
             ? m_fillerAdmission.expectedLoss(host->name(), step.image, coresOf(step.request.cpuMillis), now)
             : 0;
         if (!fillerLoss && !m_options.allowsInterference) {
+            refusals.add(Refusal::Headroom);
             continue;
         }
         const double value = score(*host, job, id, fillerLoss.value_or(MaxLoss), now);
@@ -181,6 +187,9 @@
             bestScore = value;
         }
     }
+    if (best == nullptr) {
+        (step.fillsLeftover ? m_fillerRefusals : m_otherRefusals).add(refusals);
+    }
     // A host that keeps suspected tasks apart may still take a task of another job.
     if (best == nullptr && !job.findTask(id)->suspected && std::ranges::none_of(m_hosts, &Host::hasSuspectedStart)) {
         m_unplaceable.add(job, step);
--- a/packages/scheduler/src/carobflow/scheduler/placement.h
+++ b/packages/scheduler/src/carobflow/scheduler/placement.h
@@ -5,8 +5,10 @@
 #include "carobflow/scheduler/hostspeed.h"
 #include "carobflow/scheduler/job.h"
 #include "carobflow/scheduler/operatorview.h"
+#include "carobflow/scheduler/refusals.h"
 #include "carobflow/scheduler/unplaceableshapes.h"
 
+#include <optional>
 #include <span>
 
 namespace Carobflow::Scheduling
@@ -73,12 +75,24 @@
         return m_comparisons;
     }
 
+    /// Refusals of the hosts compared in the choices that found none, of fillers and of other tasks.
+    [[nodiscard]] const Refusals &fillerRefusals() const
+    {
+        return m_fillerRefusals;
+    }
+
+    [[nodiscard]] const Refusals &otherRefusals() const
+    {
+        return m_otherRefusals;
+    }
+
 private:
     /// False when most hosts are suspect, since the cause then lies in the tasks. Otherwise suspect hosts are avoided,
     /// because waiting for another host is better than a failed run, which counts as an attempt.
     [[nodiscard]] bool avoidsSuspects(TimePoint now) const;
-    [[nodiscard]] bool isEligible(const Host &host, const Job &job, const TaskId &id) const;
-    /// The part of isEligible() that does not depend on free resources.
+    /// Empty when the host can take the task, but for what fillers cost its services.
+    [[nodiscard]] std::optional<Refusal> refusalOf(const Host &host, const Job &job, const TaskId &id) const;
+    /// The part of refusalOf() that does not depend on free resources.
     [[nodiscard]] bool isAllowed(const Host &host, const Job &job, const TaskId &id) const;
     /// Rates the host for the task; the highest score wins. `fillerLoss` is the fraction of a service's headroom that
     /// the task would take.
@@ -91,6 +105,8 @@
     std::span<Host *const> m_hosts;
     UnplaceableShapes m_unplaceable;
     std::size_t m_comparisons = 0;
+    Refusals m_fillerRefusals;
+    Refusals m_otherRefusals;
 };
 
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/relocation.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/relocation.cpp
@@ -38,7 +38,10 @@
         ++m_looksInInterval;
         if (hasPlace(candidate.run)) {
             ++m_movesInInterval;
+            ++m_summary.moves;
             moves.push_back(std::move(candidate.run));
+        } else {
+            ++m_summary.withoutPlace;
         }
     }
     return moves;
--- a/packages/scheduler/src/carobflow/scheduler/relocation.h
+++ b/packages/scheduler/src/carobflow/scheduler/relocation.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace Carobflow::Scheduling
@@ -45,6 +46,12 @@
     /// Tells whether the task of a run would find another host.
     using HasPlace = std::function<bool(const RunId &run)>;
 
+    /// Moves, and candidates for which no host was found; for the log.
+    struct Summary {
+        std::size_t moves = 0;
+        std::size_t withoutPlace = 0;
+    };
+
     explicit Relocation(Options options)
         : m_options(options)
     {
@@ -57,6 +64,12 @@
     /// Selects the moves of one plan, with the largest gain first.
     [[nodiscard]] std::vector<RunId> select(std::vector<Candidate> candidates, const HasPlace &hasPlace, TimePoint now);
 
+    /// Counts since the last call.
+    Summary takeSummary()
+    {
+        return std::exchange(m_summary, {});
+    }
+
     [[nodiscard]] const Options &options() const
     {
         return m_options;
@@ -67,6 +80,7 @@
     TimePoint m_intervalBegan;
     std::size_t m_movesInInterval = 0;
     std::size_t m_looksInInterval = 0;
+    Summary m_summary;
 };
 
 } // namespace Carobflow::Scheduling
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -427,6 +427,7 @@
             report(ended.run, host.host.name(), "done-after-all");
             task->finishedBy = ended.run.run;
             job.recordSuccess(ended.run.task);
+            reportCompletion(job, now);
             markDirty(job);
         }
         if (isDirty(job.spec().id)) {
@@ -447,6 +448,7 @@
         }
         const double remaining = job.remainingWork();
         job.recordSuccess(ended.run.task);
+        reportCompletion(job, now);
         if (m_options.features.admission) {
             m_admission.onTaskDone(job, job.step(ended.run.task), remaining, now - attempt->startedAt, now);
         }
@@ -909,6 +911,39 @@
     }
 }
 
+void Scheduler::reportCompletion(const Job &job, TimePoint now) const
+{
+    if (!m_options.onCompletion || !job.isOver() || job.isService() || job.spec().scheduled) {
+        return;
+    }
+    const JobValue value{JobValue::Options{}};
+    std::size_t runs = 0;
+    const_cast<Job &>(job).forEachTask([&](const TaskId & /*id*/, const Task &task) { runs += task.lastRun; });
+    m_options.onCompletion(
+        {.job = &job,
+         .took = std::chrono::duration_cast<Milliseconds>(now - job.acceptedAt()),
+         .objective = std::chrono::duration_cast<Milliseconds>(JobValue::objectiveEnd(job) - job.acceptedAt()),
+         .timeliness = value.timelinessAt(job, now),
+         .runs = runs});
+}
+
+HeldBackRuns Scheduler::heldBackRuns(TimePoint now) const
+{
+    HeldBackRuns held;
+    for (const auto &[name, state] : m_hosts) {
+        for (const RunId &run : state->attempts) {
+            for (const Attempt &attempt : m_jobs.find(run.task.job)->second->findTask(run.task)->attempts) {
+                if (attempt.run == run.run && attempt.host == name && attempt.slowSince) {
+                    ++held.count;
+                    held.longest = std::max(held.longest,
+                                            std::chrono::duration_cast<Milliseconds>(now - *attempt.slowSince));
+                }
+            }
+        }
+    }
+    return held;
+}
+
 void Scheduler::observeSilence(HostState &host, TimePoint now)
 {
     const TimePoint lastContact = host.host.hasReported() ? host.host.reportedAt() : host.expectedSince;
@@ -1014,6 +1049,8 @@
     preempt(open, hosts, placement, now);
     startCopies(open, hosts, placement, now);
     m_waiting.comparisons = placement.comparisons() + interferingPlacement.comparisons();
+    m_waiting.fillerRefusals = placement.fillerRefusals();
+    m_waiting.otherRefusals = placement.otherRefusals();
 }
 
 bool Scheduler::isStarving(const Job &job, TimePoint now)
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -61,6 +61,24 @@
     Milliseconds expectedGain{0};
 };
 
+/// A batch job has completed.
+struct JobCompletion {
+    const Job *job = nullptr;
+    /// Time since its acceptance, and the time until which its result has its full worth.
+    Milliseconds took{0};
+    Milliseconds objective{0};
+    Timeliness timeliness = Timeliness::InTime;
+    /// Number of runs of its tasks.
+    std::size_t runs = 0;
+};
+
+/// Runs that pacing limits to a low share; see Relocation.
+struct HeldBackRuns {
+    std::size_t count = 0;
+    /// The longest time since which one of them has been limited.
+    Milliseconds longest{0};
+};
+
 /// Tasks that are ready and have no run, and the hosts for whose leases others wait.
 struct WaitingTasks {
     /// Steps and gangs for which the last plan found no host, and the first task among them in the order of the plan.
@@ -71,6 +89,9 @@
     std::size_t runsOnSilentHosts = 0;
     /// Hosts compared by the last plan, each once for every choice; most of a plan's processor time.
     std::size_t comparisons = 0;
+    /// Why hosts did not take these tasks; a host counts once for every choice.
+    Refusals fillerRefusals;
+    Refusals otherRefusals;
 };
 
 /// How many hosts a leader hears.
@@ -104,6 +125,8 @@
         std::function<void(const HostContactChange &change)> onHostContact;
         /// Called for the log and the counters when a copy of a task is started, and when it ends.
         std::function<void(const CopyChange &change)> onCopy;
+        /// Called for the log and the counters when a batch job completes.
+        std::function<void(const JobCompletion &completion)> onCompletion;
     };
 
     enum class Submission { Accepted, Known };
@@ -246,6 +269,15 @@
         return m_waiting;
     }
 
+    /// Runs that are held back now, for the log. Visits all attempts.
+    [[nodiscard]] HeldBackRuns heldBackRuns(TimePoint now) const;
+
+    /// Moves of held back runs since the last call, and those for which no host was found.
+    Relocation::Summary takeRelocationSummary()
+    {
+        return m_relocation.takeSummary();
+    }
+
     /// Number of ends that takeDirtyJobs() and commitJob() have examined so far, and of hosts that they have searched
     /// for such ends.
     [[nodiscard]] std::size_t endChecks() const
@@ -293,6 +325,7 @@
     void releaseLostHosts(TimePoint now);
     /// Notes hosts on which runs are placed and that have become silent.
     void observeSilence(HostState &host, TimePoint now);
+    void reportCompletion(const Job &job, TimePoint now) const;
     void reportContact(const HostState &host, std::string_view event, TimePoint now) const;
     template<typename Predicate>
     void dropAttempts(const HostState &host, std::string_view event, Predicate &&predicate);
