Move held back batch work although a service waits for a host

Callers saw: long orders on full deployments end late or not at all, while a few of their tasks stand still for 10 s and more on hosts whose services are near their targets.

Cause: a run that pacing holds back moves when its job comes before the first job that waits. On a full deployment that is a service for which no host has enough reserved processor time. It waits for another resource than batch work, but stands before all of it, so no run moved unless another host had room.

Change: the first waiting filler decides. The new section of relocation_test fails before (0 stop orders).

--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -1036,16 +1036,16 @@
                                    m_fillerAdmission,
                                    hosts);
     const bool mostlyFree = isMostlyFree(hosts);
-    std::size_t firstWaitingRank = open.size();
+    std::size_t firstWaitingFiller = open.size();
     for (std::size_t rank = 0; rank < open.size() && m_placedStarts < MaxPlacedStarts; ++rank) {
         Job *job = open[rank];
         const bool starving = isStarving(*job, now) && mostlyFree;
         planJob(*job, starving ? interferingPlacement : placement, now, unixMs);
-        if (m_waiting.unplaced > 0 && firstWaitingRank == open.size()) {
-            firstWaitingRank = rank;
+        if (m_waiting.unplacedFillers > 0 && firstWaitingFiller == open.size()) {
+            firstWaitingFiller = rank;
         }
     }
-    moveSlowRuns(open, firstWaitingRank, placement, now);
+    moveSlowRuns(open, firstWaitingFiller, placement, now);
     preempt(open, hosts, placement, now);
     startCopies(open, hosts, placement, now);
     m_waiting.comparisons = placement.comparisons() + interferingPlacement.comparisons();
@@ -1090,7 +1090,7 @@
         if (!task.done && task.attempts.empty() && task.notBefore <= now) {
             Host *host = placement.choose(job, id, now);
             if (host == nullptr) {
-                noteUnplaced(id);
+                noteUnplaced(job, id);
                 if (task.failedOn.empty()) {
                     // The tasks of a step are identical, so no other one fits either.
                     return;
@@ -1107,8 +1107,9 @@
     }
 }
 
-void Scheduler::noteUnplaced(const TaskId &id)
+void Scheduler::noteUnplaced(const Job &job, const TaskId &id)
 {
+    m_waiting.unplacedFillers += job.step(id).fillsLeftover ? 1 : 0;
     if (++m_waiting.unplaced == 1) {
         m_waiting.firstUnplaced = id.toString();
     }
@@ -1130,7 +1131,7 @@
     for (; id.index < tasks.size(); ++id.index) {
         Host *host = placement.choose(job, id, now);
         if (host == nullptr) {
-            noteUnplaced(id);
+            noteUnplaced(job, id);
             break;
         }
         place(job, id, *host, run, now);
@@ -1177,15 +1178,16 @@
 }
 
 void Scheduler::moveSlowRuns(std::span<Job *const> order,
-                             std::size_t firstWaitingRank,
+                             std::size_t firstWaitingFiller,
                              Placement &placement,
                              TimePoint now)
 {
     const auto hasPlace = [&](const RunId &run) {
-        // The next free place goes to a task of the first job of the order that waits.
+        // The next free place goes to the first job of the order that waits for one. Tasks that are no fillers wait for
+        // other resources.
         const Job *job = find(run.task.job);
         const auto rank = static_cast<std::size_t>(std::ranges::find(order, job) - order.begin());
-        return (rank <= firstWaitingRank && firstWaitingRank < order.size())
+        return (rank <= firstWaitingFiller && firstWaitingFiller < order.size())
             || placement.choose(*job, run.task, now) != nullptr;
     };
     for (const RunId &run : m_relocation.select(std::exchange(m_slowRuns, {}), hasPlace, now)) {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.h
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.h
@@ -84,6 +84,8 @@
     /// Steps and gangs for which the last plan found no host, and the first task among them in the order of the plan.
     std::size_t unplaced = 0;
     std::string firstUnplaced;
+    /// Those among them that wait for processor time which other tasks leave unused.
+    std::size_t unplacedFillers = 0;
     std::size_t silentHosts = 0;
     /// Runs on silent hosts. Their tasks start elsewhere when the leases have expired.
     std::size_t runsOnSilentHosts = 0;
@@ -332,11 +334,11 @@
     void dropAttempt(Job &job, const TaskId &id, std::uint32_t run, std::string_view host);
     void planJob(Job &job, Placement &placement, TimePoint now, std::int64_t unixMs);
     void planStep(Job &job, std::uint32_t occurrence, std::uint32_t step, Placement &placement, TimePoint now);
-    void noteUnplaced(const TaskId &id);
+    void noteUnplaced(const Job &job, const TaskId &id);
     void placeGang(Job &job, const TaskId &first, Placement &placement, TimePoint now);
     void place(Job &job, const TaskId &id, Host &host, std::uint32_t run, TimePoint now);
     /// Stops runs that services hold back, so that their tasks continue on other hosts.
-    void moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingRank, Placement &placement, TimePoint now);
+    void moveSlowRuns(std::span<Job *const> order, std::size_t firstWaitingFiller, Placement &placement, TimePoint now);
     /// Starts copies of slow tasks of speculative steps.
     void startCopies(std::span<Job *const> order, std::span<Host *const> hosts, Placement &placement, TimePoint now);
     void reportCopy(const Attempt &copy, const TaskId &id, std::string_view event) const;
--- a/packages/scheduler/tests/relocation_test.cpp
+++ b/packages/scheduler/tests/relocation_test.cpp
@@ -95,6 +95,34 @@
     }
 }
 
+TEST_CASE("A run that pacing holds back does not wait for a task that needs other resources", "[relocation]")
+{
+    // Guards against SHORT: one task of a service that no host can take kept every paced run where it was.
+    RelocationFixture fixture({.relocation = true});
+    const auto fillAllHosts = [&](const std::string &id) {
+        JobSpec job = RelocationFixture::batchJob(id);
+        job.steps.front().count = 3;
+        job.steps.front().request.cpuMillis = 4000;
+        fixture.scheduler->submit(job, fixture.now);
+        return fixture.step();
+    };
+    const auto starts = fillAllHosts("held-back");
+    REQUIRE(starts.size() == 3);
+
+    SECTION("A service waits, and no host has room for more batch work")
+    {
+        JobSpec service = RelocationFixture::quickJob("service");
+        service.steps.front().request.cpuMillis = 5000;
+        service.steps.front().longRunning = true;
+        fixture.scheduler->submit(service, fixture.now);
+        SECTION("The run moves when its job comes before the batch work that waits")
+        {
+            fillAllHosts("waiting");
+            CHECK(fixture.reportPaced(starts.front(), 20, Milliseconds(1600)).size() == 1);
+        }
+    }
+}
+
 TEST_CASE("A task stays where moves are switched off", "[relocation]")
 {
     RelocationFixture fixture({});
