Stop batch runs that stand still under pacing, also without another host

Callers saw: long orders whose last few tasks stand still for up to 20 s; a step ends with its slowest task.

Cause: a run that its host paces to 0 moved only if another host had room or its job came first. Under overload neither holds for most runs, so the run kept its memory and its processor time on the host without using them, and its job waited for that host's services to calm down.

Change: a run that is paced to 8 % at most and has checkpoints is stopped all the same. It loses no work, and its task gets the next place that its job's rank allows.

The new section of relocation_test fails before (0 stop orders at a share of 0).

--- a/packages/scheduler/src/carobflow/scheduler/relocation.h
+++ b/packages/scheduler/src/carobflow/scheduler/relocation.h
@@ -22,6 +22,8 @@
     struct Options {
         /// A run that is paced to less than this percentage is slow.
         std::uint32_t slowShare = 50;
+        /// A run that is paced to this percentage at most makes no progress that matters. Pacers stop images below 8 %.
+        std::uint32_t standstillShare = 8;
         /// How long a run is slow before it moves. Pacing raises a share again after 0.4 s when the services allow it.
         Milliseconds slowFor{1000};
         /// Time that a move takes: a stop, a write to the store and a start from a checkpoint.
@@ -61,6 +63,13 @@
     [[nodiscard]] std::optional<Duration>
     gain(const StepSpec &step, const Task &task, const Attempt &attempt, TimePoint now) const;
 
+    /// True for a run that makes no progress and would not lose any either by a stop. It moves although no host has
+    /// room for it: what it holds on its host serves other tasks meanwhile.
+    [[nodiscard]] bool standsStill(const StepSpec &step, const Attempt &attempt) const
+    {
+        return step.checkpointing && attempt.share <= m_options.standstillShare;
+    }
+
     /// Selects the moves of one plan, with the largest gain first.
     [[nodiscard]] std::vector<RunId> select(std::vector<Candidate> candidates, const HasPlace &hasPlace, TimePoint now);
 
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -1186,6 +1186,9 @@
         // The next free place goes to the first job of the order that waits for one. Tasks that are no fillers wait for
         // other resources.
         const Job *job = find(run.task.job);
+        if (m_relocation.standsStill(job->step(run.task), job->findTask(run.task)->attempts.front())) {
+            return true;
+        }
         const auto rank = static_cast<std::size_t>(std::ranges::find(order, job) - order.begin());
         return (rank <= firstWaitingFiller && firstWaitingFiller < order.size())
             || placement.choose(*job, run.task, now) != nullptr;
--- a/packages/scheduler/tests/relocation_test.cpp
+++ b/packages/scheduler/tests/relocation_test.cpp
@@ -99,14 +99,15 @@
 {
     // Guards against SHORT: one task of a service that no host can take kept every paced run where it was.
     RelocationFixture fixture({.relocation = true});
-    const auto fillAllHosts = [&](const std::string &id) {
-        JobSpec job = RelocationFixture::batchJob(id);
+    const auto fillAllHosts = [&](const std::string &id, bool checkpointing = true) {
+        JobSpec job = RelocationFixture::batchJob(id, checkpointing);
         job.steps.front().count = 3;
         job.steps.front().request.cpuMillis = 4000;
         fixture.scheduler->submit(job, fixture.now);
         return fixture.step();
     };
-    const auto starts = fillAllHosts("held-back");
+    const bool checkpointing = GENERATE(true, false);
+    const auto starts = fillAllHosts("held-back", checkpointing);
     REQUIRE(starts.size() == 3);
 
     SECTION("A service waits, and no host has room for more batch work")
@@ -115,10 +116,24 @@
         service.steps.front().request.cpuMillis = 5000;
         service.steps.front().longRunning = true;
         fixture.scheduler->submit(service, fixture.now);
+        const std::uint32_t share = GENERATE(0U, 20U);
+        CAPTURE(share, checkpointing);
+
         SECTION("The run moves when its job comes before the batch work that waits")
         {
             fillAllHosts("waiting");
-            CHECK(fixture.reportPaced(starts.front(), 20, Milliseconds(1600)).size() == 1);
+            CHECK(fixture.reportPaced(starts.front(), share, Milliseconds(1600)).size() == 1);
+        }
+        SECTION("Otherwise it moves only from a standstill, which costs nothing")
+        {
+            fixture.view->queues["urgent"] = {
+                .name = "urgent", .service = "desk", .priority = 1, .maxAttempts = 2, .stretch = 2};
+            fixture.scheduler->setOperatorView(fixture.view);
+            JobSpec urgent = RelocationFixture::batchJob("urgent");
+            urgent.queue = "urgent";
+            fixture.scheduler->submit(urgent, fixture.now);
+            CHECK(fixture.reportPaced(starts.front(), share, Milliseconds(1600)).size()
+                  == (share == 0 && checkpointing ? 1 : 0));
         }
     }
 }
