Place no batch task on a host that already limits its image

Cause: whether a filler costs a service headroom is judged for one task by the learned effect of its image, and a loss below 0.15 never prevents a placement. The agent of the host judges all fillers of the image together and may have stopped it, so the leader added tasks to images that stand still. Seen in a trace: three tasks of one step placed on a host whose service was at six times its target; all three were stopped 0.4 s later, for 17 s.

Change: an image that the host limits to less than 60 % gets no further filler there until the limit has been raised. The new test fails before.

--- a/packages/scheduler/src/carobflow/scheduler/filleradmission.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/filleradmission.cpp
@@ -29,6 +29,12 @@
         found = m_hosts.emplace(std::string(host), HostState{}).first;
     }
     found->second.services = std::move(services);
+    found->second.limitedImages.clear();
+    for (const HeadroomModel::Filler &filler : fillers) {
+        if (filler.share < m_options.minShare) {
+            found->second.limitedImages.emplace(filler.image);
+        }
+    }
 }
 
 void FillerAdmission::onPlaced(std::string_view host, std::string_view image, double cores, TimePoint now)
@@ -61,6 +67,9 @@
     if (found == m_hosts.end()) {
         return 0;
     }
+    if (found->second.limitedImages.contains(image)) {
+        return std::nullopt;
+    }
     double worst = 0;
     for (const HeadroomModel::Service &service : found->second.services) {
         const double loss = m_model.effect(service.image, image) * cores;
--- a/packages/scheduler/src/carobflow/scheduler/filleradmission.h
+++ b/packages/scheduler/src/carobflow/scheduler/filleradmission.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,6 +24,9 @@
         double minHeadroom = 2.0;
         /// A loss of headroom up to this never prevents a placement, however little headroom there is.
         double negligibleLoss = 0.15;
+        /// A host that limits an image to a lower percentage takes no further filler of the image: the limit would
+        /// apply to it from its start.
+        std::uint32_t minShare = 60;
         /// Time until measurements show the effect of a new filler; until then its expected effect is subtracted.
         Milliseconds measurementLag{1200};
     };
@@ -39,7 +43,7 @@
     void onPlaced(std::string_view host, std::string_view image, double cores, TimePoint now);
 
     /// The largest fraction of its headroom that a service on the host is expected to lose to one more filler. None
-    /// when a service that it slows down would be left with too little headroom.
+    /// when a service that it slows down would be left with too little headroom, or the host already limits its image.
     [[nodiscard]] std::optional<double>
     expectedLoss(std::string_view host, std::string_view image, double cores, TimePoint now) const;
 
@@ -59,6 +63,8 @@
     struct HostState {
         std::vector<HeadroomModel::Service> services;
         std::vector<RecentFiller> recent;
+        /// Images of fillers that the host limits to a low share.
+        std::set<std::string, std::less<>> limitedImages;
     };
 
     [[nodiscard]] double
--- a/packages/scheduler/src/carobflow/scheduler/headroommodel.h
+++ b/packages/scheduler/src/carobflow/scheduler/headroommodel.h
@@ -42,6 +42,8 @@
         std::string image;
         /// Processor time in use, in cores.
         double cores = 0;
+        /// Percentage of its full speed to which the host limits it.
+        std::uint32_t share = 100;
     };
 
     struct Service {
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -711,7 +711,7 @@
             services.push_back(
                 {.run = running.run, .image = step.image, .tailTarget = step.tailTarget, .tailMs = running.load});
         } else if (step.fillsLeftover) {
-            fillers.push_back({.image = step.image, .cores = coresOf(running.load)});
+            fillers.push_back({.image = step.image, .cores = coresOf(running.load), .share = running.share});
         }
     }
     m_fillerAdmission.observe(report.host, std::move(services), fillers, now);
--- a/packages/scheduler/tests/policy_test.cpp
+++ b/packages/scheduler/tests/policy_test.cpp
@@ -109,6 +109,46 @@
     }
 }
 
+TEST_CASE("A host takes no filler of an image that it limits", "[fillerguide]")
+{
+    // Guards against SHORT: tasks of one step were added to a host whose agent had already stopped their image.
+    FillerAdmission fillerAdmission{FillerAdmission::Options{}};
+    const TimePoint now{Seconds(100)};
+    const auto observe = [&](std::uint32_t share) {
+        fillerAdmission.observe("host",
+                                {{.run = {.task = {.job = "service"}, .run = 1},
+                                  .image = "web",
+                                  .tailTarget = Milliseconds(150),
+                                  .tailMs = 20}},
+                                std::vector<HeadroomModel::Filler>{{.image = "limited", .cores = 1, .share = share},
+                                                                   {.image = "free", .cores = 1}},
+                                now);
+    };
+    // So little processor time that it costs the service nothing.
+    constexpr double cores = 0.5;
+    observe(100);
+    REQUIRE(fillerAdmission.expectedLoss("host", "limited", cores, now));
+
+    SECTION("While the limit is low")
+    {
+        observe(20);
+        CHECK_FALSE(fillerAdmission.expectedLoss("host", "limited", cores, now));
+        SECTION("Fillers of other images are taken")
+        {
+            CHECK(fillerAdmission.expectedLoss("host", "free", cores, now));
+        }
+        SECTION("Other hosts take the image")
+        {
+            CHECK(fillerAdmission.expectedLoss("other", "limited", cores, now));
+        }
+        SECTION("It is taken again when the limit has been raised")
+        {
+            observe(85);
+            CHECK(fillerAdmission.expectedLoss("host", "limited", cores, now));
+        }
+    }
+}
+
 TEST_CASE("The effect of a filler image on a service is learned from changes of headroom", "[fillerguide]")
 {
     FillerAdmission fillerAdmission{FillerAdmission::Options{}};
