--- a/tests/hosted/untrusted_test.cpp
+++ b/tests/hosted/untrusted_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <latch>
 #include <span>
 #include <thread>
 
@@ -29,11 +30,20 @@
 constexpr std::uint64_t MaxMemoryMiB = 64;
 constexpr Milliseconds FloodLimit{10000};
 
+/// Connections that send whole requests at the same moment, and how often they do so.
+constexpr std::size_t WaveCrowd = 250;
+constexpr std::size_t Waves = 10;
+
 /// Limits that a small crowd reaches.
 constexpr std::string_view TestLimits = "connections = 64\nstatus_connections = 32\nheader_bytes = 32768\n"
                                         "reading_bytes = 16777216\nheader_ms = 2000\nrequest_ms = 4000\n"
                                         "idle_ms = 4000\nwrite_ms = 2000\n";
 
+/// Limits that admit the connections of a wave.
+constexpr std::string_view WaveLimits = "connections = 300\nstatus_connections = 32\nheader_bytes = 32768\n"
+                                        "reading_bytes = 16777216\nheader_ms = 2000\nrequest_ms = 4000\n"
+                                        "idle_ms = 4000\nwrite_ms = 2000\n";
+
 /// Code before the section [limits] does not start with it: CAROBFLOW_WITHOUT_LIMITS runs these tests on such code.
 HostedSystem::Options systemOptions()
 {
@@ -162,6 +172,26 @@
     whileOpen();
 }
 
+/// Sends a whole request over each connection of a crowd, again and again. Its last bytes go out when all others have
+/// arrived, so that the peer holds all requests at the same moment.
+void attackInWaves(std::uint16_t port, std::string_view request)
+{
+    constexpr std::size_t lastBytes = 2;
+    for (std::size_t wave = 0; wave < Waves; ++wave) {
+        std::latch sent(WaveCrowd);
+        std::vector<std::jthread> threads;
+        for (std::size_t index = 0; index < WaveCrowd; ++index) {
+            threads.emplace_back([&] {
+                RawConnection connection(port);
+                connection.send(request.substr(0, request.size() - lastBytes));
+                sent.arrive_and_wait();
+                connection.send(request.substr(request.size() - lastBytes));
+                connection.receiveUntil("\r\n\r\n");
+            });
+        }
+    }
+}
+
 std::uint64_t memoryMiB(int pid, std::string_view field)
 {
     std::ifstream status("/proc/" + std::to_string(pid) + "/status");
@@ -237,6 +267,18 @@
     }
 }
 
+/// As many fields as header_bytes lets through.
+const std::string ManyFields = repeated("a:\r\n", 8000);
+
+void checkWaves(const std::string &request)
+{
+    HostedSystem system({.agents = 1, .limits = std::string(WaveLimits)});
+    system.waitUntilReady();
+    Survival survival(system);
+    attackInWaves(system.entryPorts(0).http, request);
+    survival.check();
+}
+
 /// A job with the longest `task-spec`, which the stand-in of a worker reads as a number of milliseconds.
 std::string jobOfSteps(std::size_t steps, std::size_t tasks)
 {
@@ -266,6 +308,18 @@
         Flood{.name = "a request line", .opening = "GET /", .piece = "a"}});
 }
 
+// Guards against memory that fields take when they are parsed, which a limit on bytes does not count.
+TEST_CASE("Waves of whole requests with many trailers do not use up the memory of an entry", "[hosted][untrusted]")
+{
+    checkWaves(head(Chunked) + "0\r\n" + ManyFields + "\r\n");
+}
+
+// Guards against the same for fields before a body.
+TEST_CASE("Waves of whole requests with many header fields do not use up the memory of an entry", "[hosted][untrusted]")
+{
+    checkWaves(GENERATE(head(ManyFields + "\r\n"), head(ManyFields + "Content-Length: 2\r\n\r\n") + "{}"));
+}
+
 // Guards against bodies that are kept without a bound, and against errors in what states their length.
 TEST_CASE("Bodies and their lengths do not bring down an entry", "[hosted][untrusted]")
 {
