Discard trailers instead of storing them as fields

Callers saw: a crowd of whole requests, each within every limit, used up the memory of an entry.

Cause: the parser stored each trailer as a field, about 190 bytes for 4 on the wire. They were counted only after that, and requests that waited for room in the budget kept them meanwhile. The limit counted bytes on the wire; what was held was something else.

Change: RequestParser discards fields that come after the headers; no code uses them. header_bytes still bounds how many bytes are read.

--- a/packages/daemon/src/carobflow/daemon/internal/requestreader.cpp
+++ b/packages/daemon/src/carobflow/daemon/internal/requestreader.cpp
@@ -55,7 +55,7 @@
 
 std::uint64_t RequestReader::heldBytes()
 {
-    if (!m_headersCounted || m_parser.is_done()) {
+    if (!m_headersCounted) {
         m_fieldBytes = 0;
         for (const auto &field : m_parser.get()) {
             m_fieldBytes += FieldOverhead + 2 * (field.name_string().size() + field.value().size());
--- a/packages/daemon/src/carobflow/daemon/internal/requestreader.h
+++ b/packages/daemon/src/carobflow/daemon/internal/requestreader.h
@@ -58,6 +58,23 @@
     };
 };
 
+/// Discards trailers. Nothing here uses them, and as parsed fields they take up to fifty times their size on the wire,
+/// before they can be counted.
+class RequestParser : public boost::beast::http::request_parser<ReceivedBody>
+{
+private:
+    // NOLINTNEXTLINE(readability-identifier-naming): a virtual function of the library
+    void on_field_impl(boost::beast::http::field name,
+                       boost::beast::string_view nameText,
+                       boost::beast::string_view value,
+                       boost::system::error_code & /*error*/) override
+    {
+        if (!is_header_done()) {
+            get().insert(name, nameText, value);
+        }
+    }
+};
+
 /// Parses one request out of a connection's buffer within bounds of its framing and its body. The framing is what is
 /// not body: the request line, headers, trailers, chunk-size lines and chunk extensions.
 class RequestReader
@@ -88,16 +105,14 @@
     static std::size_t maxBufferBytes(const Options &options);
 
 private:
-    using Parser = boost::beast::http::request_parser<ReceivedBody>;
-
     Options m_options;
     boost::beast::flat_buffer &m_buffer;
-    Parser m_parser;
+    RequestParser m_parser;
     /// The parser refers to it.
     std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code &)> m_onChunkHeader;
     std::uint64_t m_extensionBytes = 0;
     std::uint64_t m_fieldBytes = 0;
-    /// True when m_fieldBytes includes all headers; only trailers can follow.
+    /// True when m_fieldBytes includes all headers.
     bool m_headersCounted = false;
 };
 
