--- a/packages/scheduler/src/carobflow/scheduler/refusals.h
+++ b/packages/scheduler/src/carobflow/scheduler/refusals.h
@@ -9,7 +9,7 @@
 
 /// Why a host does not take a run of a task now.
 enum class Refusal {
-    /// The host's service, label, evacuation, anti-affinity or recent starts exclude the task.
+    /// The host's service, label, data centre, recent starts or other tasks of the step exclude the task.
     Excluded,
     /// Recent runs on the host have failed or stalled.
     Suspect,
