--- a/packages/scheduler/src/carobflow/scheduler/job.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/job.cpp
@@ -174,6 +174,15 @@
     return m_acceptedAt + objectiveFor(totalCriticalPath());
 }
 
+std::size_t Job::runCount() const
+{
+    std::size_t runs = 0;
+    for (const Task &task : m_tasks) {
+        runs += task.lastRun;
+    }
+    return runs;
+}
+
 JobProgress Job::progress() const
 {
     JobProgress progress{.cancelled = m_cancelled,
--- a/packages/scheduler/src/carobflow/scheduler/job.h
+++ b/packages/scheduler/src/carobflow/scheduler/job.h
@@ -295,6 +295,9 @@
         return m_attempts;
     }
 
+    /// Number of runs that were decided for all tasks so far.
+    [[nodiscard]] std::size_t runCount() const;
+
     /// True for a job with tasks that run until it is cancelled.
     [[nodiscard]] bool isService() const
     {
--- a/packages/scheduler/src/carobflow/scheduler/refusals.h
+++ b/packages/scheduler/src/carobflow/scheduler/refusals.h
@@ -34,11 +34,6 @@
 
     void add(const Refusals &other);
 
-    [[nodiscard]] std::size_t count(Refusal refusal) const
-    {
-        return m_counts[static_cast<std::size_t>(refusal)];
-    }
-
     /// Reasons that occurred, as "reason:count" separated by commas.
     [[nodiscard]] std::string describe() const;
 
--- a/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
+++ b/packages/scheduler/src/carobflow/scheduler/scheduler.cpp
@@ -917,14 +917,12 @@
         return;
     }
     const JobValue value{JobValue::Options{}};
-    std::size_t runs = 0;
-    const_cast<Job &>(job).forEachTask([&](const TaskId & /*id*/, const Task &task) { runs += task.lastRun; });
     m_options.onCompletion(
         {.job = &job,
          .took = std::chrono::duration_cast<Milliseconds>(now - job.acceptedAt()),
          .objective = std::chrono::duration_cast<Milliseconds>(JobValue::objectiveEnd(job) - job.acceptedAt()),
          .timeliness = value.timelinessAt(job, now),
-         .runs = runs});
+         .runs = job.runCount()});
 }
 
 HeldBackRuns Scheduler::heldBackRuns(TimePoint now) const
--- a/packages/scheduler/tests/policy_test.cpp
+++ b/packages/scheduler/tests/policy_test.cpp
@@ -111,7 +111,7 @@
 
 TEST_CASE("A host takes no filler of an image that it limits", "[fillerguide]")
 {
-    // Guards against SHORT: tasks of one step were added to a host whose agent had already stopped their image.
+    // Guards against long jobs that end late because their tasks were added to an image that the host had stopped.
     FillerAdmission fillerAdmission{FillerAdmission::Options{}};
     const TimePoint now{Seconds(100)};
     const auto observe = [&](std::uint32_t share) {
--- a/packages/scheduler/tests/relocation_test.cpp
+++ b/packages/scheduler/tests/relocation_test.cpp
@@ -97,7 +97,7 @@
 
 TEST_CASE("A run that pacing holds back does not wait for a task that needs other resources", "[relocation]")
 {
-    // Guards against SHORT: one task of a service that no host can take kept every paced run where it was.
+    // Guards against long jobs that end late: one task of a service that no host took kept every paced run in place.
     RelocationFixture fixture({.relocation = true});
     const auto fillAllHosts = [&](const std::string &id, bool checkpointing = true) {
         JobSpec job = RelocationFixture::batchJob(id, checkpointing);
