--- a/packages/control/tests/leaderterm_test.cpp
+++ b/packages/control/tests/leaderterm_test.cpp
@@ -873,6 +873,11 @@
         CHECK(reply.retry_after_ms() >= 1000);
         CHECK(reply.retry_after_ms() % 1000 == 0);
         CHECK(fixture.table.versionOf(jobKey("new")) == 0);
+        // The two small jobs, whose outcome depends on how long the test takes.
+        const auto isCompletion = [](const std::string &event) {
+            return event == "job-in-time" || event == "job-late" || event == "job-expired";
+        };
+        CHECK(std::erase_if(events, isCompletion) == 2);
         CHECK(events == std::vector<std::string>{"job-rejected-overload"});
 
         SECTION("A copy of the request that arrives late is rejected as well")
