--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -277,7 +277,8 @@
         self.number = None
         self.noted = None
         self.timer = None
-        # The newest checkpoint.
+        # What it was told to do, and the newest checkpoint.
+        self.spec = ""
         self.saved = ""
 
 
@@ -433,6 +434,7 @@
             return self._refusal("late")
         self._extend(body)
         run = Run(task, number, self.id, self.life, self.system.record.now())
+        run.spec = body["task-spec"]
         self.running[task] = run
         self.runs.append(run)
         self.system.record.add(f"worker {self.id} life {self.life} starts {task} run {number}")
