Case 12: a worker whose report outgrows gRPC's limit loses all it runs

1,200 lasting tasks with checkpoints of 4,000 characters. The case of ids on two routes becomes case 13, unchanged.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Prepares what the scripts of review/11 and review/12 start besides the build of the deploy file: nothing has to be
+# Prepares what the scripts of review/11 to review/13 start besides the build of the deploy file: nothing has to be
 # compiled, since their stand-ins are written in Python, with its standard library only. This checks that they can run.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -10,4 +10,4 @@
 for path in sorted([*pathlib.Path("common-3").glob("*.py"), *pathlib.Path(".").glob("1[1-5]/case.py")]):
     ast.parse(path.read_text(), str(path))
 CHECK
-echo "the stand-ins of review/11 and review/12 can run"
+echo "the stand-ins of review/11 to review/13 can run"
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -280,6 +280,7 @@
         # What it was told to do, and the newest checkpoint.
         self.spec = ""
         self.saved = ""
+        self.percent = None
 
 
 class Worker:
@@ -444,6 +445,9 @@
             run.timer = loop.call_later(int(value) / 1000, self.end, run, "done")
         elif kind == "deadly":
             run.timer = loop.call_later(int(value) / 1000, self.system.on_deadly, self, run)
+        elif kind == "lasts":
+            run.percent = 100
+            run.timer = loop.call_later(1.0, self._save, run, int(value))
         elif kind == "gang":
             self.system.on_gang(self, run, body)
         return self._answer()
@@ -478,7 +482,15 @@
         finished = [[run.number, run.task, run.run, run.how, run.saved] for run in self.finished[:500]]
         return self._answer(running=running, finished=finished)
 
+    def _save(self, run, size) -> None:
+        """Produces a new checkpoint of a lasting task each second, of this many characters."""
+        if self.running.get(run.task) is run:
+            run.saved = f"{int(self.clock()):016x}" + "0" * (size - 16)
+            run.timer = asyncio.get_running_loop().call_later(1.0, self._save, run, size)
+
     def _percent(self, run) -> int:
+        if run.percent is not None:
+            return run.percent
         # Rough progress: what matters here is that it changes while the task works.
         return min(99, int((self.system.record.now() - run.began) * 10))
 
