--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -203,7 +203,7 @@
         if parts.path == "/carobflow/rows-feed":
             return await self._feed(query)
         if parts.path == "/carobflow/rows-tx" and method == "POST":
-            return self._transact(json.loads(body))
+            return (400, {}) if len(body) > 1_000_000 else self._transact(json.loads(body))
         return 404, {}
 
     def _get(self, query):
@@ -256,7 +256,8 @@
             return 403, {}
         for row, name in zip(body["expect"], names(body["expect"])):
             if self.rows.get(name, ("", 0))[1] != row["schema-version"]:
-                return 412, {"rows": []} | self._state()
+                found = [other for other in names(body["expect"]) if other in self.rows]
+                return 412, {"rows": [self._row(other, *self.rows[other]) for other in found]} | self._state()
         self.version += 1
         for row, name in zip(body["put-rows"], names(body["put-rows"])):
             self._note(name, row["value"])
@@ -513,7 +514,6 @@
     def __init__(self, folder, agents=3, entries=1, cpu=32000, spare_routes=()) -> None:
         self.record = Record(Path(folder) / "record.txt")
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.directory = Path(tempfile.mkdtemp(prefix="carobflow-review-"))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self._roles = deploy["roles"]
         if not (ROOT / self._roles["agent"]["run"].split()[0]).exists():
@@ -521,6 +521,7 @@
         self.front_port, self.ready_port, self.control_port, self.app_port = 8161, 8167, 8166, 8080
         self.grpc_port, self.metrics_port, self.store_port = 7720, 7721, 8169
         self.net = self._free_net(agents, entries)
+        self.directory = Path(tempfile.mkdtemp(prefix="carobflow-review-"))
         self.store_host = f"{self.net}.200"
         self.agent_hosts = [f"{self.net}.{10 + index}" for index in range(agents)]
         self.entry_hosts = [f"{self.net}.{100 + index}" for index in range(entries)]
